--- /dev/null
+++ b/src/snipelink/model.py
@@ -0,0 +1,128 @@
+"""Data classes that the packages share."""
+
+from __future__ import annotations
+
+import dataclasses
+
+Headers = list[tuple[str, str]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """One kind of request of a service; times in milliseconds, sizes in bytes."""
+
+    name: str
+    method: str
+    path: str
+    idempotent: bool
+    priority: str = "normal"
+    weight: int = 1
+    deadline_ms: int = 2000
+    max_request_bytes: int = 1 << 20
+    max_answer_bytes: int = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One server that runs a service; ``call_address`` is empty without a node."""
+
+    name: str
+    service: str
+    failure_domain: str
+    region: str
+    address: str
+    call_address: str = ""
+    control_address: str = ""
+    endpoint_sets: frozenset[str] = frozenset()
+    leaving: bool = False
+    slots: int = 10
+    connections: int = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Budgets:
+    """Budgets of a service; ratios are relative to first attempts."""
+
+    retry_ratio: float = 0.1
+    hedge_ratio: float = 0.02
+    probes_per_s: float = 1.0
+    probe_cpu_ratio: float = 0.002
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service with its operations and endpoints."""
+
+    name: str
+    operations: tuple[Operation, ...]
+    endpoints_by_name: dict[str, Endpoint]
+    budgets: Budgets = Budgets()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """Sends the callers it matches to one service or endpoint set.
+
+    An empty ``caller``, ``host`` or ``endpoint_set`` matches all.
+    """
+
+    name: str
+    service: str
+    caller: str = ""
+    host: str = ""
+    path_prefix: str = "/"
+    endpoint_set: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectSet:
+    """A consistent set of published objects."""
+
+    revision: int
+    digest: str
+    rules: tuple[Rule, ...]
+    services_by_name: dict[str, Service]
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One call on its way through a node.
+
+    ``deadline`` is in seconds of the monotonic clock of this process.
+    """
+
+    call_id: str
+    service: str
+    operation: Operation
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    deadline: float
+    endpoint_set: str = ""
+    caller: str = ""
+    traceparent: str = ""
+    idempotency_key: str = ""
+    depth: int = 0
+    attempt: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of an endpoint as its node reports it."""
+
+    running: int
+    queued: int
+    limit: int
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Complete answer of an endpoint."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    endpoint: str = ""
+    load: LoadReport | None = None
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+import pathlib
+import re
+
+from snipelink import errors
+
+DESIGN = pathlib.Path(__file__).parent.parent / "docs" / "design.md"
+
+
+def test_every_kind_has_an_entry() -> None:
+    """Guards against a kind without an answer for the caller."""
+    assert set(errors.ENTRIES_BY_KIND) == set(errors.Kind)
+
+
+def test_table_equals_the_documented_one() -> None:
+    """Guards against documentation that promises another status or outcome."""
+    rows = re.findall(
+        r"^\| ([a-z-]+) \| (\d{3}) \| ([a-z-]+) \| (\w+) \|$",
+        DESIGN.read_text(),
+        re.MULTILINE,
+    )
+    documented = {name: (int(status), ran, rep) for name, status, ran, rep in rows}
+    actual = {
+        kind.value: (entry.status, entry.ran.value, entry.repeat.value)
+        for kind, entry in errors.ENTRIES_BY_KIND.items()
+    }
+    assert actual == documented
