Accept published sets, read the platform, judge readiness at start

Cause: a node needs one place that decides which set is in force and that can never revert, and a started node has forgotten which revision was the highest.

--- a/src/snipelink/config/__init__.py
+++ b/src/snipelink/config/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted set of objects: reading it, collecting its documents, judging it."""
--- /dev/null
+++ b/src/snipelink/config/reader.py
@@ -0,0 +1,249 @@
+"""Client of the platform's configuration service."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+import socket
+import threading
+import time
+import urllib.parse
+import zlib
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+import result
+import urllib3
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_LIST_BYTES = 4_000_000
+BLOCK_BYTES = 4096
+# Request and answer heads with TCP and IP headers of a read on a kept connection.
+OVERHEAD_BYTES = 700
+# Bounds what the kernel receives beyond the budget while a reader waits for it.
+RECEIVE_BUFFER_BYTES = 16_384
+WAIT_STEP_S = 0.02
+# Time beyond the wait of a watch after which it is given up.
+WATCH_MARGIN_S = 2.0
+_NOT_CHANGED = -1
+
+
+class ReadFailure(enum.Enum):
+    """Why a read gave no value."""
+
+    UNREACHABLE = "unreachable"
+    LIMITED = "limited"
+    ABSENT = "absent"
+    INVALID = "invalid"
+    BUDGET = "budget"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """A value with the platform's revision and the replica that served it."""
+
+    content: bytes
+    revision: int
+    url: str
+
+
+class Listed(msgspec.Struct, frozen=True):
+    """Entry of the instance list; only the first three fields are always there."""
+
+    name: str
+    state: str = "live"
+    since: float = 0.0
+    failure_domain: str = ""
+    region: str = ""
+    control_address: str = ""
+
+
+class ListedInstances(msgspec.Struct, frozen=True):
+    """Instance list; ``size_bytes`` is the length of its text."""
+
+    revision: int
+    instances: list[Listed]
+    size_bytes: int = 0
+
+
+class Meter(Protocol):
+    """Budget that reads are charged to."""
+
+    def try_spend(self, byte_count: int, now: float) -> bool:
+        """Spend bytes if the budget allows it."""
+
+
+class Reader:
+    """Reads and watches values; one instance may be used by several threads.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node, sent to the platform.
+    urls : sequence of str
+        Base URLs of the platform's replicas; each read picks one at random.
+    timeout_s : float
+        Timeout of one read.
+    meter : Meter
+        Budget for bytes.
+    rng : random.Random
+        Choice of the replica.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        urls: Sequence[str],
+        timeout_s: float,
+        meter: Meter,
+        rng: random.Random,
+    ) -> None:
+        self._urls = [url.rstrip("/") for url in urls]
+        self._timeout_s = timeout_s
+        self._meter = meter
+        self._rng = rng
+        self._stopped = threading.Event()
+        self._last_url = ""
+        options = [
+            *urllib3.connection.HTTPConnection.default_socket_options,
+            (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+        ]
+        self._pool = urllib3.PoolManager(
+            num_pools=len(self._urls),
+            maxsize=2,
+            retries=False,
+            socket_options=options,
+            headers={
+                "User-Agent": f"snipelink/{node}",
+                "Accept-Encoding": "gzip",
+            },
+        )
+
+    def close(self) -> None:
+        """End waiting reads and close all connections."""
+        self._stopped.set()
+        self._pool.clear()
+
+    def read(
+        self, key: str, max_bytes: int = MAX_VALUE_BYTES
+    ) -> result.Result[Reading, ReadFailure]:
+        """Read a value."""
+        return self._get(f"/v1/keys/{_quote(key)}", self._timeout_s, max_bytes)
+
+    def watch(
+        self, key: str, after: int, wait_s: float
+    ) -> result.Result[Reading | None, ReadFailure]:
+        """Wait for a value newer than a revision; None when there was none in time."""
+        query = f"watch=1&after={after}&timeout={wait_s:g}"
+        timeout_s = wait_s + WATCH_MARGIN_S
+        answer = self._get(f"/v1/keys/{_quote(key)}?{query}", timeout_s)
+        if isinstance(answer, result.Ok) and answer.ok_value.revision == _NOT_CHANGED:
+            return result.Ok(None)
+        return answer
+
+    def instances(self) -> result.Result[ListedInstances, ReadFailure]:
+        """Read the instance list."""
+        answer = self._get("/v1/instances", self._timeout_s, MAX_LIST_BYTES)
+        if isinstance(answer, result.Err):
+            return answer
+        content = answer.ok_value.content
+        try:
+            listed = msgspec.json.decode(content, type=ListedInstances)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return result.Err(ReadFailure.INVALID)
+        return result.Ok(msgspec.structs.replace(listed, size_bytes=len(content)))
+
+    def _get(
+        self, path: str, timeout_s: float, max_bytes: int = MAX_VALUE_BYTES
+    ) -> result.Result[Reading, ReadFailure]:
+        if not self._wait_to_spend(OVERHEAD_BYTES, timeout_s):
+            return result.Err(ReadFailure.BUDGET)
+        url = self._choose_url()
+        try:
+            response = self._pool.request(
+                "GET", url + path, timeout=timeout_s, preload_content=False
+            )
+        except urllib3.exceptions.HTTPError:
+            return result.Err(ReadFailure.UNREACHABLE)
+        try:
+            return self._receive(response, url, max_bytes)
+        finally:
+            response.close()
+
+    def _receive(
+        self, response: urllib3.BaseHTTPResponse, url: str, max_bytes: int
+    ) -> result.Result[Reading, ReadFailure]:
+        if response.status == 304:
+            self._finish(response)
+            return result.Ok(Reading(b"", _NOT_CHANGED, url))
+        if response.status != 200:
+            self._finish(response)
+            limited = response.status == 429
+            absent = response.status == 404
+            return result.Err(
+                ReadFailure.LIMITED
+                if limited
+                else ReadFailure.ABSENT
+                if absent
+                else ReadFailure.UNREACHABLE
+            )
+        revision = response.headers.get("X-Revision", "")
+        if not revision.isdecimal():
+            return result.Err(ReadFailure.INVALID)
+        received = self._receive_body(response, max_bytes)
+        if isinstance(received, result.Err):
+            return received
+        self._finish(response)
+        return result.Ok(Reading(received.ok_value, int(revision), url))
+
+    def _receive_body(
+        self, response: urllib3.BaseHTTPResponse, max_bytes: int
+    ) -> result.Result[bytes, ReadFailure]:
+        """Read the body block by block, each after it was charged."""
+        encoding = response.headers.get("Content-Encoding", "identity")
+        if encoding not in ("identity", "gzip"):
+            return result.Err(ReadFailure.INVALID)
+        inflate = zlib.decompressobj(wbits=31) if encoding == "gzip" else None
+        content = bytearray()
+        try:
+            while True:
+                if not self._wait_to_spend(BLOCK_BYTES, self._timeout_s * 10):
+                    return result.Err(ReadFailure.BUDGET)
+                block = response.read(BLOCK_BYTES, decode_content=False)
+                if not block:
+                    break
+                room = max_bytes + 1 - len(content)
+                content += inflate.decompress(block, room) if inflate else block
+                if len(content) > max_bytes:
+                    return result.Err(ReadFailure.INVALID)
+        except zlib.error:
+            return result.Err(ReadFailure.INVALID)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return result.Err(ReadFailure.UNREACHABLE)
+        if inflate is not None and not inflate.eof:
+            return result.Err(ReadFailure.INVALID)
+        return result.Ok(bytes(content))
+
+    def _wait_to_spend(self, byte_count: int, timeout_s: float) -> bool:
+        deadline = time.monotonic() + timeout_s
+        while not self._meter.try_spend(byte_count, time.monotonic()):
+            if time.monotonic() > deadline or self._stopped.wait(WAIT_STEP_S):
+                return False
+        return not self._stopped.is_set()
+
+    def _choose_url(self) -> str:
+        """Prefer another replica than the last one, which may be stale."""
+        others = [url for url in self._urls if url != self._last_url]
+        self._last_url = self._rng.choice(others or self._urls)
+        return self._last_url
+
+    @staticmethod
+    def _finish(response: urllib3.BaseHTTPResponse) -> None:
+        response.drain_conn()
+        response.release_conn()
+
+
+def _quote(key: str) -> str:
+    return urllib.parse.quote(key, safe="/")
--- /dev/null
+++ b/src/snipelink/config/startup.py
@@ -0,0 +1,104 @@
+"""When a started node may serve.
+
+A started node has forgotten everything. It serves only when what it has in force is the
+highest revision that several independent sources know. With no source it stays
+not-ready.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Collection, Mapping
+
+DOMAINS_WITH_PLATFORM = 1
+DOMAINS_WITHOUT_PLATFORM = 2
+PEERS_WITHOUT_PLATFORM = 2
+PLATFORM_READS_ALONE = 2
+PEER_WAIT_S = 3.0
+CLAIM_WAIT_S = 20.0
+
+
+class Wait(enum.Enum):
+    """What a started node still waits for."""
+
+    READY = "ready"
+    NO_SET = "no set"
+    BEHIND = "newer revision known"
+    SOURCES = "too few sources"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAnswer:
+    """Revision that a serving peer has in force."""
+
+    failure_domain: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a started node has learned.
+
+    Attributes
+    ----------
+    in_force : int
+        Revision in force at this node, 0 for none.
+    highest_known : int
+        Highest revision heard of.
+    highest_known_at : float
+        When it was first heard of.
+    answers_by_peer : mapping of str to PeerAnswer
+        Answers of peers that serve themselves; starting peers don't count.
+    platform_reads : int
+        Reads that the platform answered since the start.
+    platform_revision : int
+        Highest revision that the platform gave.
+    known_domains : collection of str
+        Failure domains with live members, as far as known.
+    """
+
+    in_force: int
+    highest_known: int
+    highest_known_at: float
+    answers_by_peer: Mapping[str, PeerAnswer]
+    platform_reads: int
+    platform_revision: int
+    known_domains: Collection[str]
+
+
+def judge(evidence: Evidence, started_at: float, now: float) -> Wait:
+    """Return whether a started node may serve, or what it waits for.
+
+    A revision that nobody has supplied for ``CLAIM_WAIT_S`` no longer holds a node
+    back, provided that the platform answered: one wrong peer must not block every
+    start.
+    """
+    if evidence.in_force == 0:
+        return Wait.NO_SET
+    serving = [a for a in evidence.answers_by_peer.values() if a.revision > 0]
+    highest = max(
+        evidence.highest_known,
+        evidence.platform_revision,
+        *(answer.revision for answer in serving),
+    )
+    unsupported = (
+        evidence.platform_reads > 0 and now - evidence.highest_known_at > CLAIM_WAIT_S
+    )
+    if evidence.in_force < highest and not unsupported:
+        return Wait.BEHIND
+    if not _enough(evidence, serving, now - started_at):
+        return Wait.SOURCES
+    return Wait.READY
+
+
+def _enough(evidence: Evidence, serving: list[PeerAnswer], waited_s: float) -> bool:
+    domains = {answer.failure_domain for answer in serving}
+    reachable = max(1, len(set(evidence.known_domains)))
+    if evidence.platform_reads > 0 and len(domains) >= DOMAINS_WITH_PLATFORM:
+        return True
+    if evidence.platform_reads >= PLATFORM_READS_ALONE and waited_s >= PEER_WAIT_S:
+        return True
+    return len(serving) >= PEERS_WITHOUT_PLATFORM and len(domains) >= min(
+        DOMAINS_WITHOUT_PLATFORM, reachable
+    )
--- /dev/null
+++ b/src/snipelink/config/store.py
@@ -0,0 +1,290 @@
+"""Accepted set of objects and what is known of newer ones."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import logging
+import threading
+from collections.abc import Mapping
+
+import result
+
+from snipelink import model
+from snipelink.config import assembly, source
+from snipelink.objects import documents
+
+_LOG = logging.getLogger(__name__)
+
+KEPT_MANIFESTS = 4
+KEPT_CONFLICTS = 16
+LOG_AGAIN_S = 60.0
+
+
+class Reason(enum.Enum):
+    """Why a set was refused."""
+
+    INVALID = "invalid"
+    INCOMPLETE = "incomplete"
+    OLDER = "older"
+    CONFLICT = "conflict"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Refusal of an offered set."""
+
+    reason: Reason
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """The accepted set; ``accepted_at`` is monotonic."""
+
+    objects: model.ObjectSet
+    manifest: bytes
+    source: source.Source
+    accepted_at: float
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force."""
+        return self.objects.revision
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the set in force."""
+        return self.objects.digest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Highest revision heard of, accepted or not."""
+
+    revision: int = 0
+    digest: str = ""
+    source: source.Source | None = None
+    heard_at: float = 0.0
+
+
+class Store:
+    """Accepts whole sets with verified digests and rising revisions only.
+
+    All methods may be called from any thread.
+
+    Parameters
+    ----------
+    own_service : str
+        Service of the node's endpoint.
+    """
+
+    def __init__(self, own_service: str = "") -> None:
+        self.own_service = own_service
+        self.refused_by_reason: collections.Counter[str] = collections.Counter()
+        self._lock = threading.RLock()
+        self._changed = threading.Condition(self._lock)
+        self._in_force: InForce | None = None
+        self._documents_by_key: dict[str, bytes] = {}
+        self._manifests_by_digest: dict[str, bytes] = {}
+        self._claim = Claim()
+        self._conflicts: dict[int, None] = {}
+        self._logged_at_by_text: dict[str, float] = {}
+
+    def in_force(self) -> InForce | None:
+        """Return the accepted set, or None before the first one."""
+        return self._in_force
+
+    def revision(self) -> int:
+        """Return the revision in force, 0 before the first one."""
+        accepted = self._in_force
+        return accepted.revision if accepted else 0
+
+    def claim(self) -> Claim:
+        """Return the highest revision heard of."""
+        return self._claim
+
+    def conflicts(self) -> tuple[int, ...]:
+        """Return the revisions under which two different sets were seen."""
+        with self._lock:
+            return tuple(self._conflicts)
+
+    def wait_for(self, revision: int, timeout_s: float) -> bool:
+        """Wait until a revision or a higher one is in force."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self.revision() >= revision, timeout_s
+            )
+
+    def learn(
+        self, revision: int, digest: str, origin: source.Source, now: float
+    ) -> bool:
+        """Note a revision that a source names; return whether it is news."""
+        with self._lock:
+            if self._conflicting(revision, digest):
+                self._note_conflict(revision, origin, now)
+                return False
+            if revision <= max(self._claim.revision, self.revision()):
+                return False
+            if revision in self._conflicts:
+                return False
+            self._claim = Claim(revision, digest, origin, now)
+            return True
+
+    def learn_conflict(self, revision: int, origin: source.Source, now: float) -> None:
+        """Note that a source has seen two sets under one revision."""
+        with self._lock:
+            if revision > self.revision():
+                self._note_conflict(revision, origin, now)
+
+    def drop_claim(self, revision: int) -> None:
+        """Forget a revision that no source could supply."""
+        with self._lock:
+            if self._claim.revision == revision and revision > self.revision():
+                accepted = self._in_force
+                self._claim = (
+                    Claim(accepted.revision, accepted.digest, accepted.source)
+                    if accepted
+                    else Claim()
+                )
+
+    def assemble(self, content: bytes) -> result.Result[assembly.Assembly, str]:
+        """Start to collect the documents of a manifest, reusing unchanged ones."""
+        with self._lock:
+            return assembly.start(content, self.own_service, self._documents_by_key)
+
+    def document(self, key: str) -> bytes | None:
+        """Return a document of the accepted set by key, for other nodes."""
+        return self._documents_by_key.get(key)
+
+    def manifest(self, digest: str) -> bytes | None:
+        """Return a recently accepted manifest by the digest of its set."""
+        with self._lock:
+            return self._manifests_by_digest.get(digest)
+
+    def base_for(self, key: str) -> tuple[str, bytes] | None:
+        """Return key and content of the accepted document that ``key`` replaces."""
+        name = key.rpartition("@")[0]
+        with self._lock:
+            for known, content in self._documents_by_key.items():
+                if known.rpartition("@")[0] == name:
+                    return known, content
+        return None
+
+    def offer(
+        self,
+        manifest: bytes,
+        documents_by_key: Mapping[str, bytes],
+        origin: source.Source,
+        now: float,
+    ) -> result.Result[InForce, Refusal]:
+        """Accept a set as a whole, or leave the accepted one in force.
+
+        Documents of the accepted set need not be offered again. Offering the set in
+        force once more is accepted without effect.
+        """
+        started = self.assemble(manifest)
+        if isinstance(started, result.Err):
+            return self._refuse(Reason.INVALID, started.err_value, origin, now)
+        collected = started.ok_value
+        for _ in range(2):  # the services are known only after the rules
+            for key in collected.missing():
+                if key in documents_by_key:
+                    added = collected.add(key, documents_by_key[key])
+                    if isinstance(added, result.Err):
+                        return self._refuse(
+                            Reason.INVALID, added.err_value, origin, now
+                        )
+        return self.accept(collected, origin, now)
+
+    def accept(
+        self, collected: assembly.Assembly, origin: source.Source, now: float
+    ) -> result.Result[InForce, Refusal]:
+        """Accept a collected set; see `offer`."""
+        with self._changed:
+            refusal = self._judge(collected, origin, now)
+            if refusal is not None:
+                return self._refuse(refusal.reason, refusal.detail, origin, now)
+            accepted = self._in_force
+            if accepted is not None and accepted.revision == collected.revision:
+                return result.Ok(accepted)
+            decoded = documents.decode(
+                collected.content, collected.documents_by_key, collected.services
+            )
+            if isinstance(decoded, result.Err):
+                return self._refuse(Reason.INVALID, decoded.err_value, origin, now)
+            return result.Ok(self._put(collected, decoded.ok_value, origin, now))
+
+    def _judge(
+        self, collected: assembly.Assembly, origin: source.Source, now: float
+    ) -> Refusal | None:
+        revision, digest = collected.revision, collected.set_digest
+        if revision < self.revision():
+            return Refusal(
+                Reason.OLDER, f"revision {revision} is below {self.revision()}"
+            )
+        if self._conflicting(revision, digest):
+            self._note_conflict(revision, origin, now)
+        if revision in self._conflicts and revision > self.revision():
+            return Refusal(Reason.CONFLICT, f"two sets under revision {revision}")
+        if self._in_force and revision == self.revision():
+            same = digest == self._in_force.digest
+            detail = f"another set under the accepted revision {revision}"
+            return None if same else Refusal(Reason.CONFLICT, detail)
+        missing = collected.missing()
+        if missing:
+            return Refusal(Reason.INCOMPLETE, f"{missing[0]}: missing")
+        return None
+
+    def _put(
+        self,
+        collected: assembly.Assembly,
+        objects: model.ObjectSet,
+        origin: source.Source,
+        now: float,
+    ) -> InForce:
+        accepted = InForce(objects, collected.content, origin, now)
+        self._in_force = accepted
+        self._documents_by_key = dict(collected.documents_by_key)
+        self._manifests_by_digest[objects.digest] = collected.content
+        while len(self._manifests_by_digest) > KEPT_MANIFESTS:
+            del self._manifests_by_digest[next(iter(self._manifests_by_digest))]
+        if objects.revision >= self._claim.revision:
+            self._claim = Claim(objects.revision, objects.digest, origin, now)
+        self._changed.notify_all()
+        _LOG.info(
+            "set accepted: revision %d, digest %.12s, from %s",
+            objects.revision,
+            objects.digest,
+            origin,
+        )
+        return accepted
+
+    def _conflicting(self, revision: int, digest: str) -> bool:
+        accepted = self._in_force
+        if accepted is not None and revision == accepted.revision:
+            return digest != accepted.digest
+        return revision == self._claim.revision and digest != self._claim.digest
+
+    def _note_conflict(self, revision: int, origin: source.Source, now: float) -> None:
+        """Bar a revision; one in force stays in force, because sets never revert."""
+        if revision not in self._conflicts:
+            self._conflicts[revision] = None
+            while len(self._conflicts) > KEPT_CONFLICTS:
+                del self._conflicts[min(self._conflicts)]
+            _LOG.error("two sets under revision %d, noticed at %s", revision, origin)
+        self.drop_claim(revision)
+
+    def _refuse(
+        self, reason: Reason, detail: str, origin: source.Source, now: float
+    ) -> result.Err[Refusal]:
+        with self._lock:
+            self.refused_by_reason[reason.value] += 1
+            text = f"{reason.value}: {detail}"
+            if now - self._logged_at_by_text.get(text, -LOG_AGAIN_S) >= LOG_AGAIN_S:
+                if len(self._logged_at_by_text) >= KEPT_CONFLICTS:
+                    self._logged_at_by_text.clear()
+                self._logged_at_by_text[text] = now
+                _LOG.warning("set from %s refused: %s", origin, text)
+        return result.Err(Refusal(reason, detail))
--- a/src/snipelink/gossip/__init__.py
+++ b/src/snipelink/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange of revisions, documents, members and load between nodes."""
--- a/src/snipelink/membership/__init__.py
+++ b/src/snipelink/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Table of the members of the fleet."""
