--- a/src/snipelink/config/store.py
+++ b/src/snipelink/config/store.py
@@ -19,6 +19,8 @@
 
 KEPT_MANIFESTS = 4
 KEPT_CONFLICTS = 16
+# Replaced documents are kept for peers that still need them, and as compression bases.
+KEPT_RETIRED_BYTES = 524_288
 LOG_AGAIN_S = 60.0
 
 
@@ -87,6 +89,7 @@
         self._changed = threading.Condition(self._lock)
         self._in_force: InForce | None = None
         self._documents_by_key: dict[str, bytes] = {}
+        self._retired_by_key: dict[str, bytes] = {}
         self._manifests_by_digest: dict[str, bytes] = {}
         self._claim = Claim()
         self._conflicts: dict[int, None] = {}
@@ -155,8 +158,8 @@
             return assembly.start(content, self.own_service, self._documents_by_key)
 
     def document(self, key: str) -> bytes | None:
-        """Return a document of the accepted set by key, for other nodes."""
-        return self._documents_by_key.get(key)
+        """Return a document of an accepted set by key, for other nodes."""
+        return self._documents_by_key.get(key) or self._retired_by_key.get(key)
 
     def manifest(self, digest: str) -> bytes | None:
         """Return a recently accepted manifest by the digest of its set."""
@@ -246,7 +249,7 @@
     ) -> InForce:
         accepted = InForce(objects, collected.content, origin, now)
         self._in_force = accepted
-        self._documents_by_key = dict(collected.documents_by_key)
+        self._retire(collected.documents_by_key)
         self._manifests_by_digest[objects.digest] = collected.content
         while len(self._manifests_by_digest) > KEPT_MANIFESTS:
             del self._manifests_by_digest[next(iter(self._manifests_by_digest))]
@@ -261,6 +264,15 @@
         )
         return accepted
 
+    def _retire(self, documents_by_key: Mapping[str, bytes]) -> None:
+        for key, content in self._documents_by_key.items():
+            if key not in documents_by_key:
+                self._retired_by_key[key] = content
+        size = sum(map(len, self._retired_by_key.values()))
+        while size > KEPT_RETIRED_BYTES:
+            size -= len(self._retired_by_key.pop(next(iter(self._retired_by_key))))
+        self._documents_by_key = dict(documents_by_key)
+
     def _conflicting(self, revision: int, digest: str) -> bool:
         accepted = self._in_force
         if accepted is not None and revision == accepted.revision:
--- /dev/null
+++ b/src/snipelink/gossip/peers.py
@@ -0,0 +1,95 @@
+"""Choice of watching nodes and of the peers that a node exchanges messages with."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Collection, Iterable, Mapping, Sequence
+
+from snipelink.membership import member as members
+
+WATCHERS_PER_DOMAIN = 3
+SERVICE_PEERS = 4
+CALLED_PEERS = 3
+DOMAIN_PEERS = 2
+FAR_PEERS = 3
+MAX_PEERS = SERVICE_PEERS + CALLED_PEERS + DOMAIN_PEERS + FAR_PEERS
+# Peers outside the own service change at this interval, so that the graph mixes.
+EPOCH_S = 120.0
+
+
+def watchers(
+    candidates: Iterable[members.Member],
+    failure_domain: str,
+    count: int = WATCHERS_PER_DOMAIN,
+) -> list[str]:
+    """Return the names of the nodes of a domain that watch the platform.
+
+    Rendezvous hashing: every node with the same members computes the same names, and a
+    change of one member changes at most one of them.
+    """
+    names = [m.name for m in candidates if m.failure_domain == failure_domain]
+    return sorted(names, key=lambda name: _weight("watch", failure_domain, name))[
+        :count
+    ]
+
+
+def choose(
+    own: members.Member,
+    candidates: Sequence[members.Member],
+    called: Collection[str],
+    epoch: int,
+) -> dict[str, members.Member]:
+    """Return the peers of a node by name, at most ``MAX_PEERS``.
+
+    Nodes of the own service come first, then nodes of called services, of the own
+    failure domain, and one of each of a few other failure domains.
+    """
+    others = [m for m in candidates if m.name != own.name and m.control_address]
+    chosen: dict[str, members.Member] = {}
+    service = [m for m in others if own.service and m.service == own.service]
+    _add(chosen, service, SERVICE_PEERS, own, "service")
+    _add(chosen, [m for m in others if m.service in called], CALLED_PEERS, own, epoch)
+    near = [m for m in others if m.failure_domain == own.failure_domain]
+    _add(chosen, near, DOMAIN_PEERS, own, epoch)
+    for domain in _far_domains(own, others, epoch):
+        far = [m for m in others if m.failure_domain == domain]
+        _add(chosen, far, 1, own, epoch)
+    if len(chosen) < MAX_PEERS // 2:
+        _add(chosen, others, MAX_PEERS // 2 - len(chosen), own, epoch)
+    return chosen
+
+
+def sample(
+    peers_by_name: Mapping[str, members.Member], count: int, rng: random.Random
+) -> list[members.Member]:
+    """Return some peers, chosen at random."""
+    peers = list(peers_by_name.values())
+    return rng.sample(peers, min(count, len(peers)))
+
+
+def _far_domains(
+    own: members.Member, others: Iterable[members.Member], epoch: int
+) -> list[str]:
+    """Return a few other failure domains, of any region."""
+    domains = {m.failure_domain for m in others} - {own.failure_domain}
+    ordered = sorted(domains, key=lambda domain: _weight(own.name, epoch, domain))
+    return ordered[:FAR_PEERS]
+
+
+def _add(
+    chosen: dict[str, members.Member],
+    candidates: Iterable[members.Member],
+    count: int,
+    own: members.Member,
+    salt: int | str,
+) -> None:
+    free = [m for m in candidates if m.name not in chosen]
+    free.sort(key=lambda m: _weight(own.name, salt, m.name))
+    for candidate in free[:count]:
+        chosen[candidate.name] = candidate
+
+
+def _weight(*parts: int | str) -> bytes:
+    text = "\0".join(str(part) for part in parts)
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/snipelink/gossip/transport.py
@@ -0,0 +1,283 @@
+"""Control messages over ZeroMQ: one ROUTER for inbound, a DEALER for each peer."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import logging
+import socket
+from collections.abc import Iterator, Sequence
+
+import zmq
+import zmq.utils.monitor
+from zmq.utils import z85
+
+from snipelink.gossip import budget as budgets
+from snipelink.gossip import codec, exchange, keys
+
+_LOG = logging.getLogger(__name__)
+
+MAX_CONNECTIONS = 32
+IDLE_S = 180.0
+# Time without an answer after which the peer's other key is tried.
+KEY_TRIAL_S = 4.0
+QUEUED_MESSAGES = 16
+MAX_MESSAGES_PER_READ = 16
+RECONNECT_MS = 500
+RECONNECT_MAX_MS = 10_000
+HANDSHAKE_MS = 5_000
+# Larger messages close the connection inside the library, before they are buffered.
+LIBRARY_MAX_BYTES = 2 * codec.MAX_FRAME_BYTES
+ZAP_ADDRESS = "inproc://zeromq.zap.01"
+_REFUSED_EVENTS = (
+    zmq.EVENT_HANDSHAKE_FAILED_AUTH
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+    | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Connection:
+    socket: zmq.Socket[bytes]
+    key_index: int
+    opened_at: float
+    used_at: float
+    heard_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A frame with the way back to its sender."""
+
+    route: exchange.Route
+    frame: bytes
+
+
+class Transport:
+    """Sockets of a node; all methods but `wake` belong to one thread.
+
+    Parameters
+    ----------
+    listen : str
+        IP:port of the control port.
+    key_pairs : sequence of Key
+        Keys accepted from others; the first is this node's own.
+    budget : Budget
+        Charged for connections.
+    """
+
+    def __init__(
+        self, listen: str, key_pairs: Sequence[keys.Key], budget: budgets.Budget
+    ) -> None:
+        self.counts_by_event: collections.Counter[str] = collections.Counter()
+        self._keys = list(key_pairs)
+        self._budget = budget
+        self._now = 0.0
+        self._context = zmq.Context()
+        self._poller = zmq.Poller()
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._zap = self._context.socket(zmq.REP)
+        self._zap.bind(ZAP_ADDRESS)
+        self._router = self._open(zmq.ROUTER)
+        self._router.curve_server = True
+        self._router.curve_publickey = self._keys[0].public
+        self._router.curve_secretkey = self._keys[0].secret
+        self._router.zap_domain = b"control"
+        events = _REFUSED_EVENTS | zmq.EVENT_ACCEPTED
+        self._monitor = self._router.get_monitor_socket(events)
+        self._router.bind(f"tcp://{listen}")
+        self._connections_by_address: dict[str, _Connection] = {}
+        self._addresses_by_socket: dict[zmq.Socket[bytes], str] = {}
+        for readable in (self._zap, self._router, self._monitor):
+            self._poller.register(readable, zmq.POLLIN)
+        self._poller.register(self._wake_reader.fileno(), zmq.POLLIN)
+
+    @property
+    def address(self) -> str:
+        """Return IP and port that are listened on."""
+        endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+        return endpoint.rstrip("\0").removeprefix("tcp://")
+
+    def wake(self) -> None:
+        """End a running `receive`; may be called from any thread."""
+        try:
+            self._wake_writer.send(b"\0")
+        except OSError:
+            pass  # a wake-up is already waiting, or the transport is closed
+
+    def close(self) -> None:
+        """Close all sockets, giving queued messages a moment to leave."""
+        self._router.disable_monitor()
+        self._monitor.close(0)
+        for address in list(self._connections_by_address):
+            self._drop(address, linger_ms=200)
+        self._router.close(200)
+        self._zap.close(0)
+        self._context.term()
+        self._wake_reader.close()
+        self._wake_writer.close()
+
+    def send(self, route: exchange.Route, frame: bytes) -> bool:
+        """Queue a frame; a full queue drops it."""
+        try:
+            if route.identity:
+                self._router.send_multipart([route.identity, frame], zmq.DONTWAIT)
+                return True
+            connection = self._connection(route.address)
+            if connection is None:
+                return False
+            connection.used_at = self._now
+            connection.socket.send(frame, zmq.DONTWAIT)
+            return True
+        except zmq.ZMQError:
+            self.counts_by_event["dropped"] += 1
+            return False
+
+    def receive(self, timeout_s: float, now: float) -> Iterator[Received]:
+        """Wait for frames and yield a bounded number of them.
+
+        Messages stay in the sockets while the budget is used up; their senders are
+        slowed by TCP.
+        """
+        self._now = now
+        self._tend(now)
+        ready = dict(self._poller.poll(max(0, int(timeout_s * 1000))))
+        if self._wake_reader.fileno() in ready:
+            self._drain_wake()
+        if self._zap in ready:
+            self._answer_zap()
+        if self._monitor in ready:
+            self._read_monitor(now)
+        for readable in ready:
+            if readable is self._router:
+                yield from self._read_router(now)
+            elif readable in self._addresses_by_socket:
+                yield from self._read_connection(readable, now)
+
+    def _open(self, kind: int) -> zmq.Socket[bytes]:
+        opened: zmq.Socket[bytes] = self._context.socket(kind)
+        opened.linger = 0
+        opened.sndhwm = opened.rcvhwm = QUEUED_MESSAGES
+        opened.maxmsgsize = LIBRARY_MAX_BYTES
+        opened.handshake_ivl = HANDSHAKE_MS
+        opened.reconnect_ivl = RECONNECT_MS
+        opened.reconnect_ivl_max = RECONNECT_MAX_MS
+        return opened
+
+    def _connection(self, address: str) -> _Connection | None:
+        known = self._connections_by_address.get(address)
+        if known is not None:
+            return known
+        if not self._budget.try_spend(codec.CONNECTION_OVERHEAD_BYTES, self._now):
+            return None
+        if len(self._connections_by_address) >= MAX_CONNECTIONS:
+            oldest = min(
+                self._connections_by_address,
+                key=lambda a: self._connections_by_address[a].used_at,
+            )
+            self._drop(oldest)
+        return self._connect(address, 0)
+
+    def _connect(self, address: str, key_index: int) -> _Connection | None:
+        dealer = self._open(zmq.DEALER)
+        key = self._keys[key_index]
+        dealer.curve_serverkey = key.public
+        dealer.curve_publickey = key.public
+        dealer.curve_secretkey = key.secret
+        try:
+            dealer.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            dealer.close(0)
+            self.counts_by_event["bad-address"] += 1
+            return None
+        now = self._now
+        connection = _Connection(dealer, key_index, now, now, float("-inf"))
+        self._connections_by_address[address] = connection
+        self._addresses_by_socket[dealer] = address
+        self._poller.register(dealer, zmq.POLLIN)
+        self.counts_by_event["connections"] += 1
+        return connection
+
+    def _drop(self, address: str, linger_ms: int = 0) -> None:
+        connection = self._connections_by_address.pop(address)
+        del self._addresses_by_socket[connection.socket]
+        self._poller.unregister(connection.socket)
+        connection.socket.close(linger_ms)
+
+    def _tend(self, now: float) -> None:
+        """Close idle connections; try the other key where nothing was ever heard."""
+        for address, connection in list(self._connections_by_address.items()):
+            if now - connection.used_at > IDLE_S:
+                self._drop(address)
+            elif (
+                len(self._keys) > 1
+                and connection.heard_at < connection.opened_at
+                and now - connection.opened_at > KEY_TRIAL_S
+                and self._budget.try_spend(codec.CONNECTION_OVERHEAD_BYTES, now)
+            ):
+                self._drop(address)
+                self._connect(address, (connection.key_index + 1) % len(self._keys))
+
+    def _read_router(self, now: float) -> Iterator[Received]:
+        for _ in range(MAX_MESSAGES_PER_READ):
+            if not self._budget.may_receive(now):
+                return
+            try:
+                parts = self._router.recv_multipart(zmq.DONTWAIT)
+            except zmq.ZMQError:
+                return
+            if len(parts) != 2:
+                self._budget.charge(codec.MESSAGE_OVERHEAD_BYTES, now)
+                self.counts_by_event["refused-parts"] += 1
+                continue
+            yield Received(exchange.Route(identity=parts[0]), parts[1])
+
+    def _read_connection(
+        self, readable: zmq.Socket[bytes], now: float
+    ) -> Iterator[Received]:
+        address = self._addresses_by_socket[readable]
+        for _ in range(MAX_MESSAGES_PER_READ):
+            connection = self._connections_by_address.get(address)
+            if connection is None or not self._budget.may_receive(now):
+                return
+            try:
+                parts = connection.socket.recv_multipart(zmq.DONTWAIT)
+            except zmq.ZMQError:
+                return
+            connection.heard_at = now
+            yield Received(exchange.Route(address), parts[-1])
+
+    def _drain_wake(self) -> None:
+        try:
+            while self._wake_reader.recv(64):
+                pass
+        except OSError:
+            return
+
+    def _answer_zap(self) -> None:
+        """Admit peers with one of the valid keys (ZeroMQ RFC 27)."""
+        parts = self._zap.recv_multipart()
+        request_id = parts[1] if len(parts) > 1 else b""
+        admitted = (
+            len(parts) == 7
+            and parts[5] == b"CURVE"
+            and z85.encode(parts[6]) in {key.public for key in self._keys}
+        )
+        status, text = (b"200", b"OK") if admitted else (b"400", b"unknown key")
+        self._zap.send_multipart([b"1.0", request_id, status, text, b"", b""])
+        if not admitted:
+            self.counts_by_event["refused-key"] += 1
+
+    def _read_monitor(self, now: float) -> None:
+        for _ in range(MAX_MESSAGES_PER_READ):
+            try:
+                event = zmq.utils.monitor.recv_monitor_message(
+                    self._monitor, zmq.DONTWAIT
+                )
+            except zmq.ZMQError:
+                return
+            self._budget.charge(codec.CONNECTION_OVERHEAD_BYTES, now, messages=0)
+            if event["event"] & _REFUSED_EVENTS:
+                self.counts_by_event["refused-handshake"] += 1
--- a/src/snipelink/membership/member.py
+++ b/src/snipelink/membership/member.py
@@ -50,7 +50,13 @@
         return (self.incarnation, self.version, self.state is State.LEAVING)
 
     def checksum(self) -> int:
-        """Return a 64-bit checksum of name and rank."""
+        """Return a 64-bit checksum of name and rank; 0 without an incarnation.
+
+        Members without one are known from a set or the platform's list, which differ
+        between nodes by design, and are not exchanged.
+        """
+        if not self.incarnation:
+            return 0
         text = f"{self.name}\0{self.incarnation}\0{self.version}\0{self.state.value}"
         return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
 
--- a/src/snipelink/membership/table.py
+++ b/src/snipelink/membership/table.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import hashlib
 import random
 import sys
 import threading
@@ -13,7 +14,8 @@
 
 BUCKETS = 64
 MAX_MEMBERS = 10_000
-# Time without a sign of life after which a member missing in the list is removed.
+# Time after which a suspected member that the list lacks counts as gone, and after
+# which a departed member is removed.
 FORGET_S = 600.0
 KEPT_TOMBSTONES = 2_048
 TOMBSTONE_S = 3_600.0
@@ -42,7 +44,7 @@
     member: members.Member
     changed_at: float
     heard_at: float
-    listed: bool = False
+    unlisted_since: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -178,7 +180,7 @@
         """Merge the platform's instance list; return how many facts were news.
 
         The list lags: it adds members and starts departures, but a member missing in it
-        is removed only after no sign of life for ``FORGET_S``.
+        counts as gone only after ``FORGET_S`` and only while it is suspected.
         """
         with self._lock:
             if revision < self._list_revision:
@@ -188,9 +190,23 @@
             listed_by_name = {entry.name: entry for entry in listed}
             news = sum(self._merge_listed(e, now) for e in listed_by_name.values())
             for name, entry in self._entries_by_name.items():
-                entry.listed = name in listed_by_name
+                if name in listed_by_name:
+                    entry.unlisted_since = None
+                elif entry.unlisted_since is None:
+                    entry.unlisted_since = now
             return news
 
+    def unlisted(self) -> list[members.Member]:
+        """Return live members that the platform's list lacks."""
+        with self._lock:
+            return [
+                entry.member
+                for name, entry in self._entries_by_name.items()
+                if entry.unlisted_since is not None
+                and entry.member.state is members.State.LIVE
+                and name != self._own_name
+            ]
+
     def suspect(self, suspicion: members.Suspicion, now: float) -> bool:
         """Note that an observer can't reach a member; return whether it is news."""
         with self._lock:
@@ -219,13 +235,19 @@
             ]
 
     def expire(self, now: float) -> int:
-        """Remove members gone for long and expired notes; return removed members."""
+        """Remove departed members and expired notes; return how many were removed."""
         with self._lock:
-            gone = [
-                name
-                for name, entry in self._entries_by_name.items()
-                if name != self._own_name and self._is_gone(entry, now)
-            ]
+            gone = []
+            for name, entry in list(self._entries_by_name.items()):
+                if name == self._own_name:
+                    continue
+                if self._is_gone(entry, now):
+                    left = dataclasses.replace(
+                        entry.member, state=members.State.LEAVING
+                    )
+                    self._put(left, now, entry.heard_at)
+                elif self._has_left(entry, now):
+                    gone.append(name)
             for name in gone:
                 self._bury(name, now)
             self._expire_suspicions(now)
@@ -337,10 +359,18 @@
                 del self._suspicions_by_name[name]
 
     def _is_gone(self, entry: _Entry, now: float) -> bool:
-        silent = now - entry.heard_at >= FORGET_S
-        unlisted = self._list_revision >= 0 and not entry.listed
+        since = entry.unlisted_since
+        return (
+            since is not None
+            and now - since >= FORGET_S
+            and entry.member.state is members.State.LIVE
+            and self.is_suspected(entry.member.name, now)
+        )
+
+    def _has_left(self, entry: _Entry, now: float) -> bool:
         leaving = entry.member.state is members.State.LEAVING
-        return silent and (unlisted or (leaving and not entry.listed))
+        silent = now - max(entry.heard_at, entry.changed_at) >= FORGET_S
+        return leaving and silent
 
     def _put(self, member: members.Member, now: float, heard_at: float) -> None:
         """Store a member and update checksums; suspicions of an older rank end."""
@@ -352,8 +382,10 @@
         self._checksums[bucket] ^= member.checksum()
         self._names_by_bucket[bucket][name] = None
         self._suspicions_by_name.pop(name, None)
-        listed = before.listed if before else False
-        self._entries_by_name[name] = _Entry(_intern(member), now, heard_at, listed)
+        unlisted_since = before.unlisted_since if before else None
+        self._entries_by_name[name] = _Entry(
+            _intern(member), now, heard_at, unlisted_since
+        )
         self._changes[name] = None
         self._tombstones_by_name.pop(name, None)
 
@@ -371,7 +403,8 @@
 
 def bucket_of(name: str) -> int:
     """Return the bucket of a member; equal at every node."""
-    return members.Member(name).checksum() % BUCKETS
+    digest = hashlib.blake2b(name.encode(), digest_size=2).digest()
+    return int.from_bytes(digest) % BUCKETS
 
 
 def _join(fact: members.Member, known: members.Member) -> members.Member:
