--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,213 @@
+"""Starts stand-ins and real nodes on loopback for measurements and scenarios."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import urllib3
+
+from snipelink import model
+from snipelink.objects import documents
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """Addresses and processes of one server."""
+
+    endpoint: model.Endpoint
+    caller_address: str
+    admin_address: str
+    endpoint_process: subprocess.Popen[bytes] | None = None
+    node_process: subprocess.Popen[bytes] | None = None
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((HOST, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def wait_for_port(address: str, timeout_s: float = START_TIMEOUT_S) -> None:
+    host, port = address.rsplit(":", 1)
+    deadline = time.monotonic() + timeout_s
+    while True:
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+            return
+        except OSError:
+            if time.monotonic() > deadline:
+                raise
+            time.sleep(0.05)
+
+
+class Deployment:
+    """Stand-ins and nodes of one deployment; a context manager that ends them."""
+
+    def __init__(
+        self,
+        rules: tuple[model.Rule, ...],
+        operations_by_service: dict[str, tuple[model.Operation, ...]],
+        domains_by_server: dict[str, tuple[str, str]],
+        slots: int = 10,
+        endpoint_options: tuple[str, ...] = (),
+    ) -> None:
+        """Plan servers; ``domains_by_server``: name -> (service, failure domain)."""
+        self.rules = rules
+        self.operations_by_service = operations_by_service
+        self.endpoint_options = endpoint_options
+        self.revision = 0
+        self.pool = urllib3.PoolManager(retries=False)
+        self.slots = slots
+        self.directory = tempfile.TemporaryDirectory()
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.servers_by_name: dict[str, Server] = {}
+        self.settings_by_server: dict[str, dict[str, object]] = {}
+        ports = iter(free_ports(5 * len(domains_by_server) + 1))
+        self.platform_address = f"{HOST}:{next(ports)}"
+        for name, (service, domain) in domains_by_server.items():
+            addresses = [f"{HOST}:{next(ports)}" for _ in range(5)]
+            endpoint = model.Endpoint(
+                name,
+                service,
+                domain,
+                domain.rsplit("-", 1)[0],
+                addresses[0],
+                addresses[1],
+                addresses[2],
+                slots=slots,
+            )
+            self.servers_by_name[name] = Server(endpoint, addresses[3], addresses[4])
+
+    def __enter__(self) -> Deployment:
+        self.spawn("bench.platform", f"--listen={self.platform_address}")
+        wait_for_port(self.platform_address)
+        self.publish()
+        for server in self.servers_by_name.values():
+            self.start_endpoint(server)
+            self.start_node(server)
+        for server in self.servers_by_name.values():
+            wait_for_port(server.caller_address)
+        self.wait_ready()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in reversed(self.processes):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.processes:
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self.directory.cleanup()
+
+    def spawn(self, module: str, *arguments: str) -> subprocess.Popen[bytes]:
+        """Start a Python module as a process."""
+        command = [sys.executable, "-m", module, *arguments]
+        log = pathlib.Path(self.directory.name) / f"{module}-{len(self.processes)}.log"
+        with log.open("wb") as output:
+            process = subprocess.Popen(command, stdout=output, stderr=output)
+        self.processes.append(process)
+        return process
+
+    def start_endpoint(self, server: Server) -> None:
+        """Start the stand-in endpoint of a server."""
+        endpoint = server.endpoint
+        server.endpoint_process = self.spawn(
+            "bench.endpoint",
+            f"--listen={endpoint.address}",
+            f"--name={endpoint.name}",
+            f"--slots={endpoint.slots}",
+            *self.endpoint_options,
+        )
+        wait_for_port(endpoint.address)
+
+    def start_node(self, server: Server) -> None:
+        """Start the node of a server."""
+        endpoint = server.endpoint
+        values = {
+            "node": endpoint.name,
+            "service": endpoint.service,
+            "failure_domain": endpoint.failure_domain,
+            "region": endpoint.region,
+            "caller_listen": server.caller_address,
+            "call_listen": endpoint.call_address,
+            "control_listen": endpoint.control_address,
+            "admin_listen": server.admin_address,
+            "endpoint": endpoint.address,
+            "platform_urls": [f"http://{self.platform_address}"],
+        }
+        values |= self.settings_by_server.get(endpoint.name, {})
+        path = pathlib.Path(self.directory.name) / f"{endpoint.name}.json"
+        path.write_text(json.dumps(values))
+        server.node_process = self.spawn("snipelink.cli.node", str(path))
+
+    def object_set(self) -> model.ObjectSet:
+        """Return the set that describes the servers as they are planned now."""
+        services = {}
+        for name, operations in self.operations_by_service.items():
+            endpoints = {
+                server.endpoint.name: server.endpoint
+                for server in self.servers_by_name.values()
+                if server.endpoint.service == name
+            }
+            services[name] = model.Service(name, operations, endpoints)
+        return model.ObjectSet(self.revision, "", self.rules, services)
+
+    def publish(self) -> int:
+        """Publish the planned set under the next revision."""
+        self.revision += 1
+        rendered = documents.render(self.object_set(), int(time.time() * 1000))
+        encoded = {k: base64.b64encode(v).decode() for k, v in rendered.items()}
+        self._control("publish", encoded)
+        entries = [
+            {
+                "name": server.endpoint.name,
+                "state": "leaving" if server.endpoint.leaving else "live",
+                "failure_domain": server.endpoint.failure_domain,
+                "region": server.endpoint.region,
+                "control_address": server.endpoint.control_address,
+            }
+            for server in self.servers_by_name.values()
+        ]
+        self._control("instances", entries)
+        return self.revision
+
+    def _control(self, path: str, fields: object) -> None:
+        url = f"http://{self.platform_address}/control/{path}"
+        response = self.pool.request("POST", url, body=json.dumps(fields).encode())
+        if response.status != 200:
+            raise RuntimeError(f"{url}: status {response.status}")
+
+    def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until every node has a set in force."""
+        deadline = time.monotonic() + timeout_s
+        for server in self.servers_by_name.values():
+            while True:
+                url = f"http://{server.caller_address}/readiness-check"
+                response = self.pool.request("GET", url)
+                if response.headers.get("snipelink-error") != "not-ready":
+                    break
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{server.endpoint.name} is not ready")
+                time.sleep(0.05)
--- /dev/null
+++ b/src/snipelink/cli/node.py
@@ -0,0 +1,78 @@
+"""Serves calls beside one endpoint.
+
+Usage:
+  snipelink-node SETTINGS [--check-settings]
+  snipelink-node (-h | --help)
+  snipelink-node --version
+
+Options:
+  --check-settings  Validate the settings and exit.
+  -h --help         Show this text.
+  --version         Show the version.
+"""
+
+from __future__ import annotations
+
+import gc
+import pathlib
+import signal
+import sys
+import threading
+
+import docopt
+from result import Err
+
+import snipelink
+from snipelink import settings
+from snipelink.execute import node
+from snipelink.observe import logs
+
+# The interpreter's default of 5 ms lets one thread hold up a call for longer
+# than a call may take in all.
+SWITCH_INTERVAL_S = 0.0005
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the program; return its exit status."""
+    options = docopt.docopt(__doc__, arguments, version=snipelink.__version__)
+    loaded = settings.load(pathlib.Path(options["SETTINGS"]))
+    if isinstance(loaded, Err):
+        for problem in loaded.err_value:
+            print(problem, file=sys.stderr)
+        return 1
+    if options["--check-settings"]:
+        print("settings are valid")
+        return 0
+    logs.configure(loaded.ok_value.log_level)
+    return _serve(loaded.ok_value)
+
+
+def _serve(values: settings.Settings) -> int:
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    stop = threading.Event()
+    cut = threading.Event()
+
+    def on_signal(*_: object) -> None:
+        if stop.is_set():
+            cut.set()
+        stop.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    running = node.Node(values)
+    running.start()
+    # Start-up objects live as long as the process; collections need not scan them.
+    gc.collect()
+    gc.freeze()
+    while not stop.wait(1.0):
+        pass
+    return running.stop(cut)
+
+
+def run() -> None:
+    """Entry point of the program."""
+    sys.exit(main())
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/snipelink/execute/forward.py
@@ -0,0 +1,162 @@
+"""Sends calls to the nodes beside other endpoints."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import socket
+import threading
+import time
+
+import msgspec
+from result import Err, Ok, Result
+
+from snipelink import errors, model
+from snipelink.session import frames, messages
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 16
+
+
+@dataclasses.dataclass(slots=True)
+class _Connection:
+    """An open call connection and the process at its other end."""
+
+    stream: socket.socket
+    incarnation: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """Idle connections to one node, the last used one first."""
+
+    idle: collections.deque[_Connection] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+class Forwarder:
+    """Keeps call connections to other nodes and sends calls over them.
+
+    Parameters
+    ----------
+    node, incarnation : str
+        Identity that is sent in the first frame.
+    max_frame_bytes : int
+        Largest reply accepted, bytes.
+    """
+
+    def __init__(self, node: str, incarnation: str, max_frame_bytes: int) -> None:
+        self._hello = messages.encode_hello(node, incarnation)
+        self._max_frame_bytes = max_frame_bytes
+        self._lock = threading.Lock()
+        self._peers_by_address: dict[str, _Peer] = {}
+        self.mismatched_replies = 0
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        with self._lock:
+            peers = list(self._peers_by_address.values())
+            self._peers_by_address.clear()
+        for peer in peers:
+            for connection in peer.idle:
+                connection.stream.close()
+
+    def forward(
+        self, call: model.Call, endpoint: model.Endpoint
+    ) -> Result[model.Answer, errors.Failure]:
+        """Run `call` on `endpoint` through the node beside it."""
+        acquired = self._acquire(endpoint, call.deadline)
+        if isinstance(acquired, Err):
+            return acquired
+        connection = acquired.ok_value
+        stream = connection.stream
+        now = time.monotonic()
+        payload = messages.encode_request(call, connection.incarnation, now)
+        try:
+            stream.settimeout(max(0.001, call.deadline - now))
+            frames.send(stream, payload)
+        except OSError as error:
+            # The receiver discards a frame that it could not read to its end.
+            stream.close()
+            return self._fail(errors.Kind.UNREACHABLE, endpoint, str(error))
+        return self._receive(connection, call, endpoint)
+
+    def _receive(
+        self, connection: _Connection, call: model.Call, endpoint: model.Endpoint
+    ) -> Result[model.Answer, errors.Failure]:
+        stream = connection.stream
+        try:
+            stream.settimeout(max(0.001, call.deadline - time.monotonic()))
+            payload = frames.receive(stream, self._max_frame_bytes)
+        except TimeoutError:
+            stream.close()
+            return self._fail(errors.Kind.DEADLINE_UNKNOWN, endpoint)
+        except (OSError, frames.FrameError) as error:
+            stream.close()
+            return self._fail(errors.Kind.CONNECTION_LOST, endpoint, str(error))
+        if payload is None:
+            stream.close()
+            detail = "the node closed the connection before its reply"
+            return self._fail(errors.Kind.CONNECTION_LOST, endpoint, detail)
+        try:
+            reply = messages.decode_reply(payload)
+        except msgspec.MsgspecError as error:
+            stream.close()
+            return self._fail(errors.Kind.CONNECTION_LOST, endpoint, str(error))
+        if reply.call_id != call.call_id:
+            stream.close()
+            self.mismatched_replies += 1
+            return self._fail(errors.Kind.CONNECTION_LOST, endpoint, "reply mismatch")
+        self._release(endpoint.call_address, connection)
+        return messages.to_outcome(reply, endpoint.name)
+
+    def _acquire(
+        self, endpoint: model.Endpoint, deadline: float
+    ) -> Result[_Connection, errors.Failure]:
+        address = endpoint.call_address
+        while True:
+            with self._lock:
+                peer = self._peers_by_address.get(address)
+                connection = peer.idle.pop() if peer and peer.idle else None
+            if connection is None:
+                return self._connect(endpoint, deadline)
+            if not frames.is_closed(connection.stream):
+                return Ok(connection)
+            connection.stream.close()
+
+    def _connect(
+        self, endpoint: model.Endpoint, deadline: float
+    ) -> Result[_Connection, errors.Failure]:
+        host, port = endpoint.call_address.rsplit(":", 1)
+        timeout = min(CONNECT_TIMEOUT_S, max(0.001, deadline - time.monotonic()))
+        try:
+            stream = socket.create_connection((host, int(port)), timeout)
+        except OSError as error:
+            return self._fail(errors.Kind.UNREACHABLE, endpoint, str(error))
+        try:
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            frames.send(stream, self._hello)
+            payload = frames.receive(stream, frames.MESSAGE_OVERHEAD_BYTES)
+            hello = messages.decode_hello(payload or b"")
+        except (OSError, frames.FrameError, msgspec.MsgspecError) as error:
+            stream.close()
+            return self._fail(errors.Kind.UNREACHABLE, endpoint, str(error))
+        if hello.node != endpoint.name:
+            stream.close()
+            detail = f"node {hello.node} answers at {endpoint.call_address}"
+            return self._fail(errors.Kind.STALE_INCARNATION, endpoint, detail)
+        return Ok(_Connection(stream, hello.incarnation))
+
+    def _release(self, address: str, connection: _Connection) -> None:
+        with self._lock:
+            peer = self._peers_by_address.setdefault(address, _Peer())
+            if len(peer.idle) < MAX_IDLE_CONNECTIONS:
+                peer.idle.append(connection)
+                return
+        connection.stream.close()
+
+    def _fail(
+        self, kind: errors.Kind, endpoint: model.Endpoint, detail: str = ""
+    ) -> Err[errors.Failure]:
+        return Err(errors.Failure(kind, detail, endpoint=endpoint.name))
--- /dev/null
+++ b/src/snipelink/execute/routing.py
@@ -0,0 +1,102 @@
+"""Maps a request to a service and an operation by the rules in force."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from result import Err, Ok, Result
+
+from snipelink import errors, model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where a request goes."""
+
+    service: model.Service
+    operation: model.Operation
+    endpoint_set: str
+    rule: str
+
+
+def route(
+    objects: model.ObjectSet, host: str, path: str, method: str, caller: str
+) -> Result[Route, errors.Failure]:
+    """Return the route of a request.
+
+    Parameters
+    ----------
+    host : str
+        Host header without port, lower case.
+    path : str
+        Path of the request target without query.
+    """
+    rule = find_rule(objects, host, path, caller)
+    if rule is None:
+        return Err(errors.Failure(errors.Kind.NO_RULE, "no rule matches the request"))
+    service = objects.services_by_name.get(rule.service)
+    if service is None:
+        detail = f"service {rule.service} is not known"
+        return Err(errors.Failure(errors.Kind.NO_RULE, detail))
+    operation = find_operation(service, path, method)
+    if operation is None:
+        detail = f"service {service.name} has no operation for the request"
+        return Err(errors.Failure(errors.Kind.UNKNOWN_OPERATION, detail))
+    return Ok(Route(service, operation, rule.endpoint_set, rule.name))
+
+
+def find_rule(
+    objects: model.ObjectSet, host: str, path: str, caller: str
+) -> model.Rule | None:
+    """Return the first rule that matches."""
+    for rule in objects.rules:
+        if rule.caller and rule.caller != caller:
+            continue
+        if rule.host and rule.host != host:
+            continue
+        if _has_prefix(path, rule.path_prefix):
+            return rule
+    return None
+
+
+def find_operation(
+    service: model.Service, path: str, method: str
+) -> model.Operation | None:
+    """Return the first operation of `service` that matches."""
+    for operation in service.operations:
+        if operation.method == method and _matches(operation.path, path):
+            return operation
+    return None
+
+
+def candidates(service: model.Service, endpoint_set: str) -> tuple[model.Endpoint, ...]:
+    """Return the endpoints of the service that a rule admits."""
+    endpoints = service.endpoints_by_name.values()
+    if not endpoint_set:
+        return tuple(endpoints)
+    return tuple(e for e in endpoints if endpoint_set in e.endpoint_sets)
+
+
+def _has_prefix(path: str, prefix: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    return prefix.endswith("/") or len(path) == len(prefix) or path[len(prefix)] == "/"
+
+
+def _matches(template: str, path: str) -> bool:
+    if "{" not in template and "*" not in template:
+        return template == path
+    wanted = template.split("/")
+    given = path.split("/")
+    if wanted[-1] == "*":
+        wanted = wanted[:-1]
+        given = given[: len(wanted)]
+    if len(wanted) != len(given):
+        return False
+    for part, segment in zip(wanted, given, strict=True):
+        if part.startswith("{"):
+            if not segment:
+                return False
+        elif part != segment:
+            return False
+    return True
--- /dev/null
+++ b/src/snipelink/session/messages.py
@@ -0,0 +1,142 @@
+"""Conversion between call messages and the shared data classes."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from snipelink import errors, model
+from snipelink.generated import messages
+
+VERSION = 1
+_encoder = msgspec.msgpack.Encoder()
+_hello_decoder = msgspec.msgpack.Decoder(messages.Hello)
+_request_decoder = msgspec.msgpack.Decoder(messages.CallRequest)
+_reply_decoder = msgspec.msgpack.Decoder(messages.CallReply)
+
+
+def encode_hello(node: str, incarnation: str) -> bytes:
+    """Return the first frame of a call connection."""
+    return _encoder.encode(messages.Hello(VERSION, node, incarnation))
+
+
+def decode_hello(payload: bytes) -> messages.Hello:
+    """Decode the first frame; raises ``msgspec.DecodeError``."""
+    return _hello_decoder.decode(payload)
+
+
+def decode_request(payload: bytes) -> messages.CallRequest:
+    """Decode a call; raises ``msgspec.DecodeError``."""
+    return _request_decoder.decode(payload)
+
+
+def encode_request(call: model.Call, incarnation: str, now: float) -> bytes:
+    """Return the frame that asks a node to run `call` on its endpoint."""
+    return _encoder.encode(
+        messages.CallRequest(
+            call_id=call.call_id,
+            service=call.service,
+            operation=call.operation.name,
+            method=call.method,
+            target=call.target,
+            headers=_to_fields(call.headers),
+            body=call.body,
+            remaining_ms=int((call.deadline - now) * 1000),
+            expected_incarnation=incarnation,
+            traceparent=call.traceparent,
+            idempotency_key=call.idempotency_key,
+            depth=call.depth,
+            attempt=call.attempt,
+            caller=call.caller,
+        )
+    )
+
+
+def to_call(
+    request: messages.CallRequest, operation: model.Operation, now: float
+) -> model.Call:
+    """Return the call that a request describes."""
+    return model.Call(
+        call_id=request.call_id,
+        service=request.service,
+        operation=operation,
+        method=request.method,
+        target=request.target,
+        headers=_from_fields(request.headers),
+        body=request.body,
+        deadline=now + request.remaining_ms / 1000,
+        caller=request.caller,
+        traceparent=request.traceparent,
+        idempotency_key=request.idempotency_key,
+        depth=request.depth,
+        attempt=request.attempt,
+    )
+
+
+def encode_reply(
+    call_id: str,
+    outcome: Result[model.Answer, errors.Failure],
+    load: model.LoadReport | None,
+) -> bytes:
+    """Return the frame that answers a call."""
+    report = None
+    if load is not None:
+        report = messages.Load(load.running, load.queued, load.limit, load.leaving)
+    if isinstance(outcome, Ok):
+        answer = outcome.ok_value
+        reply = messages.CallReply(
+            call_id=call_id,
+            body=answer.body,
+            status=answer.status,
+            headers=_to_fields(answer.headers),
+            load=report,
+        )
+    else:
+        failure = outcome.err_value
+        reply = messages.CallReply(
+            call_id=call_id,
+            body=b"",
+            error_kind=failure.kind.value,
+            error_detail=failure.detail,
+            retry_after_ms=int(failure.retry_after_s * 1000),
+            load=report,
+        )
+    return _encoder.encode(reply)
+
+
+def decode_reply(payload: bytes) -> messages.CallReply:
+    """Decode a reply; raises ``msgspec.DecodeError``."""
+    return _reply_decoder.decode(payload)
+
+
+def to_load(reply: messages.CallReply) -> model.LoadReport | None:
+    """Return the load report of a reply."""
+    load = reply.load
+    if load is None:
+        return None
+    return model.LoadReport(load.running, load.queued, load.limit, load.leaving)
+
+
+def to_outcome(
+    reply: messages.CallReply, endpoint: str
+) -> Result[model.Answer, errors.Failure]:
+    """Return the answer or failure that a reply carries."""
+    if not reply.error_kind:
+        headers = _from_fields(reply.headers)
+        load = to_load(reply)
+        return Ok(model.Answer(reply.status, headers, reply.body, endpoint, load))
+    try:
+        kind = errors.Kind(reply.error_kind)
+    except ValueError:
+        # A newer node may know kinds that this version does not.
+        kind = errors.Kind.INTERNAL
+    retry_after_s = reply.retry_after_ms / 1000
+    return Err(errors.Failure(kind, reply.error_detail, retry_after_s, endpoint))
+
+
+def _to_fields(headers: model.Headers) -> list[messages.HeaderField]:
+    return [messages.HeaderField(name, value) for name, value in headers]
+
+
+def _from_fields(fields: list[messages.HeaderField]) -> model.Headers:
+    return [(field.name, field.value) for field in fields]
