--- a/src/snipelink/gossip/budget.py
+++ b/src/snipelink/gossip/budget.py
@@ -6,9 +6,10 @@
 
 WINDOW_S = 10.0
 BYTES_PER_S = 22_000
-# Sustained rate and burst add up to ``BYTES_PER_S`` over a window of ``WINDOW_S``.
+# Sustained rate, burst and the one frame that may be received beyond it add up to
+# ``BYTES_PER_S`` over a window of ``WINDOW_S``.
 SUSTAINED_BYTES_PER_S = 16_000
-BURST_BYTES = 60_000
+BURST_BYTES = 43_000
 MESSAGES_PER_S = 100
 BURST_MESSAGES = 300
 
@@ -17,8 +18,8 @@
     """Token bucket for bytes and messages, both directions together.
 
     Over a window of ``t`` seconds at most ``BURST_BYTES + SUSTAINED_BYTES_PER_S * t``
-    bytes are spent, whatever happened before the window: a pause fills the bucket to
-    its burst and no further.
+    bytes are spent, and one received frame beyond that, whatever happened before the
+    window: a pause fills the bucket to its burst and no further.
 
     Parameters
     ----------
--- a/src/snipelink/gossip/codec.py
+++ b/src/snipelink/gossip/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import zlib
 
 import msgspec
@@ -74,9 +75,14 @@
     return content if inflate.eof and not inflate.unused_data else None
 
 
+@functools.cache
+def _fields(kind: type[msgspec.Struct]) -> tuple[msgspec.structs.FieldInfo, ...]:
+    return msgspec.structs.fields(kind)
+
+
 def _compact(part: msgspec.Struct) -> dict[str, object]:
     compact: dict[str, object] = {}
-    for field in msgspec.structs.fields(part):
+    for field in _fields(type(part)):
         value = getattr(part, field.name)
         if isinstance(value, msgspec.Struct):
             compact[field.name] = _compact(value)
--- a/src/snipelink/gossip/exchange.py
+++ b/src/snipelink/gossip/exchange.py
@@ -38,6 +38,8 @@
 BUCKETS_PER_REQUEST = 2
 SYNC_PAUSE_S = 5.0
 MAX_CONTACTS = 64
+# More than the nodes that read the platform within ``pacing.CONFIRMATION_LIMIT_S``.
+MAX_STAMPS = 256
 MAX_CRASH_SUSPECTS = 256
 MAX_CRASH_SUSPECT_BYTES = 256
 CRASH_SUSPECT_S = 120.0
@@ -129,6 +131,7 @@
     ) -> None:
         self.counts_by_event: collections.Counter[str] = collections.Counter()
         self.ready = False
+        self.is_alone = False
         self.resumed_at = float("-inf")
         self.platform_reads = 0
         self.platform_revision = 0
@@ -146,6 +149,9 @@
         self._refreshed_at = float("-inf")
         self._expired_at = now
         self._confirmed_at = float("-inf")
+        self._confirmed_by = ""
+        self._confirmed_stamp = 0
+        self._stamps_by_node: dict[str, int] = {}
         self._pushed_revision = 0
         self._pushed_members_at = now
         self._merged_revision = 0
@@ -167,7 +173,7 @@
     @property
     def is_watching(self) -> bool:
         """Whether this node is one of those that watch the platform."""
-        return self._table.own.name in self._watchers
+        return self.is_alone or self._table.own.name in self._watchers
 
     @property
     def domain_size(self) -> int:
@@ -184,6 +190,10 @@
         self.platform_reads += 1
         self.platform_revision = max(self.platform_revision, revision)
         if revision >= self._store.revision():
+            own = self._table.own
+            started_at = members.started_at_ms(own.incarnation)
+            self._confirmed_by = own.name
+            self._confirmed_stamp = started_at + self.platform_reads
             self._confirmed_at = max(self._confirmed_at, now)
 
     def is_fresh(self, now: float) -> bool:
@@ -421,6 +431,8 @@
             accepted.revision if accepted else 0,
             accepted.digest if accepted else "",
             self.ready,
+            self._confirmed_by,
+            self._confirmed_stamp,
             self._confirmed_age_ms(now),
             [r for r in self._store.conflicts() if r > self._store.revision()],
         )
@@ -504,11 +516,27 @@
             self._store.learn_conflict(revision, origin, now)
         if news.revision > 0 and not self.fetch.avoids(news.digest, now):
             self._store.learn(news.revision, news.digest, origin, now)
-        backlog = now - self.resumed_at < BACKLOG_S
-        same = news.revision == self._store.revision()
-        if same and news.confirmed_age_ms >= 0 and not backlog:
-            heard = now - news.confirmed_age_ms / 1000
-            self._confirmed_at = max(self._confirmed_at, heard)
+        if news.revision == self._store.revision() and news.confirmed_by:
+            self._take_confirmation(news, now)
+
+    def _take_confirmation(self, news: messages.RevisionNews, now: float) -> None:
+        """Note an answer of the platform to another node.
+
+        Each answer counts once. Its age lacks the time in transit, so an answer that
+        circulated among the nodes would otherwise seem to become younger.
+        """
+        node, stamp = news.confirmed_by, news.confirmed_stamp
+        stamps = self._stamps_by_node
+        if stamp <= stamps.get(node, 0) or now - self.resumed_at < BACKLOG_S:
+            return
+        stamps.pop(node, None)
+        stamps[node] = stamp
+        while len(stamps) > MAX_STAMPS:
+            del stamps[next(iter(stamps))]
+        confirmed_at = now - max(0, news.confirmed_age_ms) / 1000
+        if confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
+            self._confirmed_by, self._confirmed_stamp = node, stamp
 
     def _take_records(self, message: messages.ControlMessage, now: float) -> None:
         for record in message.suspicions[:SUSPICIONS_PER_MESSAGE]:
