--- a/src/snipelink/config/watcher.py
+++ b/src/snipelink/config/watcher.py
@@ -146,7 +146,8 @@
         """Stop the thread; a waiting watch ends with its timeout."""
         self._stopped.set()
         self._reader.close()
-        self._thread.join(WATCH_S + 1.0)
+        if self._thread.is_alive():
+            self._thread.join(WATCH_S + 1.0)
 
     def _run(self) -> None:
         while not self._stopped.is_set():
--- a/src/snipelink/gossip/agent.py
+++ b/src/snipelink/gossip/agent.py
@@ -113,7 +113,10 @@
         self._stopped.set()
         self._wake()
         self.watcher.stop()
-        self._thread.join(TICK_S * 10)
+        if self._thread.is_alive():
+            self._thread.join(TICK_S * 10)
+        elif self._transport is not None and self._thread.ident is None:
+            self._transport.close()
 
     def set_leaving(self) -> None:
         """Announce that this node leaves; the exchange goes on until `stop`."""
@@ -201,4 +204,6 @@
     loaded = keys.load(settings.control_key_files)
     if isinstance(loaded, result.Err):
         raise ValueError(f"control_key_files: {loaded.err_value}")
-    return transport.Transport(settings.control_listen, loaded.ok_value, budget)
+    return transport.Transport(
+        settings.control_listen, loaded.ok_value, budget, time.monotonic()
+    )
--- a/src/snipelink/gossip/transport.py
+++ b/src/snipelink/gossip/transport.py
@@ -64,15 +64,21 @@
         Keys accepted from others; the first is this node's own.
     budget : Budget
         Charged for connections.
+    now : float
+        Start, monotonic seconds.
     """
 
     def __init__(
-        self, listen: str, key_pairs: Sequence[keys.Key], budget: budgets.Budget
+        self,
+        listen: str,
+        key_pairs: Sequence[keys.Key],
+        budget: budgets.Budget,
+        now: float,
     ) -> None:
         self.counts_by_event: collections.Counter[str] = collections.Counter()
         self._keys = list(key_pairs)
         self._budget = budget
-        self._now = 0.0
+        self._now = now
         self._context = zmq.Context()
         self._poller = zmq.Poller()
         self._wake_reader, self._wake_writer = socket.socketpair()
