--- /dev/null
+++ b/src/snipelink/addresses.py
@@ -0,0 +1,31 @@
+"""Addresses of the form IP:port."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+
+import result
+
+MAX_PORT = 65_535
+EXPECTED = "IP:port, such as 127.0.0.1:8080 or [::1]:8080"
+
+_FORM = re.compile(r"(?:\[([0-9A-Fa-f:.]+)\]|([0-9.]+)):([0-9]{1,5})", re.ASCII)
+
+
+def parse(text: str) -> result.Result[tuple[str, int], str]:
+    """Return the IP address and the port of ``text``; host names are refused.
+
+    Port 0 is accepted: a listener takes a free port for it.
+    """
+    match = _FORM.fullmatch(text)
+    if match is None:
+        return result.Err(f"expected {EXPECTED}")
+    host, port = match[1] or match[2], int(match[3])
+    try:
+        ipaddress.IPv6Address(host) if match[1] else ipaddress.IPv4Address(host)
+    except ValueError as error:
+        return result.Err(str(error))
+    if port > MAX_PORT:
+        return result.Err(f"expected a port of at most {MAX_PORT}")
+    return result.Ok((host, port))
--- /dev/null
+++ b/src/snipelink/schemas.py
@@ -0,0 +1,128 @@
+"""Schemas of the installed package, and the errors of a file against them."""
+
+from __future__ import annotations
+
+import importlib.resources
+import json
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from snipelink import jsonc
+
+_ARTICLES_BY_TYPE = {
+    "array": "a list",
+    "boolean": "true or false",
+    "integer": "an integer",
+    "null": "null",
+    "number": "a number",
+    "object": "an object",
+    "string": "a string",
+}
+_MAX_FOUND_CHARACTERS = 60
+
+
+def load(name: str) -> dict[str, Any]:
+    """Return the schema ``schema/<name>.schema.json``."""
+    resource = importlib.resources.files("snipelink.generated")
+    schema = json.loads(resource.joinpath(f"{name}.schema.json").read_text("utf-8"))
+    assert isinstance(schema, dict)
+    return schema
+
+
+def describe(schema: dict[str, Any]) -> str:
+    """Return what a schema expects, such as ``an integer from 1 to 100``."""
+    if "enum" in schema:
+        return "one of " + ", ".join(json.dumps(value) for value in schema["enum"])
+    types = schema.get("type", "object")
+    text = " or ".join(
+        _ARTICLES_BY_TYPE[name]
+        for name in ([types] if isinstance(types, str) else types)
+    )
+    text += _describe_range(schema, "minimum", "maximum", "")
+    text += _describe_range(schema, "minLength", "maxLength", " characters")
+    text += _describe_range(schema, "minItems", "maxItems", " items")
+    if "pattern" in schema:
+        text += f" that matches {schema['pattern']}"
+    return text
+
+
+def find_problems(
+    source: jsonc.Source,
+    schema: dict[str, Any],
+    schemas_by_uri: dict[str, dict[str, Any]] | None = None,
+    object_of: Callable[[jsonc.Path], tuple[str, int]] = lambda path: ("", 0),
+) -> list[jsonc.Problem]:
+    """Return every error of a file against a schema.
+
+    Parameters
+    ----------
+    source : jsonc.Source
+        The file.
+    schema : dict
+        Its schema.
+    schemas_by_uri : dict, optional
+        Other schemas that ``schema`` refers to.
+    object_of : callable
+        Returns the name of the object that a path lies in, and the number of
+        leading path parts that lead to the object.
+    """
+    # Imported here: jsonschema would take several MB of each node's memory.
+    import jsonschema
+    import referencing.jsonschema
+
+    registry: Any = referencing.Registry().with_resources(
+        (uri, referencing.jsonschema.DRAFT202012.create_resource(content))
+        for uri, content in (schemas_by_uri or {}).items()
+    )
+    validator = jsonschema.Draft202012Validator(schema, registry=registry)
+    problems = set()
+    for error in validator.iter_errors(source.value):
+        for path, expected in _explain(error):
+            name, length = object_of(path)
+            line, column = source.position(path)
+            field = jsonc.format_path(path[length:])
+            problems.add(
+                jsonc.Problem(source.file, line, column, name, field, expected)
+            )
+    return sorted(problems)
+
+
+def _explain(error: Any) -> Iterator[tuple[jsonc.Path, str]]:
+    path = tuple(error.absolute_path)
+    known = error.schema.get("properties", {})
+    if error.validator == "additionalProperties":
+        for name in error.instance.keys() - known.keys():
+            yield (*path, name), "unknown field; expected " + ", ".join(sorted(known))
+    elif error.validator == "required":
+        for name in error.validator_value:
+            if name not in error.instance:
+                yield (
+                    (*path, name),
+                    "missing; expected " + _describe_property(known.get(name, {})),
+                )
+    else:
+        yield path, f"expected {describe(error.schema)}; found {_found(error.instance)}"
+
+
+def _describe_property(schema: dict[str, Any]) -> str:
+    return describe(schema) if {"type", "enum"} & schema.keys() else "a value"
+
+
+def _found(value: object) -> str:
+    text = json.dumps(value, ensure_ascii=False)
+    if len(text) > _MAX_FOUND_CHARACTERS:
+        text = text[: _MAX_FOUND_CHARACTERS - 3] + "..."
+    return text
+
+
+def _describe_range(
+    schema: dict[str, Any], minimum: str, maximum: str, unit: str
+) -> str:
+    low, high = schema.get(minimum), schema.get(maximum)
+    if low is not None and high is not None:
+        return f" from {low} to {high}{unit}"
+    if low is not None:
+        return f" of at least {low}{unit if low != 1 else unit.removesuffix('s')}"
+    if high is not None:
+        return f" of at most {high}{unit}"
+    return ""
