Check a directory of objects as one set

Operators publish services, endpoints and rules together, so that they must be checked together: references, names, addresses, ambiguous operations, rules that never match, empty endpoint sets, services without an active endpoint and the size of documents. Every error is reported in one run. A wrong field takes no part in further checks, so that one mistake gives one message.

--against judges a change: an endpoint must be leaving before it is removed, a service keeps an active endpoint while a rule leads to it, names are not reused and the revision rises. A service whose endpoints are all leaving is only a warning once no rule leads to it; otherwise it could never be retired.

--out writes the documents, the manifest last, and refuses to replace a manifest by another set under the same revision.

--- /dev/null
+++ b/src/snipelink/cli/check.py
@@ -0,0 +1,82 @@
+"""Checks a directory of objects and writes the documents to publish.
+
+Usage:
+  snipelink-check DIR [--against OLD] [--out OUT] [--published-at MS]
+  snipelink-check (-h | --help)
+
+Options:
+  --against OLD      Judge the change from the directory OLD to DIR.
+  --out OUT          Write the documents to the directory OUT if there is no error.
+  --published-at MS  Time written to the manifest, Unix milliseconds [default: 0].
+  -h --help          Show this text.
+
+Exit codes: 0 without errors, 1 with errors, 2 for wrong usage.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+import docopt
+import result
+
+from snipelink import jsonc
+from snipelink.objects import changes, checks, documents, output, reading
+
+
+def main(argv: list[str]) -> int:
+    """Run the program with the given arguments and return its exit code."""
+    try:
+        arguments = docopt.docopt(__doc__, argv)
+    except docopt.DocoptExit as error:
+        print(error, file=sys.stderr)
+        return 2
+    usage_error = _find_usage_error(arguments)
+    if usage_error:
+        print(usage_error, file=sys.stderr)
+        return 2
+    objects = reading.read(pathlib.Path(arguments["DIR"]))
+    problems = checks.check(objects)
+    if arguments["--against"]:
+        problems += _check_change(arguments["--against"], objects)
+    failed = _report(problems)
+    if not failed and arguments["--out"]:
+        rendered = documents.render(
+            reading.to_set(objects), int(arguments["--published-at"])
+        )
+        written = output.write(rendered, pathlib.Path(arguments["--out"]))
+        if isinstance(written, result.Err):
+            print(written.err_value, file=sys.stderr)
+            return 1
+    return 1 if failed else 0
+
+
+def run() -> None:
+    """Run the program with the arguments of the process."""
+    sys.exit(main(sys.argv[1:]))
+
+
+def _find_usage_error(arguments: dict[str, str | None]) -> str:
+    for name in ("DIR", "--against"):
+        value = arguments[name]
+        if value is not None and not pathlib.Path(value).is_dir():
+            return f"{name}: expected a directory; found {value!r}"
+    published_at = arguments["--published-at"] or ""
+    if not (published_at.isascii() and published_at.isdecimal()):
+        return f"--published-at: expected an integer; found {published_at!r}"
+    return ""
+
+
+def _check_change(old_name: str, objects: reading.Objects) -> list[jsonc.Problem]:
+    old = reading.read(pathlib.Path(old_name))
+    return [*old.problems, *changes.check_change(old, objects)]
+
+
+def _report(problems: list[jsonc.Problem]) -> bool:
+    for problem in problems:
+        print(problem)
+    warnings = sum(problem.warning for problem in problems)
+    errors = len(problems) - warnings
+    print(f"{errors} errors, {warnings} warnings", file=sys.stderr)
+    return checks.has_errors(problems)
--- /dev/null
+++ b/src/snipelink/objects/templates.py
@@ -0,0 +1,73 @@
+"""Path templates of operations: which requests two of them have in common.
+
+A segment ``{name}`` matches any one segment; a last segment ``*`` matches the rest
+of the path, which may be empty.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+
+_ANY = "{}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Template:
+    """A parsed path template; ``{}`` stands for any one segment."""
+
+    segments: tuple[str, ...]
+    open_end: bool = False
+
+    def overlaps(self, other: Template) -> bool:
+        """Whether some path matches both templates."""
+        if not self._admits_length(other) and not other._admits_length(self):
+            return False
+        pairs = zip(self.segments, other.segments, strict=False)
+        return all(one == two or _ANY in (one, two) for one, two in pairs)
+
+    def contains(self, other: Template) -> bool:
+        """Whether every path that matches ``other`` matches this template."""
+        if not self._admits_length(other) or other.open_end > self.open_end:
+            return False
+        pairs = zip(self.segments, other.segments, strict=False)
+        return all(one in (two, _ANY) for one, two in pairs)
+
+    def _admits_length(self, other: Template) -> bool:
+        if self.open_end:
+            return len(other.segments) >= len(self.segments)
+        return len(other.segments) == len(self.segments)
+
+
+def parse(path: str) -> result.Result[Template, str]:
+    """Parse a path template."""
+    if path == "/":
+        return result.Ok(Template(()))
+    segments = path.split("/")[1:]
+    open_end = segments[-1] == "*"
+    if open_end:
+        segments.pop()
+    names = [text for text in segments if text.startswith("{") and text.endswith("}")]
+    if len(set(names)) != len(names) or "{}" in names:
+        return result.Err("expected another name in each {name} segment")
+    for segment in segments:
+        if segment in ("", ".", "..") or set(segment) & set("?#* "):
+            return result.Err(f"expected a path template; found segment {segment!r}")
+        if segment not in names and set(segment) & set("{}"):
+            return result.Err(
+                f"expected {{name}} as a whole segment; found {segment!r}"
+            )
+    return result.Ok(
+        Template(tuple(_ANY if text in names else text for text in segments), open_end)
+    )
+
+
+def parse_prefix(prefix: str) -> Template:
+    """Return the template of every path under a prefix."""
+    return Template(tuple(prefix.split("/")[1:]) if prefix != "/" else (), True)
+
+
+def are_ambiguous(one: Template, two: Template) -> bool:
+    """Whether a path matches both templates and neither is the more specific one."""
+    return one.overlaps(two) and one.contains(two) == two.contains(one)
--- a/src/snipelink/schemas.py
+++ b/src/snipelink/schemas.py
@@ -4,7 +4,7 @@
 
 import importlib.resources
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 from snipelink import jsonc
@@ -33,7 +33,7 @@
     """Return what a schema expects, such as ``an integer from 1 to 100``."""
     if "enum" in schema:
         return "one of " + ", ".join(json.dumps(value) for value in schema["enum"])
-    types = schema.get("type", "object")
+    types = schema.get("type", "string" if "pattern" in schema else "object")
     text = " or ".join(
         _ARTICLES_BY_TYPE[name]
         for name in ([types] if isinstance(types, str) else types)
@@ -46,25 +46,14 @@
     return text
 
 
-def find_problems(
-    source: jsonc.Source,
+def find_errors(
+    value: object,
     schema: dict[str, Any],
     schemas_by_uri: dict[str, dict[str, Any]] | None = None,
-    object_of: Callable[[jsonc.Path], tuple[str, int]] = lambda path: ("", 0),
-) -> list[jsonc.Problem]:
-    """Return every error of a file against a schema.
-
-    Parameters
-    ----------
-    source : jsonc.Source
-        The file.
-    schema : dict
-        Its schema.
-    schemas_by_uri : dict, optional
-        Other schemas that ``schema`` refers to.
-    object_of : callable
-        Returns the name of the object that a path lies in, and the number of
-        leading path parts that lead to the object.
+) -> list[tuple[jsonc.Path, str]]:
+    """Return the path of each error of a value, and what is expected there.
+
+    ``schemas_by_uri`` are other schemas that ``schema`` refers to.
     """
     # Imported here: jsonschema would take several MB of each node's memory.
     import jsonschema
@@ -75,16 +64,15 @@
         for uri, content in (schemas_by_uri or {}).items()
     )
     validator = jsonschema.Draft202012Validator(schema, registry=registry)
-    problems = set()
-    for error in validator.iter_errors(source.value):
-        for path, expected in _explain(error):
-            name, length = object_of(path)
-            line, column = source.position(path)
-            field = jsonc.format_path(path[length:])
-            problems.add(
-                jsonc.Problem(source.file, line, column, name, field, expected)
-            )
-    return sorted(problems)
+    errors = validator.iter_errors(value)
+    # One missing field is reported once for each of the required ones.
+    return list(dict.fromkeys(found for error in errors for found in _explain(error)))
+
+
+def find_problems(source: jsonc.Source, schema: dict[str, Any]) -> list[jsonc.Problem]:
+    """Return every error of a file against a schema."""
+    errors = find_errors(source.value, schema)
+    return [source.problem(path, expected) for path, expected in errors]
 
 
 def _explain(error: Any) -> Iterator[tuple[jsonc.Path, str]]:
