--- a/src/snipelink/settings/__init__.py
+++ b/src/snipelink/settings/__init__.py
@@ -8,9 +8,9 @@
 import result
 
 from snipelink import addresses, jsonc, schemas
-from snipelink.generated import settings as settings_model
+from snipelink.generated import settings as generated
 
-__all__ = ["load"]
+Settings = generated.Settings
 
 _ADDRESS_FIELDS = (
     "caller_listen",
@@ -23,7 +23,7 @@
 
 def load(
     path: str | pathlib.Path,
-) -> result.Result[settings_model.Settings, list[jsonc.Problem]]:
+) -> result.Result[Settings, list[jsonc.Problem]]:
     """Read settings, or return every error of the file."""
     read = jsonc.read(pathlib.Path(path))
     if isinstance(read, result.Err):
@@ -31,7 +31,7 @@
     source = read.ok_value
     problems = _find_address_problems(source)
     try:
-        settings = msgspec.convert(source.value, settings_model.Settings)
+        settings = msgspec.convert(source.value, Settings)
     except msgspec.ValidationError as error:
         problems += schemas.find_problems(source, schemas.load("settings"))
         if not problems:
