Publish the more specific operations first

Cause: a node takes the first operation of the document that matches, while the check accepts two operations when one is more specific. With the general one first in the file, a request for the specific one would have been treated as the general one, and possibly as idempotent. The set now lists operations so that a template precedes every template that contains it.

--- a/src/snipelink/objects/reading.py
+++ b/src/snipelink/objects/reading.py
@@ -15,6 +15,7 @@
 import result
 
 from snipelink import jsonc, model, schemas
+from snipelink.objects import templates
 
 SET_FILE = "set.json"
 KINDS_BY_LIST = {"services": "service", "endpoints": "endpoint", "rules": "rule"}
@@ -178,7 +179,7 @@
         budgets = default_budgets | item.value.get("budgets", {})
         services_by_name[item.name] = model.Service(
             item.name,
-            tuple(operations.values()),
+            _order(operations),
             endpoints_by_service.get(item.name, {}),
             model.Budgets(**{field: float(value) for field, value in budgets.items()}),
         )
@@ -186,6 +187,15 @@
     return model.ObjectSet(objects.revision, "", rules, services_by_name)
 
 
+def _order(operations: dict[int, model.Operation]) -> tuple[model.Operation, ...]:
+    """Put the more specific operations first; nodes take the first that matches."""
+    return tuple(
+        sorted(
+            operations.values(), key=lambda o: templates.parse(o.path).unwrap().order
+        )
+    )
+
+
 def _find_files(directory: pathlib.Path) -> list[pathlib.Path]:
     return [
         path
--- a/src/snipelink/objects/templates.py
+++ b/src/snipelink/objects/templates.py
@@ -11,6 +11,8 @@
 import result
 
 _ANY = "{}"
+_ANY_RANK = 1
+_OPEN_END_RANK = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +36,12 @@
         pairs = zip(self.segments, other.segments, strict=False)
         return all(one in (two, _ANY) for one, two in pairs)
 
+    @property
+    def order(self) -> tuple[int, ...]:
+        """Sort key that puts a template before every other one that contains it."""
+        ranks = [_ANY_RANK if text == _ANY else 0 for text in self.segments]
+        return (*ranks, _OPEN_END_RANK if self.open_end else 0)
+
     def _admits_length(self, other: Template) -> bool:
         if self.open_end:
             return len(other.segments) >= len(self.segments)
--- a/tests/objects/test_checks.py
+++ b/tests/objects/test_checks.py
@@ -181,7 +181,8 @@
     rota, archive = (object_set.services_by_name[n] for n in ("rota", "archive"))
     assert rota.endpoints_by_name["rota-3"].leaving
     assert rota.endpoints_by_name["rota-1"].endpoint_sets == {"blue"}
-    assert rota.operations[1].weight == 2
+    assert [o.name for o in rota.operations] == ["today", "find", "claim"]
+    assert rota.operations[2].weight == 2
     assert (rota.budgets.retry_ratio, archive.budgets.retry_ratio) == (0.1, 0.2)
     rendered = documents.render(object_set)
     assert documents.decode(rendered["manifest"], rendered).is_ok()
--- a/tests/objects/test_templates.py
+++ b/tests/objects/test_templates.py
@@ -42,6 +42,16 @@
     assert one.contains(two) == (_matches(one) >= _matches(two))
 
 
+@hypothesis.given(TEMPLATES, TEMPLATES)
+@hypothesis.settings(max_examples=300)
+def test_more_specific_template_comes_first(
+    one: templates.Template, two: templates.Template
+) -> None:
+    """Guards against a general operation that takes a specific one's requests."""
+    if two.contains(one) and not one.contains(two):
+        assert one.order < two.order
+
+
 @pytest.mark.parametrize(
     ("one", "two", "expected"),
     [
