--- /dev/null
+++ b/tests/admission/test_limit.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+import random
+
+from snipelink.admission import limit
+
+
+def feed(
+    subject: limit.Limit,
+    start: float,
+    seconds: float,
+    seed: int,
+    latency_of: dict[str, float],
+    shared: bool = False,
+) -> float:
+    """Record exponential latencies; ``shared`` lets them grow with the limit."""
+    rng = random.Random(seed)
+    now = start
+    while now < start + seconds:
+        now += 0.005
+        operation = rng.choice(sorted(latency_of))
+        latency = rng.expovariate(1 / latency_of[operation])
+        subject.record(operation, latency * (subject.value if shared else 1), now)
+    return now
+
+
+def test_ordinary_variation_keeps_all_slots() -> None:
+    """Guards against a limit that falls on random or mixed service times."""
+    subject = limit.Limit(10, 0.0)
+    now = feed(subject, 0.0, 30.0, 1, {"fast": 0.005, "slow": 0.2})
+    now = feed(subject, now, 10.0, 2, {"slow": 0.2})
+    assert subject.value >= 9
+
+
+def test_slowed_server_lowers_the_limit_and_recovers() -> None:
+    """Guards against a full set of calls on a server slowed by its neighbour."""
+    subject = limit.Limit(10, 0.0)
+    now = feed(subject, 0.0, 10.0, 1, {"read": 0.01})
+    now = feed(subject, now, 2.0, 2, {"read": 0.1})
+    assert subject.value <= 3
+    now = feed(subject, now, 3.0, 3, {"read": 0.01})
+    assert subject.value >= 9
+
+
+def test_lasting_change_becomes_the_baseline() -> None:
+    """Guards against capacity lost for good when an operation becomes costlier."""
+    subject = limit.Limit(10, 0.0)
+    now = feed(subject, 0.0, 10.0, 1, {"read": 0.01})
+    feed(subject, now, 2 * limit.EPOCH_S + 10, 2, {"read": 0.05})
+    assert subject.value >= 9
+
+
+def test_time_outs_lower_the_limit_but_never_to_zero() -> None:
+    """Guards against an endpoint that is closed for good by its failures."""
+    subject = limit.Limit(10, 0.0)
+    for step in range(100):
+        subject.record_overload(step * 0.2)
+    assert subject.value == 2
