--- a/src/snipelink/errors.py
+++ b/src/snipelink/errors.py
@@ -104,12 +104,19 @@
         Seconds after which the caller may try again; 0 when unknown.
     endpoint : str
         Name of the endpoint concerned; empty when none was chosen.
+    retried : bool
+        Whether a hop nearer the failure has already decided on a retry; no other hop
+        retries then.
+    crashed : bool
+        Whether the endpoint crashed while the call ran.
     """
 
     kind: Kind
     detail: str = ""
     retry_after_s: float = 0.0
     endpoint: str = ""
+    retried: bool = False
+    crashed: bool = False
 
     @property
     def entry(self) -> Entry:
--- /dev/null
+++ b/src/snipelink/retry/budget.py
@@ -0,0 +1,78 @@
+"""Budget for further attempts, relative to answered first attempts."""
+
+from __future__ import annotations
+
+import collections
+import threading
+
+LIFETIME_S = 10.0
+BATCH_S = 0.5
+RESERVE = 1.0
+ROUNDING = 1e-9
+
+
+class Budget:
+    """Allows further attempts in proportion to answered first attempts.
+
+    A deposit can be spent for 10 s, so nothing accumulates over a pause. One attempt is
+    kept beyond that, because a service that is rarely called would otherwise never earn
+    one. In any window the attempts spent are at most ``ratio`` times the deposits made
+    in it and in the 10 s before, plus one.
+
+    Only answered calls deposit: under overload the answers are limited by capacity,
+    so the budget does not grow with the load that causes the refusals.
+    """
+
+    def __init__(self, ratio: float) -> None:
+        self._ratio = ratio
+        self._lock = threading.Lock()
+        self._reserve = RESERVE if ratio > 0 else 0.0
+        self._batches: collections.deque[list[float]] = collections.deque()
+        self._sum = 0.0
+
+    def deposit(self, now: float) -> None:
+        """Record a first attempt that was answered."""
+        with self._lock:
+            batches = self._batches
+            if batches and now - batches[-1][0] < BATCH_S:
+                batches[-1][1] += self._ratio
+            else:
+                self._expire(now)
+                batches.append([now, self._ratio])
+            self._sum += self._ratio
+
+    def try_spend(self, now: float) -> bool:
+        """Take one attempt; return whether the budget allows it."""
+        with self._lock:
+            self._expire(now)
+            if self._sum + self._reserve < 1.0 - ROUNDING:
+                return False
+            self._take(1.0)
+            return True
+
+    def available(self, now: float) -> float:
+        """Return the attempts that could be spent now."""
+        with self._lock:
+            self._expire(now)
+            return self._sum + self._reserve
+
+    def _expire(self, now: float) -> None:
+        batches = self._batches
+        while batches and now - batches[0][0] >= LIFETIME_S:
+            tokens = batches.popleft()[1]
+            self._sum -= tokens
+            self._reserve = min(RESERVE, self._reserve + tokens)
+        if not batches:
+            self._sum = 0.0
+
+    def _take(self, amount: float) -> None:
+        """Take tokens, the oldest deposits first and the reserve last."""
+        batches = self._batches
+        while batches and amount > 0.0:
+            taken = min(amount, batches[0][1])
+            batches[0][1] -= taken
+            self._sum -= taken
+            amount -= taken
+            if batches[0][1] <= 0.0:
+                batches.popleft()
+        self._reserve = max(0.0, self._reserve - amount)
--- /dev/null
+++ b/tests/retry/test_budget.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import hypothesis
+import hypothesis.strategies as st
+
+from snipelink.retry import budget
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from([0.0, 0.001, 0.05, 0.4, 1.0, 12.0, 1000.0]),
+        st.integers(0, 30),
+        st.integers(0, 8),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.given(STEPS, st.sampled_from([0.02, 0.1, 0.5]))
+@hypothesis.settings(max_examples=200, derandomize=True, deadline=None)
+def test_attempts_stay_within_the_ratio_in_any_window(
+    steps: list[tuple[float, int, int]], ratio: float
+) -> None:
+    """Guards against a burst of retries, at any load and after any pause."""
+    subject = budget.Budget(ratio)
+    now = 0.0
+    deposits: list[float] = []
+    spends: list[float] = []
+    for delay, deposit_count, spend_count in steps:
+        now += delay
+        for _ in range(deposit_count):
+            subject.deposit(now)
+            deposits.append(now)
+        spends += [now for _ in range(spend_count) if subject.try_spend(now)]
+    for first, start in enumerate(spends):
+        for last in range(first, len(spends)):
+            earned = sum(
+                start - budget.LIFETIME_S <= t <= spends[last] for t in deposits
+            )
+            assert last - first + 1 <= ratio * earned + 1 + 1e-6
+
+
+def test_without_answers_the_budget_ends() -> None:
+    """Guards against retries that go on while nothing is answered."""
+    subject = budget.Budget(0.1)
+    for _ in range(100):
+        subject.deposit(0.0)
+    assert sum(subject.try_spend(1.0) for _ in range(100)) == 11
+    assert not subject.try_spend(60.0)
+
+
+def test_zero_ratio_allows_nothing() -> None:
+    """Guards against retries of a service whose budget forbids them."""
+    assert not budget.Budget(0.0).try_spend(0.0)
--- /dev/null
+++ b/tests/retry/test_policy.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from snipelink import errors, model
+from snipelink.retry import budget, policy
+
+READ = model.Operation("read", "GET", "/r", True)
+BOOK = model.Operation("book", "POST", "/b", False)
+
+
+def make_call(operation: model.Operation) -> model.Call:
+    return model.Call("c", "s", operation, operation.method, "/", [], b"", 10.0)
+
+
+def make_budget() -> budget.Budget:
+    subject = budget.Budget(0.5)
+    for _ in range(100):
+        subject.deposit(0.0)
+    return subject
+
+
+@pytest.mark.parametrize("kind", list(errors.Kind))
+def test_non_idempotent_call_is_retried_only_if_it_did_not_run(
+    kind: errors.Kind,
+) -> None:
+    """Guards against running a booking twice."""
+    failure = errors.Failure(kind)
+    decision = policy.decide(make_call(BOOK), failure, 1, make_budget(), 0.0)
+    entry = failure.entry
+    expected = (
+        entry.ran is errors.Ran.NOT_RUN and entry.repeat is errors.Repeat.ELSEWHERE
+    )
+    assert (decision.action is policy.Action.RETRY) == expected
+
+
+@pytest.mark.parametrize("operation", [READ, BOOK])
+def test_crash_and_nearer_decision_end_the_call(operation: model.Operation) -> None:
+    """Guards against a crashing call sent on, and against retries at several hops."""
+    for failure in (
+        errors.Failure(errors.Kind.CONNECTION_LOST, crashed=True),
+        errors.Failure(errors.Kind.OVERLOADED, retried=True),
+    ):
+        decision = policy.decide(make_call(operation), failure, 1, make_budget(), 0.0)
+        assert decision.action is not policy.Action.RETRY
+        assert decision.failure.retried
+
+
+@pytest.mark.parametrize(
+    ("attempts", "now", "funded", "action"),
+    [
+        (1, 0.0, True, policy.Action.RETRY),
+        (3, 0.0, True, policy.Action.LATER),
+        (1, 9.999, True, policy.Action.LATER),
+        (1, 0.0, False, policy.Action.LATER),
+    ],
+)
+def test_attempts_deadline_and_budget_bound_retries(
+    attempts: int, now: float, funded: bool, action: policy.Action
+) -> None:
+    """Guards against unbounded retries and a final refusal without Retry-After."""
+    funds = make_budget() if funded else budget.Budget(0.0)
+    failure = errors.Failure(errors.Kind.OVERLOADED)
+    decision = policy.decide(make_call(BOOK), failure, attempts, funds, now)
+    assert decision.action is action
+    if action is policy.Action.LATER:
+        assert decision.failure.retry_after_s > 0
+
+
+def test_refused_retry_is_not_charged() -> None:
+    """Guards against a budget spent on calls that were not retried."""
+    funds = make_budget()
+    before = funds.available(0.0)
+    failure = errors.Failure(errors.Kind.BAD_REQUEST)
+    policy.decide(make_call(READ), failure, 1, funds, 0.0)
+    late = dataclasses.replace(make_call(READ), deadline=0.0)
+    policy.decide(late, errors.Failure(errors.Kind.OVERLOADED), 1, funds, 0.0)
+    assert funds.available(0.0) == before
