Split the executor and wire in admission, balancing and retries

The thin executor chose endpoints, admitted calls and answered callers in one module. The entry builds calls and responses, the local runner admits calls to the own endpoint and marks crashes, the executor runs attempts by the balancing policy and the retry decision. A setting names the policy.

--- /dev/null
+++ b/src/snipelink/execute/entry.py
@@ -0,0 +1,130 @@
+"""Turns a caller's request into a call, and its outcome into a response."""
+
+from __future__ import annotations
+
+import math
+import time
+import typing
+import uuid
+
+from result import Err, Ok, Result
+
+from snipelink import errors, model
+from snipelink.execute import executor, routing
+from snipelink.session import headers, http
+
+MAX_DEPTH = 32
+Cancelled = typing.Callable[[], bool]
+Objects = typing.Callable[[], model.ObjectSet | None]
+
+
+class Entry:
+    """Answers the requests of callers.
+
+    Parameters
+    ----------
+    objects : callable
+        Returns the set in force, or None before the node is ready.
+    calls : Executor
+        Runs the calls.
+    """
+
+    def __init__(self, objects: Objects, calls: executor.Executor) -> None:
+        self._objects = objects
+        self._executor = calls
+
+    def handle(self, request: http.Request, cancelled: Cancelled) -> http.Response:
+        """Answer one request."""
+        call_id = uuid.uuid4().hex
+        outcome = self._run(request, call_id, cancelled)
+        if isinstance(outcome, Ok):
+            return _answer_response(request, outcome.ok_value, call_id)
+        return failure_response(outcome.err_value, call_id)
+
+    def _run(
+        self, request: http.Request, call_id: str, cancelled: Cancelled
+    ) -> Result[model.Answer, errors.Failure]:
+        now = time.monotonic()
+        objects = self._objects()
+        if objects is None:
+            return _fail(errors.Kind.NOT_READY, "no configuration is in force")
+        routed = _route(objects, request)
+        if isinstance(routed, Err):
+            return routed
+        route = routed.ok_value
+        call = _build_call(request, route, call_id, now)
+        if call.depth > MAX_DEPTH:
+            return _fail(errors.Kind.HOP_LIMIT, f"more than {MAX_DEPTH} calls deep")
+        if len(call.body) > route.operation.max_request_bytes:
+            return _fail(errors.Kind.REQUEST_TOO_LARGE, "request body too large")
+        return self._executor.execute(call, objects, route, now, cancelled)
+
+
+def failure_response(failure: errors.Failure, call_id: str = "") -> http.Response:
+    """Return the response that tells a caller of a failure."""
+    entry = failure.entry
+    fields = [
+        ("content-type", "text/plain; charset=utf-8"),
+        ("snipelink-error", failure.kind.value),
+        ("snipelink-ran", entry.ran.value),
+    ]
+    if call_id:
+        fields.append(("snipelink-call-id", call_id))
+    if entry.repeat is not errors.Repeat.NO and not failure.crashed:
+        fields.append(("retry-after", str(max(1, math.ceil(failure.retry_after_s)))))
+    text = f"{failure.kind.value}: {failure.detail}\n"
+    return http.Response(entry.status, fields, text.encode())
+
+
+def _answer_response(
+    request: http.Request, answer: model.Answer, call_id: str
+) -> http.Response:
+    passed = headers.end_to_end(answer.headers, headers.OUTCOME_HEADERS)
+    if request.method == "HEAD":
+        passed += [field for field in answer.headers if field[0] == "content-length"]
+    passed.append(("snipelink-call-id", call_id))
+    return http.Response(answer.status, passed, answer.body)
+
+
+def _route(
+    objects: model.ObjectSet, request: http.Request
+) -> Result[routing.Route, errors.Failure]:
+    host = request.header("host").rsplit(":", 1)[0].lower()
+    path = request.target.split("?", 1)[0]
+    caller = request.header("snipelink-caller")
+    return routing.route(objects, host, path, request.method, caller)
+
+
+def _build_call(
+    request: http.Request, route: routing.Route, call_id: str, now: float
+) -> model.Call:
+    operation = route.operation
+    deadline_ms = operation.deadline_ms
+    wanted = _parse_count(request.header("snipelink-deadline-ms"))
+    if wanted is not None:
+        deadline_ms = min(deadline_ms, wanted)
+    return model.Call(
+        call_id=call_id,
+        service=route.service.name,
+        operation=operation,
+        method=request.method,
+        target=request.target,
+        headers=headers.end_to_end(request.headers, headers.SET_BY_NODE),
+        body=request.body,
+        deadline=now + deadline_ms / 1000,
+        endpoint_set=route.endpoint_set,
+        caller=request.header("snipelink-caller"),
+        traceparent=request.header("traceparent"),
+        idempotency_key=request.header("idempotency-key"),
+        depth=(_parse_count(request.header("snipelink-depth")) or 0) + 1,
+    )
+
+
+def _parse_count(text: str) -> int | None:
+    if len(text) > 9 or not text.isascii() or not text.isdigit():
+        return None
+    return int(text)
+
+
+def _fail(kind: errors.Kind, detail: str = "") -> Err[errors.Failure]:
+    return Err(errors.Failure(kind, detail))
--- /dev/null
+++ b/src/snipelink/execute/local.py
@@ -0,0 +1,187 @@
+"""Runs calls on the node's own endpoint, behind its admission."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+import typing
+
+from result import Err, Ok, Result
+
+from snipelink import addresses, errors, model
+from snipelink.admission import gate as gates
+from snipelink.execute import endpoint_client, pauses
+from snipelink.generated import messages as generated
+from snipelink.session import http, messages
+
+DEFAULT_SLOTS = 10
+CRASH_CHECK_TIMEOUT_S = 0.2
+Cancelled = typing.Callable[[], bool]
+Outcome = Result[model.Answer, errors.Failure]
+Objects = typing.Callable[[], model.ObjectSet | None]
+
+
+class LocalRunner:
+    """Admits calls to the own endpoint and runs them.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node and of its endpoint.
+    objects : callable
+        Returns the set in force.
+    client : EndpointClient
+        Connections to the own endpoint.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        objects: Objects,
+        client: endpoint_client.EndpointClient,
+        endpoint_address: str,
+        pause_detector: pauses.PauseDetector,
+    ) -> None:
+        self._node = node
+        self._objects = objects
+        self._client = client
+        self._endpoint_address = endpoint_address
+        self._pauses = pause_detector
+        self._lock = threading.Lock()
+        self._gate: gates.Gate | None = None
+        self._draining = False
+
+    def start_draining(self) -> None:
+        """Refuse new work as ``leaving`` from now on."""
+        with self._lock:
+            self._draining = True
+            if self._gate is not None:
+                self._gate.start_draining()
+
+    def load(self) -> model.LoadReport | None:
+        """Return the load of the own endpoint; None before a set is in force."""
+        return self._gate.load() if self._gate is not None else None
+
+    def run_forwarded(
+        self,
+        request: generated.CallRequest,
+        received_after: float,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        """Run a call of another node."""
+        # The age of a call that was read across a pause is unknown: its sender may
+        # have given up on it.
+        if self._pauses.paused_since(received_after, now):
+            return _fail(errors.Kind.NOT_READY, "the node resumed after a pause")
+        operation = self._find_operation(request.service, request.operation)
+        if operation is None:
+            detail = f"{self._node} does not serve {request.service}"
+            return _fail(errors.Kind.NOT_READY, detail)
+        call = messages.to_call(request, operation, now)
+        return self.run(call, now, cancelled)
+
+    def run(self, call: model.Call, now: float, cancelled: Cancelled) -> Outcome:
+        """Run a call on the own endpoint when admission allows it."""
+        entered = self._own_gate().enter(call, now, cancelled)
+        if isinstance(entered, Err):
+            return entered
+        ticket = entered.ok_value
+        outcome: Outcome = _fail(errors.Kind.INTERNAL)
+        try:
+            outcome = send(self._client, call, self._node)
+            return self._check_crash(outcome)
+        finally:
+            self._own_gate().leave(ticket, _classify(outcome), time.monotonic())
+
+    def _find_operation(self, service_name: str, name: str) -> model.Operation | None:
+        objects = self._objects()
+        service = objects.services_by_name.get(service_name) if objects else None
+        if service is None or self._node not in service.endpoints_by_name:
+            return None
+        return next((o for o in service.operations if o.name == name), None)
+
+    def _own_gate(self) -> gates.Gate:
+        if self._gate is None:
+            with self._lock:
+                if self._gate is None:
+                    self._gate = gates.Gate(self._slots())
+                    if self._draining:
+                        self._gate.start_draining()
+        return self._gate
+
+    def _slots(self) -> int:
+        objects = self._objects()
+        for service in objects.services_by_name.values() if objects else ():
+            own = service.endpoints_by_name.get(self._node)
+            if own is not None:
+                return own.slots
+        return DEFAULT_SLOTS
+
+    def _check_crash(self, outcome: Outcome) -> Outcome:
+        """Mark a lost connection as a crash when the endpoint refuses new ones."""
+        if isinstance(outcome, Ok):
+            return outcome
+        failure = outcome.err_value
+        if failure.kind is not errors.Kind.CONNECTION_LOST:
+            return outcome
+        if not _refuses_connections(self._endpoint_address):
+            return outcome
+        detail = f"endpoint crashed: {failure.detail}"
+        return Err(
+            errors.Failure(failure.kind, detail, endpoint=self._node, crashed=True)
+        )
+
+
+def send(
+    client: endpoint_client.EndpointClient, call: model.Call, endpoint: str
+) -> Outcome:
+    """Send a call to an endpoint over HTTP and return its complete answer."""
+    remaining_ms = int((call.deadline - time.monotonic()) * 1000)
+    headers = call.headers + [
+        ("snipelink-deadline-ms", str(max(1, remaining_ms))),
+        ("snipelink-depth", str(call.depth)),
+        ("snipelink-call-id", call.call_id),
+    ]
+    if call.traceparent:
+        headers.append(("traceparent", call.traceparent))
+    received = client.request(
+        call.method,
+        call.target,
+        headers,
+        call.body,
+        call.deadline,
+        call.operation.max_answer_bytes,
+    )
+    if isinstance(received, Err):
+        return received
+    response: http.Response = received.ok_value
+    return Ok(model.Answer(response.status, response.headers, response.body, endpoint))
+
+
+def _classify(outcome: Outcome) -> gates.Outcome:
+    if isinstance(outcome, Ok):
+        if outcome.ok_value.status == 503:
+            return gates.Outcome.OVERLOADED
+        return gates.Outcome.ANSWERED
+    if outcome.err_value.kind is errors.Kind.DEADLINE_UNKNOWN:
+        return gates.Outcome.TIMED_OUT
+    return gates.Outcome.FAILED
+
+
+def _refuses_connections(address: str) -> bool:
+    parsed = addresses.parse(address)
+    if isinstance(parsed, Err):
+        return False
+    try:
+        socket.create_connection(parsed.ok_value, CRASH_CHECK_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _fail(kind: errors.Kind, detail: str = "") -> Err[errors.Failure]:
+    return Err(errors.Failure(kind, detail))
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -10,7 +10,16 @@
 
 from snipelink import settings
 from snipelink.config import poll
-from snipelink.execute import endpoint_client, executor, forward, pauses
+from snipelink.execute import (
+    endpoint_client,
+    entry,
+    executor,
+    forward,
+    local,
+    pauses,
+    policies,
+    service,
+)
 from snipelink.session import call, caller, frames
 
 logger = logging.getLogger(__name__)
@@ -37,27 +46,35 @@
         self._forwarder = forward.Forwarder(
             values.node, self.incarnation, max_frame_bytes
         )
-        self._executor = executor.Executor(
+        self._runner = local.LocalRunner(
             values.node,
             self._reader.in_force,
             endpoint_client.EndpointClient(values.endpoint, values.node),
-            self._forwarder,
+            values.endpoint,
             self._pauses,
+        )
+        self._services = service.Services(
+            policies.makers_by_name()[values.balance_policy],
+            (values.failure_domain, values.region),
             random.Random(),
         )
+        calls = executor.Executor(
+            values.node, self._services, self._runner, self._forwarder
+        )
+        self._entry = entry.Entry(self._reader.in_force, calls)
         self._call_server = call.CallServer(
             parse_address(values.call_listen),
             values.node,
             self.incarnation,
-            self._executor,
+            self._runner,
             max_frame_bytes,
             values.max_connections,
         )
         self._caller_server = caller.CallerServer(
             parse_address(values.caller_listen),
             values,
-            self._executor.handle,
-            executor.failure_response,
+            self._entry.handle,
+            entry.failure_response,
         )
 
     def start(self) -> None:
@@ -81,7 +98,7 @@
         status : int
             0 if no call was cut off, else 1.
         """
-        self._executor.start_draining()
+        self._runner.start_draining()
         self._call_server.stop()
         self._caller_server.stop_accepting()
         deadline = time.monotonic() + self._values.grace_s
@@ -94,4 +111,6 @@
         return 1 if left else 0
 
     def _busy(self) -> int:
-        return self._executor.running() + self._caller_server.busy_connections()
+        load = self._runner.load()
+        running = load.running + load.queued if load else 0
+        return running + self._caller_server.busy_connections()
--- /dev/null
+++ b/src/snipelink/execute/policies.py
@@ -0,0 +1,42 @@
+"""Balancing policies by the name in the settings."""
+
+from __future__ import annotations
+
+from snipelink.balance import adaptive
+from snipelink.balance import policy as simple
+from snipelink.balance import tracker as trackers
+from snipelink.execute import service
+
+
+def _make_adaptive(
+    tracker: trackers.Tracker, failure_domain: str, region: str
+) -> simple.Policy:
+    return adaptive.Adaptive(tracker, failure_domain, region)
+
+
+def _make_least_outstanding(
+    tracker: trackers.Tracker, failure_domain: str, region: str
+) -> simple.Policy:
+    return simple.LeastOutstanding(tracker)
+
+
+def _make_random(
+    tracker: trackers.Tracker, failure_domain: str, region: str
+) -> simple.Policy:
+    return simple.Random(tracker)
+
+
+def _make_round_robin(
+    tracker: trackers.Tracker, failure_domain: str, region: str
+) -> simple.Policy:
+    return simple.RoundRobin(tracker)
+
+
+def makers_by_name() -> dict[str, service.MakePolicy]:
+    """Return the functions that make the policies."""
+    return {
+        "adaptive": _make_adaptive,
+        "least-outstanding": _make_least_outstanding,
+        "random": _make_random,
+        "round-robin": _make_round_robin,
+    }
--- a/src/snipelink/session/messages.py
+++ b/src/snipelink/session/messages.py
@@ -99,6 +99,7 @@
             error_kind=failure.kind.value,
             error_detail=failure.detail,
             retry_after_ms=int(failure.retry_after_s * 1000),
+            crashed=failure.crashed,
             load=report,
         )
     return _encoder.encode(reply)
@@ -131,7 +132,11 @@
         # A newer node may know kinds that this version does not.
         kind = errors.Kind.INTERNAL
     retry_after_s = reply.retry_after_ms / 1000
-    return Err(errors.Failure(kind, reply.error_detail, retry_after_s, endpoint))
+    return Err(
+        errors.Failure(
+            kind, reply.error_detail, retry_after_s, endpoint, crashed=reply.crashed
+        )
+    )
 
 
 def _to_fields(headers: model.Headers) -> list[messages.HeaderField]:
