Add metrics, traces, limited logs and the admin server

A node needs to show what it does at a bounded cost. Latencies go to one histogram a service and one an endpoint, label sets are bounded, spans and log lines have a limited rate with the suppressed number reported, and the admin server only reads from callables that the node gives it. Spans of failed calls are kept without sampling, at a rate of their own.

--- /dev/null
+++ b/tests/observe/test_admin.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+import urllib3
+
+from snipelink.observe import admin
+
+
+def _fail() -> Any:
+    raise RuntimeError("no state")
+
+
+@pytest.fixture
+def server() -> Iterator[admin.AdminServer]:
+    providers = admin.Providers(
+        metrics=lambda: "calls_total 3\n",
+        state=lambda: {"node": "rota-1"},
+        spans=lambda limit: [{"limit": limit}],
+        explain=lambda *arguments: {"arguments": arguments},
+    )
+    running = admin.AdminServer(("127.0.0.1", 0), providers)
+    running.start()
+    yield running
+    running.stop()
+
+
+def _request(
+    server: admin.AdminServer, path: str, method: str = "GET"
+) -> urllib3.BaseHTTPResponse:
+    host, port = server.address
+    with urllib3.PoolManager(retries=False, timeout=10) as pool:
+        return pool.request(method, f"http://{host}:{port}{path}")
+
+
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [
+        ("/state", {"node": "rota-1"}),
+        ("/spans", [{"limit": admin.MAX_SPANS_ANSWERED}]),
+        ("/spans?limit=3", [{"limit": 3}]),
+        ("/explain?path=/a%2Fb", {"arguments": ["", "/a/b", "GET", ""]}),
+        (
+            "/explain?host=h&path=/a&method=post&caller=c",
+            {"arguments": ["h", "/a", "POST", "c"]},
+        ),
+    ],
+)
+def test_page_shows_its_provider(
+    server: admin.AdminServer, path: str, expected: object
+) -> None:
+    """Guards against parameters that reach the wrong place."""
+    response = _request(server, path)
+    assert (response.status, json.loads(response.data)) == (200, expected)
+
+
+def test_metrics_are_text(server: admin.AdminServer) -> None:
+    """Guards against an exposition that scrapers refuse."""
+    response = _request(server, "/metrics")
+    assert response.data == b"calls_total 3\n"
+    assert response.headers["content-type"].startswith("text/plain; version=0.0.4")
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("POST", "/state", 405),
+        ("DELETE", "/state", 405),
+        ("PUT", "/nosuch", 405),
+        ("GET", "/nosuch", 404),
+        ("GET", "/explain", 400),
+        ("GET", "/spans?limit=-1", 400),
+        ("GET", "/explain?path=%ff", 400),
+    ],
+)
+def test_other_requests_are_refused(
+    server: admin.AdminServer, method: str, path: str, status: int
+) -> None:
+    """Guards against a way to change a node, and against tracebacks."""
+    response = _request(server, path, method)
+    assert response.status == status
+    assert "error" in json.loads(response.data)
+
+
+def test_head_has_no_body(server: admin.AdminServer) -> None:
+    """Guards against a body that the next answer would be read from."""
+    response = _request(server, "/state", "HEAD")
+    assert (response.status, response.data) == (200, b"")
+    assert int(response.headers["content-length"]) > 0
+
+
+def test_failing_provider_does_not_stop_the_server() -> None:
+    """Guards against an inspection that disturbs the node."""
+    providers = admin.Providers(
+        metrics=lambda: "x 1\n", state=_fail, spans=_fail, explain=_fail
+    )
+    running = admin.AdminServer(("127.0.0.1", 0), providers)
+    running.start()
+    try:
+        assert _request(running, "/state").status == 500
+        assert _request(running, "/metrics").status == 200
+    finally:
+        running.stop()
--- /dev/null
+++ b/tests/observe/test_logs.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import io
+import json
+import logging
+from typing import Any
+
+import pytest
+
+from snipelink.observe import logs
+
+
+class _Log:
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.stream = io.StringIO()
+        self.handler = logs.RateLimitedHandler(self.stream, lambda: self.now)
+        self.handler.setFormatter(logs.JsonFormatter())
+        self.logger = logging.Logger("snipelink.test")
+        self.logger.addHandler(self.handler)
+
+    def lines(self) -> list[dict[str, Any]]:
+        return [json.loads(line) for line in self.stream.getvalue().splitlines()]
+
+
+@pytest.fixture
+def log() -> _Log:
+    return _Log()
+
+
+def test_record_is_one_line_of_json(log: _Log) -> None:
+    """Guards against lines that a collector splits or drops."""
+    try:
+        raise ValueError("two\nlines")
+    except ValueError:
+        log.logger.exception("read %s", "a\nb", extra={"fields": {"node": "n"}})
+    (line,) = log.lines()
+    assert (line["level"], line["logger"]) == ("error", "snipelink.test")
+    assert (line["message"], line["node"]) == ("read a\nb", "n")
+    assert "two\nlines" in line["exception"]
+
+
+def test_repeated_message_is_limited_and_counted(log: _Log) -> None:
+    """Guards against a fault that floods the log."""
+    for number in range(1000):
+        log.logger.warning("lost %d", number)
+    log.logger.warning("another message")
+    assert len(log.lines()) == logs.BURST + 1
+    assert log.lines()[-1]["message"] == "another message"
+    log.now += 1
+    log.logger.warning("lost %d", 1000)
+    assert log.lines()[-1]["suppressed"] == 1000 - logs.BURST
+    assert log.handler.suppressed_total == 1000 - logs.BURST
+
+
+def test_suppressed_count_is_reported_after_the_fault(log: _Log) -> None:
+    """Guards against a count that is never told because the fault ended."""
+    for _ in range(100):
+        log.logger.warning("lost")
+    log.now += logs.REPORT_AFTER_S
+    log.logger.warning("another message")
+    summary, last = log.lines()[-2:]
+    assert summary["message"] == "suppressed: snipelink.test:lost"
+    assert summary["suppressed"] == 100 - logs.BURST
+    assert last["message"] == "another message"
+
+
+def test_suppressed_count_is_reported_on_close(log: _Log) -> None:
+    """Guards against a count that is lost when the node stops."""
+    for _ in range(100):
+        log.logger.warning("lost")
+    log.handler.close()
+    assert log.lines()[-1]["suppressed"] == 100 - logs.BURST
+
+
+def test_number_of_message_ids_is_bounded(log: _Log) -> None:
+    """Guards against memory that grows with messages formatted before logging."""
+    for number in range(3 * logs.MAX_MESSAGE_IDS):
+        log.logger.warning(f"lost {number}")
+    assert len(log.handler._states_by_id) == logs.MAX_MESSAGE_IDS
