Add snipelink-inspect

Operators read one node through its admin port: state, metrics and spans as tables or JSON, and an explanation of where a request would go. Text from the node is shown without control characters, because callers choose some of it. The admin server keeps the order in which the node gives its fields.

--- /dev/null
+++ b/src/snipelink/cli/tables.py
@@ -0,0 +1,84 @@
+"""Plain text tables of JSON values."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+_GAP = "  "
+
+
+def format_value(value: Any) -> str:
+    """Return a value as lines of text; objects in objects become tables."""
+    if isinstance(value, list):
+        return _format_list(value)
+    if not isinstance(value, dict):
+        return _format_cell(value)
+    plain = {key: item for key, item in value.items() if not _is_nested(item)}
+    sections = []
+    if plain:
+        sections.append(_align([[key, _format_cell(v)] for key, v in plain.items()]))
+    for key, item in value.items():
+        if _is_nested(item):
+            sections.append(f"{_clean(key)}:\n{_indent(_format_nested(item))}")
+    return "\n\n".join(sections)
+
+
+def _is_nested(value: Any) -> bool:
+    if isinstance(value, list):
+        return any(isinstance(item, dict | list) for item in value)
+    return isinstance(value, dict) and bool(value)
+
+
+def _format_nested(value: Any) -> str:
+    if isinstance(value, list):
+        return _format_list(value)
+    if all(isinstance(item, dict) for item in value.values()):
+        return _format_rows([{"": key, **item} for key, item in value.items()])
+    return format_value(value)
+
+
+def _format_list(values: list[Any]) -> str:
+    if values and all(isinstance(item, dict) for item in values):
+        return _format_rows(values)
+    return "\n".join(_format_cell(item) for item in values) or "none"
+
+
+def _format_rows(rows: Sequence[dict[str, Any]]) -> str:
+    columns = list(dict.fromkeys(column for row in rows for column in row))
+    cells = [[_format_cell(row.get(column, "")) for column in columns] for row in rows]
+    return _align([columns, *cells])
+
+
+def _align(rows: Sequence[Sequence[str]]) -> str:
+    cleaned = [[_clean(cell) for cell in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cleaned, strict=True)]
+    lines = (
+        _GAP.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cleaned
+    )
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _format_cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.15g}"
+    if isinstance(value, list):
+        return ", ".join(_format_cell(item) for item in value) or "-"
+    if isinstance(value, dict):
+        pairs = (f"{_clean(key)}={_format_cell(item)}" for key, item in value.items())
+        return " ".join(pairs) or "-"
+    return _clean(str(value))
+
+
+def _clean(text: str) -> str:
+    # Names come from callers; control characters would reach the terminal.
+    return "".join(c if c.isprintable() else "?" for c in text)
+
+
+def _indent(text: str) -> str:
+    return "\n".join(f"{_GAP}{line}" for line in text.splitlines())
--- a/src/snipelink/observe/admin.py
+++ b/src/snipelink/observe/admin.py
@@ -173,7 +173,7 @@
 
 
 def _to_json(value: Any) -> _Response:
-    body = json.dumps(value, indent=1, sort_keys=True) + "\n"
+    body = json.dumps(value, indent=1) + "\n"
     return _Response("200 OK", _JSON, body.encode())
 
 
--- /dev/null
+++ b/tests/cli/test_inspect.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Iterator
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from snipelink.cli import inspect, tables
+from snipelink.observe import admin, metrics, traces
+
+STATE = {
+    "node": "rota-1",
+    "revision": 7,
+    "leaving": False,
+    "endpoints": {
+        "rota-1": {"running": 3},
+        "rota-2": {"running": 0, "note": "\x1b[2J"},
+    },
+}
+
+
+@pytest.fixture
+def address() -> Iterator[str]:
+    registry = metrics.Metrics()
+    registry.record_call("rota", 0.02)
+    tracer = traces.Tracer("rota-1", random.Random(1), wall_clock=lambda: 1000.0)
+    for number in range(3):
+        span = tracer.start("", f"call-{number}", 1.0)
+        span.add(traces.Step.RETRIED, 1.002, "rota-2", "overloaded")
+        tracer.finish(span, 1.1)
+    server = admin.AdminServer(
+        ("127.0.0.1", 0),
+        admin.Providers(
+            metrics=registry.exposition,
+            state=lambda: STATE,
+            spans=tracer.recent,
+            explain=lambda host, path, method, caller: {
+                "request": f"{method} {host}{path} by {caller}"
+            },
+        ),
+    )
+    server.start()
+    yield "{}:{}".format(*server.address)
+    server.stop()
+
+
+def test_state_is_a_table_without_control_characters(
+    address: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against names that act on the operator's terminal."""
+    assert inspect.main([address, "state"]) == 0
+    assert capsys.readouterr().out.splitlines() == [
+        "node      rota-1",
+        "revision  7",
+        "leaving   no",
+        "",
+        "endpoints:",
+        "          running  note",
+        "  rota-1  3",
+        "  rota-2  0        ?[2J",
+    ]
+
+
+def test_json_is_the_state_as_the_node_gave_it(
+    address: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against scripts that read a rounded or renamed value."""
+    assert inspect.main([address, "state", "--json"]) == 0
+    assert json.loads(capsys.readouterr().out) == STATE
+
+
+def test_metrics_are_listed_by_series(
+    address: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against label values with spaces taken for the value."""
+    assert inspect.main([address, "metrics", "--json"]) == 0
+    series = json.loads(capsys.readouterr().out)
+    assert series['snipelink_call_duration_seconds_count{service="rota"}'] == 1
+    assert inspect.main([address, "metrics"]) == 0
+    assert "snipelink_call_duration_seconds_count" in capsys.readouterr().out
+
+
+def test_spans_are_limited_and_show_their_steps(
+    address: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against retries that are not shown with their cause."""
+    assert inspect.main([address, "spans", "--limit", "2"]) == 0
+    head, *rows = capsys.readouterr().out.splitlines()
+    assert "steps (ms)" in head
+    assert len(rows) == 2
+    assert all("0 accepted; 2 retried rota-2 overloaded" in row for row in rows)
+
+
+def test_explain_passes_the_request(
+    address: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against an explanation of another request."""
+    options = ["--method", "POST", "--host", "h", "--caller", "a&b"]
+    assert inspect.main([address, "explain", "/x?y", *options, "--json"]) == 0
+    explained = json.loads(capsys.readouterr().out)
+    assert explained == {"request": "POST h/x?y by a&b"}
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        [],
+        ["127.0.0.1:1"],
+        ["localhost:1", "state"],
+        ["127.0.0.1:1", "spans", "--limit", "x"],
+        ["127.0.0.1:1", "explain", "shifts"],
+        ["127.0.0.1:1", "state", "--timeout", "0"],
+        ["127.0.0.1:1", "drain"],
+    ],
+)
+def test_wrong_usage_is_refused(arguments: list[str]) -> None:
+    """Guards against usage errors that scripts take for a failing node."""
+    assert inspect.main(arguments) == 2
+
+
+def test_missing_node_is_reported(
+    address: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a traceback when a node is down."""
+    assert inspect.main(["127.0.0.1:1", "state"]) == 1
+    assert "no answer" in capsys.readouterr().err
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats(allow_nan=False) | st.text(max_size=4),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner)
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.given(JSON)
+def test_any_value_can_be_shown(value: object) -> None:
+    """Guards against an inspection that fails on a state it has not seen."""
+    assert tables.format_value(value).replace("\n", "").isprintable()
