Refuse settings addresses that cannot be connected to

A seed of the control port that is no IP:port, and port 0 for an endpoint or a seed, passed validation and failed only at run time. A field has one problem: the schema's, if it has one.

--- a/src/snipelink/settings/__init__.py
+++ b/src/snipelink/settings/__init__.py
@@ -12,13 +12,9 @@
 
 Settings = generated.Settings
 
-_ADDRESS_FIELDS = (
-    "caller_listen",
-    "call_listen",
-    "control_listen",
-    "admin_listen",
-    "endpoint",
-)
+_LISTEN_FIELDS = ("caller_listen", "call_listen", "control_listen", "admin_listen")
+_CONNECT_FIELDS = ("endpoint", "control_seeds")
+_URL_SCHEMES = ("http://", "https://")
 
 
 def load(
@@ -29,41 +25,45 @@
     if isinstance(read, result.Err):
         return read
     source = read.ok_value
-    problems = _find_address_problems(source)
+    problems_by_field = {p.field: p for p in _find_address_problems(source)}
     try:
         settings = msgspec.convert(source.value, Settings)
     except msgspec.ValidationError as error:
-        problems += schemas.find_problems(source, schemas.load("settings"))
-        if not problems:
-            problems = [source.problem((), str(error))]
-        return result.Err(sorted(problems))
-    return result.Err(sorted(problems)) if problems else result.Ok(settings)
+        found = schemas.find_problems(source, schemas.load("settings"))
+        problems_by_field |= {problem.field: problem for problem in found}
+        if not problems_by_field:
+            return result.Err([source.problem((), str(error))])
+        return result.Err(sorted(problems_by_field.values()))
+    if problems_by_field:
+        return result.Err(sorted(problems_by_field.values()))
+    return result.Ok(settings)
 
 
 def _find_address_problems(source: jsonc.Source) -> list[jsonc.Problem]:
-    if not isinstance(source.value, dict):
-        return []
     problems = []
-    for field in _ADDRESS_FIELDS:
-        text = source.value.get(field)
-        if isinstance(text, str):
+    for field in (*_LISTEN_FIELDS, *_CONNECT_FIELDS):
+        for path, text in _strings_at(source, field):
             parsed = addresses.parse(text)
             if isinstance(parsed, result.Err):
                 problems.append(
-                    source.problem((field,), f"{parsed.err_value}; found {text!r}")
+                    source.problem(path, f"{parsed.err_value}; found {text!r}")
                 )
-    problems += _find_url_problems(source)
+            elif field in _CONNECT_FIELDS and parsed.ok_value[1] == 0:
+                problems.append(
+                    source.problem(path, "expected a port from 1 to 65535; found 0")
+                )
+    for path, text in _strings_at(source, "platform_urls"):
+        if not text.startswith(_URL_SCHEMES):
+            problems.append(
+                source.problem(path, f"expected an http or https URL; found {text!r}")
+            )
     return problems
 
 
-def _find_url_problems(source: jsonc.Source) -> list[jsonc.Problem]:
-    urls = source.value.get("platform_urls")
-    if not isinstance(urls, list):
-        return []
-    return [
-        source.problem(
-            ("platform_urls", index), f"expected an http or https URL; found {url!r}"
-        )
-        for index, url in enumerate(urls)
-        if isinstance(url, str) and not url.startswith(("http://", "https://"))
-    ]
+def _strings_at(source: jsonc.Source, field: str) -> list[tuple[jsonc.Path, str]]:
+    """Return the strings of a field that holds one or a list of them."""
+    value = source.value.get(field) if isinstance(source.value, dict) else None
+    if isinstance(value, str):
+        return [((field,), value)]
+    items = value if isinstance(value, list) else []
+    return [((field, i), text) for i, text in enumerate(items) if isinstance(text, str)]
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -61,7 +61,10 @@
     ("unknown_field", 1),
     ("node", ""),
     ("endpoint", "localhost:80"),
+    ("endpoint", "127.0.0.1:0"),
     ("admin_listen", "127.0.0.1:99999"),
+    ("control_seeds", ["127.0.0.1:0"]),
+    ("control_seeds", ["node-1:80"]),
     ("platform_urls", []),
     ("platform_urls", ["127.0.0.1:7000"]),
 ]
