Add endpoint choice, ejection and connection subsets

Cause: the choice of endpoint must follow load that shifts within milliseconds, without herding, and must survive slow, paused and fast-failing servers. Following latency at a ratio of 2 made the admission limit refuse calls of servers slowed for 200 ms. Change: Tracker keeps aged facts, ejects within a cap and restores by trial; Adaptive takes the better of two random endpoints in the nearest tier with room; subset bounds connections. The admission limit is now lowered on severe latency only as a trial that must help. LoadReport gains slowness, the pace of the endpoint over the last moments.

--- a/src/snipelink/admission/admission.py
+++ b/src/snipelink/admission/admission.py
@@ -9,7 +9,7 @@
 
 from snipelink import errors, model
 from snipelink.admission import limit as limit_module
-from snipelink.admission import queue
+from snipelink.admission import pace, queue
 
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 5.0
@@ -53,6 +53,7 @@
     def __init__(self, slots: int, bounds: Bounds, now: float) -> None:
         self._limit = limit_module.Limit(slots, now)
         self._bounds = bounds
+        self._pace = pace.Pace(now)
         self._queue = queue.WeightedQueue()
         self._running = 0
         self._draining = False
@@ -91,10 +92,14 @@
         if ticket.returned:
             return
         ticket.returned = True
+        self._pace.advance(self._running, now)
+        bound = self._running >= self._limit.value
         self._running -= 1
         self._progress_at = max(self._progress_at, now)
         if outcome is Outcome.ANSWERED:
-            self._limit.record(ticket.operation, now - ticket.admitted_at, now)
+            latency = now - ticket.admitted_at
+            self._limit.record(ticket.operation, latency, bound, now)
+            self._pace.finish(self._limit.baseline_s(ticket.operation))
         elif outcome in (Outcome.OVERLOADED, Outcome.TIMED_OUT):
             self._limit.record_overload(now)
         self.start_waiters(now)
@@ -111,6 +116,7 @@
             else:
                 cost = self._limit.service_s(waiter.call.operation.name)
                 self._queue.pop(cost)
+                self._pace.advance(self._running, now)
                 self._running += 1
                 waiter.admitted = True
             if waiter.wake is not None:
@@ -132,10 +138,15 @@
         """Return the ticket of an admitted waiter; its running time starts now."""
         return Ticket(waiter.call.call_id, waiter.call.operation.name, now)
 
-    def load(self) -> model.LoadReport:
+    def load(self, now: float) -> model.LoadReport:
         """Return the current load."""
+        self._pace.advance(self._running, now)
         return model.LoadReport(
-            self._running, len(self._queue), self._limit.value, self._draining
+            running=self._running,
+            queued=len(self._queue),
+            limit=self._limit.value,
+            leaving=self._draining,
+            slowness=self._pace.slowness(),
         )
 
     def start_draining(self) -> None:
@@ -147,6 +158,7 @@
         return min(waiter.call.deadline, waiter.since + 2 * self._bounds.max_wait_s)
 
     def _admit(self, call: model.Call, now: float) -> Ticket:
+        self._pace.advance(self._running, now)
         self._running += 1
         self._progress_at = now
         return Ticket(call.call_id, call.operation.name, now)
--- a/src/snipelink/admission/gate.py
+++ b/src/snipelink/admission/gate.py
@@ -92,7 +92,7 @@
     def load(self) -> model.LoadReport:
         """Return the load to report to callers."""
         with self._lock:
-            return self._admission.load()
+            return self._admission.load(self._clock())
 
     def start_draining(self) -> None:
         """Refuse new calls as ``leaving``; queued and running calls finish."""
--- /dev/null
+++ b/src/snipelink/balance/facts.py
@@ -0,0 +1,138 @@
+"""Facts about one endpoint and what they say at a given time."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+
+# A report's weight falls to a third within this time: server load shifts within
+# milliseconds, and a node hears from each server a few times in this span.
+REPORT_TAU_S = 0.1
+SLOWNESS_TAU_S = 5.0
+RISE = 0.2
+FALL = 0.1
+MAX_RATIO = 20.0
+FAILURE_SMOOTHING = 0.2
+RAMP_S = 5.0
+MIN_RAMP = 0.1
+MIN_STALL_S = 0.02
+STALL_MEDIANS = 5.0
+
+
+class State(enum.Enum):
+    """Whether an endpoint takes part in the choice."""
+
+    ACTIVE = "active"
+    EJECTED = "ejected"
+    TRIAL = "trial"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt in flight, as returned by ``Tracker.on_start``."""
+
+    endpoint: str
+    operation: str
+    started_at: float
+    trial: bool = False
+    done: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Facts:
+    """What a node knows about one endpoint.
+
+    Attributes
+    ----------
+    others : float
+        Calls of other nodes on the endpoint when it last reported.
+    slowness : float
+        Recent latency relative to the median of the operation over all endpoints.
+    failure_share : float
+        Recent share of attempts that failed.
+    busy_until : float
+        Time before which the endpoint refuses work by its own word.
+    """
+
+    slots: int
+    known_since: float
+    ramp_from: float = -math.inf
+    attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    others: float = 0.0
+    limit: int = 0
+    reported_at: float = -math.inf
+    reported_slowness: float = 1.0
+    slowness: float = 1.0
+    slowness_at: float = -math.inf
+    answered_at: float = -math.inf
+    failure_share: float = 0.0
+    busy_until: float = -math.inf
+    leaving_since: float = math.inf
+    state: State = State.ACTIVE
+    ejected_until: float = -math.inf
+    ejections: int = 0
+    trial_successes: int = 0
+    reason: str = ""
+
+    @property
+    def in_flight(self) -> int:
+        """Return this node's calls on the endpoint."""
+        return len(self.attempts)
+
+    def ramp(self, now: float) -> float:
+        """Return the part of its capacity a freshly started endpoint may use."""
+        elapsed = now - self.ramp_from
+        return 1.0 if elapsed >= RAMP_S else max(MIN_RAMP, elapsed / RAMP_S)
+
+    def load(self, now: float, prior: float) -> float:
+        """Return the estimated calls on the endpoint.
+
+        The reported calls of other nodes lose weight with age in favour of ``prior``,
+        the mean over all endpoints; this node's own calls are counted exactly, so its
+        sends since the report are part of the estimate.
+        """
+        weight = math.exp((self.reported_at - now) / REPORT_TAU_S)
+        return weight * self.others + (1.0 - weight) * prior + len(self.attempts)
+
+    def utilisation(self, now: float, prior: float) -> float:
+        """Return the estimated utilisation with one more call; above 1 it queues."""
+        capacity = (self.limit or self.slots) * self.ramp(now)
+        return (self.load(now, prior) + 1.0) / capacity
+
+    def record_ratio(self, ratio: float, now: float) -> None:
+        """Record a latency relative to the operation's median; rises fast."""
+        ratio = min(ratio, MAX_RATIO)
+        current = self.current_slowness(now)
+        step = RISE if ratio > current else FALL
+        self.slowness = current + (ratio - current) * step
+        self.slowness_at = now
+
+    def current_slowness(self, now: float) -> float:
+        """Return the slowness, which approaches 1 while nothing is measured."""
+        if self.slowness <= 1.0:
+            return self.slowness
+        decay = math.exp((self.slowness_at - now) / SLOWNESS_TAU_S)
+        return 1.0 + (self.slowness - 1.0) * decay
+
+    def reported_slowness_now(self, now: float) -> float:
+        """Return the slowness the endpoint's node reported, weighted by age."""
+        if self.reported_slowness <= 1.0:
+            return 1.0
+        weight = math.exp((self.reported_at - now) / REPORT_TAU_S)
+        return 1.0 + (self.reported_slowness - 1.0) * weight
+
+    def record_outcome(self, failed: bool) -> None:
+        """Record whether an attempt failed for a reason other than load."""
+        self.failure_share += (failed - self.failure_share) * FAILURE_SMOOTHING
+
+    def stall(self, now: float, median_s: float) -> float:
+        """Return how long the oldest attempt exceeds what is ordinary; 1 is ordinary.
+
+        An answer that arrived in the meantime shows that the endpoint does not stall.
+        """
+        if not self.attempts:
+            return 1.0
+        oldest = next(iter(self.attempts.values()))
+        waited = now - max(oldest.started_at, self.answered_at)
+        return waited / max(MIN_STALL_S, STALL_MEDIANS * median_s)
--- a/src/snipelink/model.py
+++ b/src/snipelink/model.py
@@ -109,12 +109,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load of an endpoint as its node reports it."""
+    """Load of an endpoint as its node reports it.
+
+    ``slowness`` is the endpoint's recent time per call relative to its ordinary one.
+    """
 
     running: int
     queued: int
     limit: int
     leaving: bool = False
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snipelink/retry/hedge.py
+++ b/src/snipelink/retry/hedge.py
@@ -5,45 +5,20 @@
 import threading
 
 from snipelink import model
+from snipelink.measure import quantile as quantile_module
 from snipelink.retry import budget as budget_module
 
 QUANTILE = 0.95
 MIN_SAMPLES = 100
 MIN_DELAY_S = 0.002
-MAX_STEP_RATIO = 0.2
 # Slow steps keep the delay where it was for about a minute when the whole service
 # slows down; steps of 0.02 tripled it within 400 calls and let hedges go on.
-MIN_STEP_RATIO = 0.002
-STEP_SAMPLES = 10
+STEP_RATIO = 0.002
 SLOW_SHARE = 0.2
 SLOW_SMOOTHING = 1 / 16
 MAX_NAMES = 1024
 
 
-class Quantile:
-    """Stochastic estimate of one quantile in constant memory."""
-
-    __slots__ = ("count", "value")
-
-    def __init__(self) -> None:
-        self.value = 0.0
-        self.count = 0
-
-    def record(self, sample: float) -> bool:
-        """Return whether the sample exceeds the estimate after moving it."""
-        self.count += 1
-        if self.value <= 0.0:
-            self.value = sample
-            return False
-        ratio = min(MAX_STEP_RATIO, STEP_SAMPLES / self.count)
-        step = self.value * max(MIN_STEP_RATIO, ratio)
-        if sample > self.value:
-            self.value += step * QUANTILE
-            return True
-        self.value -= step * (1.0 - QUANTILE)
-        return False
-
-
 class HedgePolicy:
     """Decides after which delay a call of one service is sent a second time.
 
@@ -59,7 +34,7 @@
         self._hedges = hedges
         self._retries = retries
         self._lock = threading.Lock()
-        self._quantiles_by_operation: dict[str, Quantile] = {}
+        self._quantiles_by_operation: dict[str, quantile_module.Quantile] = {}
         self._late_shares_by_endpoint: dict[str, float] = {}
         self._slow_endpoints: set[str] = set()
 
@@ -70,7 +45,8 @@
                 self._quantiles_by_operation.clear()
             quantile = self._quantiles_by_operation.get(operation)
             if quantile is None:
-                quantile = self._quantiles_by_operation[operation] = Quantile()
+                quantile = quantile_module.Quantile(QUANTILE, STEP_RATIO)
+                self._quantiles_by_operation[operation] = quantile
             late = quantile.record(latency_s)
             if quantile.count > MIN_SAMPLES:
                 self._record_late(endpoint, late)
