--- /dev/null
+++ b/src/snipelink/execute/executor.py
@@ -0,0 +1,166 @@
+"""Runs calls: choice of endpoint, attempts and retries."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+import typing
+
+from result import Err, Ok, Result
+
+from snipelink import errors, model
+from snipelink.execute import endpoint_client, forward, local, routing, service
+from snipelink.retry import policy as retries
+
+Cancelled = typing.Callable[[], bool]
+Outcome = Result[model.Answer, errors.Failure]
+NO_ENDPOINT_RETRY_AFTER_S = 1.0
+
+
+class Executor:
+    """Runs the calls of this node's callers.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node and of its endpoint.
+    services : Services
+        Facts, policy and budget of each service.
+    runner : LocalRunner
+        Runs calls on the own endpoint.
+    forwarder : Forwarder
+        Runs calls on endpoints with a node.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        services: service.Services,
+        runner: local.LocalRunner,
+        forwarder: forward.Forwarder,
+    ) -> None:
+        self._node = node
+        self._services = services
+        self._runner = runner
+        self._forwarder = forwarder
+        self._lock = threading.Lock()
+        self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
+
+    def execute(
+        self,
+        call: model.Call,
+        objects: model.ObjectSet,
+        route: routing.Route,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        """Run a call until it is answered or given up on."""
+        state = self._services.get(objects, route.service, now)
+        failed: list[str] = []
+        outcome: Outcome = _no_endpoint()
+        while True:
+            endpoint = self._choose(state, call, failed, now)
+            if endpoint is None:
+                return outcome
+            outcome = self._attempt(state, call, endpoint, now, cancelled)
+            now = time.monotonic()
+            if isinstance(outcome, Ok):
+                state.retries.deposit(now)
+                return outcome
+            failed.append(endpoint.name)
+            failure = outcome.err_value
+            expected_s = state.tracker.median_s(call.operation.name)
+            decision = retries.decide(
+                call, failure, call.attempt, state.retries, now, expected_s
+            )
+            outcome = Err(decision.failure)
+            if decision.action is not retries.Action.RETRY:
+                return outcome
+            call.attempt += 1
+
+    def _choose(
+        self,
+        state: service.ServiceState,
+        call: model.Call,
+        failed: list[str],
+        now: float,
+    ) -> model.Endpoint | None:
+        return state.policy.choose(
+            state.candidates(call.endpoint_set),
+            now,
+            self._services.rng,
+            exclude=failed,
+            idempotent=call.operation.idempotent,
+        )
+
+    def _attempt(
+        self,
+        state: service.ServiceState,
+        call: model.Call,
+        endpoint: model.Endpoint,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        if now >= call.deadline:
+            return _fail(errors.Kind.DEADLINE_NOT_RUN)
+        if cancelled():
+            return _fail(errors.Kind.CANCELLED)
+        attempt = state.tracker.on_start(endpoint, call.operation.name, now)
+        outcome = self._send(call, endpoint, now, cancelled)
+        ended = time.monotonic()
+        if isinstance(outcome, Ok):
+            answer = outcome.ok_value
+            retry_after_s = _retry_after_s(answer) if answer.status == 503 else 0.0
+            state.tracker.on_answer(
+                attempt, ended, answer.load, answer.status, retry_after_s
+            )
+        else:
+            state.tracker.on_failure(attempt, outcome.err_value, ended)
+        return outcome
+
+    def _send(
+        self,
+        call: model.Call,
+        endpoint: model.Endpoint,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        if endpoint.name == self._node:
+            outcome = self._runner.run(call, now, cancelled)
+            if isinstance(outcome, Ok):
+                answer = outcome.ok_value
+                return Ok(dataclasses.replace(answer, load=self._runner.load()))
+            return outcome
+        if endpoint.call_address:
+            return self._forwarder.forward(call, endpoint)
+        return local.send(self._client(endpoint), call, endpoint.name)
+
+    def _client(self, endpoint: model.Endpoint) -> endpoint_client.EndpointClient:
+        with self._lock:
+            client = self._clients_by_address.get(endpoint.address)
+            if client is None:
+                client = endpoint_client.EndpointClient(endpoint.address, endpoint.name)
+                self._clients_by_address[endpoint.address] = client
+            return client
+
+
+def _retry_after_s(answer: model.Answer) -> float:
+    for name, value in answer.headers:
+        if name == "retry-after":
+            return float(value) if value.isascii() and value.isdigit() else 1.0
+    return 0.0
+
+
+def _no_endpoint() -> Err[errors.Failure]:
+    return Err(
+        errors.Failure(
+            errors.Kind.NO_ENDPOINT,
+            "no endpoint may receive the call",
+            NO_ENDPOINT_RETRY_AFTER_S,
+        )
+    )
+
+
+def _fail(kind: errors.Kind, detail: str = "") -> Err[errors.Failure]:
+    return Err(errors.Failure(kind, detail))
