Record spans, latencies and error kinds on the path of a call

Each hop starts a span with the steps of the call and passes its traceparent on; attempts and calls are recorded by endpoint and service. The admin server shows metrics, state, spans and where a call would go.

--- a/src/snipelink/execute/entry.py
+++ b/src/snipelink/execute/entry.py
@@ -11,6 +11,7 @@
 
 from snipelink import errors, model
 from snipelink.execute import executor, routing
+from snipelink.observe import metrics, traces
 from snipelink.session import headers, http
 
 MAX_DEPTH = 32
@@ -27,24 +28,45 @@
         Returns the set in force, or None before the node is ready.
     calls : Executor
         Runs the calls.
+    tracer : Tracer
+        Starts and keeps spans.
+    recorded : Metrics
+        Receives latencies and error kinds.
     """
 
-    def __init__(self, objects: Objects, calls: executor.Executor) -> None:
+    def __init__(
+        self,
+        objects: Objects,
+        calls: executor.Executor,
+        tracer: traces.Tracer,
+        recorded: metrics.Metrics,
+    ) -> None:
         self._objects = objects
         self._executor = calls
+        self._tracer = tracer
+        self._metrics = recorded
 
     def handle(self, request: http.Request, cancelled: Cancelled) -> http.Response:
         """Answer one request."""
+        started = time.monotonic()
         call_id = uuid.uuid4().hex
-        outcome = self._run(request, call_id, cancelled)
+        span = self._tracer.start(request.header("traceparent"), call_id, started)
+        outcome = self._run(request, span, started, cancelled)
+        ended = time.monotonic()
+        kind = None if isinstance(outcome, Ok) else outcome.err_value.kind
+        self._metrics.record_call(span.service, ended - started, kind)
+        self._tracer.finish(span, ended, kind.value if kind else "")
         if isinstance(outcome, Ok):
             return _answer_response(request, outcome.ok_value, call_id)
         return failure_response(outcome.err_value, call_id)
 
     def _run(
-        self, request: http.Request, call_id: str, cancelled: Cancelled
+        self,
+        request: http.Request,
+        span: traces.Span,
+        now: float,
+        cancelled: Cancelled,
     ) -> Result[model.Answer, errors.Failure]:
-        now = time.monotonic()
         objects = self._objects()
         if objects is None:
             return _fail(errors.Kind.NOT_READY, "no configuration is in force")
@@ -52,12 +74,14 @@
         if isinstance(routed, Err):
             return routed
         route = routed.ok_value
-        call = _build_call(request, route, call_id, now)
+        span.service = route.service.name
+        span.operation = route.operation.name
+        call = _build_call(request, route, span, now)
         if call.depth > MAX_DEPTH:
             return _fail(errors.Kind.HOP_LIMIT, f"more than {MAX_DEPTH} calls deep")
         if len(call.body) > route.operation.max_request_bytes:
             return _fail(errors.Kind.REQUEST_TOO_LARGE, "request body too large")
-        return self._executor.execute(call, objects, route, now, cancelled)
+        return self._executor.execute(call, objects, route, span, now, cancelled)
 
 
 def failure_response(failure: errors.Failure, call_id: str = "") -> http.Response:
@@ -96,7 +120,7 @@
 
 
 def _build_call(
-    request: http.Request, route: routing.Route, call_id: str, now: float
+    request: http.Request, route: routing.Route, span: traces.Span, now: float
 ) -> model.Call:
     operation = route.operation
     deadline_ms = operation.deadline_ms
@@ -104,7 +128,7 @@
     if wanted is not None:
         deadline_ms = min(deadline_ms, wanted)
     return model.Call(
-        call_id=call_id,
+        call_id=span.call_id,
         service=route.service.name,
         operation=operation,
         method=request.method,
@@ -114,7 +138,7 @@
         deadline=now + deadline_ms / 1000,
         endpoint_set=route.endpoint_set,
         caller=request.header("snipelink-caller"),
-        traceparent=request.header("traceparent"),
+        traceparent=span.traceparent,
         idempotency_key=request.header("idempotency-key"),
         depth=(_parse_count(request.header("snipelink-depth")) or 0) + 1,
     )
--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -11,6 +11,7 @@
 
 from snipelink import errors, model
 from snipelink.execute import endpoint_client, forward, local, routing, service
+from snipelink.observe import metrics, traces
 from snipelink.retry import policy as retries
 
 Cancelled = typing.Callable[[], bool]
@@ -31,6 +32,8 @@
         Runs calls on the own endpoint.
     forwarder : Forwarder
         Runs calls on endpoints with a node.
+    recorded : Metrics
+        Receives the latency and error kind of each attempt.
     """
 
     def __init__(
@@ -39,11 +42,13 @@
         services: service.Services,
         runner: local.LocalRunner,
         forwarder: forward.Forwarder,
+        recorded: metrics.Metrics,
     ) -> None:
         self._node = node
         self._services = services
         self._runner = runner
         self._forwarder = forwarder
+        self._metrics = recorded
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
 
@@ -52,6 +57,7 @@
         call: model.Call,
         objects: model.ObjectSet,
         route: routing.Route,
+        span: traces.Span,
         now: float,
         cancelled: Cancelled,
     ) -> Outcome:
@@ -63,7 +69,7 @@
             endpoint = self._choose(state, call, failed, now)
             if endpoint is None:
                 return outcome
-            outcome = self._attempt(state, call, endpoint, now, cancelled)
+            outcome = self._attempt(state, call, endpoint, span, now, cancelled)
             now = time.monotonic()
             if isinstance(outcome, Ok):
                 state.retries.deposit(now)
@@ -77,6 +83,7 @@
             outcome = Err(decision.failure)
             if decision.action is not retries.Action.RETRY:
                 return outcome
+            span.add(traces.Step.RETRIED, now, endpoint.name, failure.kind.value)
             call.attempt += 1
 
     def _choose(
@@ -99,6 +106,7 @@
         state: service.ServiceState,
         call: model.Call,
         endpoint: model.Endpoint,
+        span: traces.Span,
         now: float,
         cancelled: Cancelled,
     ) -> Outcome:
@@ -107,8 +115,10 @@
         if cancelled():
             return _fail(errors.Kind.CANCELLED)
         attempt = state.tracker.on_start(endpoint, call.operation.name, now)
-        outcome = self._send(call, endpoint, now, cancelled)
+        outcome = self._send(call, endpoint, span, now, cancelled)
         ended = time.monotonic()
+        kind = None if isinstance(outcome, Ok) else outcome.err_value.kind
+        self._metrics.record_attempt(endpoint.name, ended - now, kind)
         if isinstance(outcome, Ok):
             answer = outcome.ok_value
             retry_after_s = _retry_after_s(answer) if answer.status == 503 else 0.0
@@ -123,15 +133,17 @@
         self,
         call: model.Call,
         endpoint: model.Endpoint,
+        span: traces.Span,
         now: float,
         cancelled: Cancelled,
     ) -> Outcome:
         if endpoint.name == self._node:
-            outcome = self._runner.run(call, now, cancelled)
+            outcome = self._runner.run(call, span, now, cancelled)
             if isinstance(outcome, Ok):
                 answer = outcome.ok_value
                 return Ok(dataclasses.replace(answer, load=self._runner.load()))
             return outcome
+        span.add(traces.Step.FORWARDED, now, endpoint.name)
         if endpoint.call_address:
             return self._forwarder.forward(call, endpoint)
         return local.send(self._client(endpoint), call, endpoint.name)
--- a/src/snipelink/execute/local.py
+++ b/src/snipelink/execute/local.py
@@ -13,6 +13,7 @@
 from snipelink.admission import gate as gates
 from snipelink.execute import endpoint_client, pauses
 from snipelink.generated import messages as generated
+from snipelink.observe import traces
 from snipelink.session import http, messages
 
 DEFAULT_SLOTS = 10
@@ -42,12 +43,14 @@
         client: endpoint_client.EndpointClient,
         endpoint_address: str,
         pause_detector: pauses.PauseDetector,
+        tracer: traces.Tracer,
     ) -> None:
         self._node = node
         self._objects = objects
         self._client = client
         self._endpoint_address = endpoint_address
         self._pauses = pause_detector
+        self._tracer = tracer
         self._lock = threading.Lock()
         self._gate: gates.Gate | None = None
         self._draining = False
@@ -80,13 +83,25 @@
             detail = f"{self._node} does not serve {request.service}"
             return _fail(errors.Kind.NOT_READY, detail)
         call = messages.to_call(request, operation, now)
-        return self.run(call, now, cancelled)
-
-    def run(self, call: model.Call, now: float, cancelled: Cancelled) -> Outcome:
+        span = self._tracer.start(call.traceparent, call.call_id, now)
+        span.service, span.operation = call.service, operation.name
+        call.traceparent = span.traceparent
+        outcome = self.run(call, span, now, cancelled)
+        kind = "" if isinstance(outcome, Ok) else outcome.err_value.kind.value
+        self._tracer.finish(span, time.monotonic(), kind)
+        return outcome
+
+    def run(
+        self, call: model.Call, span: traces.Span, now: float, cancelled: Cancelled
+    ) -> Outcome:
         """Run a call on the own endpoint when admission allows it."""
         entered = self._own_gate().enter(call, now, cancelled)
         if isinstance(entered, Err):
             return entered
+        admitted_at = entered.ok_value.admitted_at
+        if admitted_at > now:
+            span.add(traces.Step.QUEUED, now, self._node)
+        span.add(traces.Step.EXECUTED, admitted_at, self._node)
         ticket = entered.ok_value
         outcome: Outcome = _fail(errors.Kind.INTERNAL)
         try:
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -19,7 +19,9 @@
     pauses,
     policies,
     service,
+    status,
 )
+from snipelink.observe import admin, metrics, traces
 from snipelink.session import call, caller, frames
 
 logger = logging.getLogger(__name__)
@@ -43,6 +45,9 @@
             values.platform_urls, values.platform_timeout_s
         )
         self._pauses = pauses.PauseDetector(time.monotonic())
+        rng = random.Random()
+        self._metrics = metrics.Metrics()
+        tracer = traces.Tracer(values.node, rng)
         self._forwarder = forward.Forwarder(
             values.node, self.incarnation, max_frame_bytes
         )
@@ -52,16 +57,18 @@
             endpoint_client.EndpointClient(values.endpoint, values.node),
             values.endpoint,
             self._pauses,
+            tracer,
         )
         self._services = service.Services(
             policies.makers_by_name()[values.balance_policy],
             (values.failure_domain, values.region),
-            random.Random(),
+            rng,
         )
         calls = executor.Executor(
-            values.node, self._services, self._runner, self._forwarder
+            values.node, self._services, self._runner, self._forwarder, self._metrics
         )
-        self._entry = entry.Entry(self._reader.in_force, calls)
+        self._entry = entry.Entry(self._reader.in_force, calls, tracer, self._metrics)
+        self._admin = self._make_admin(tracer) if values.admin_listen else None
         self._call_server = call.CallServer(
             parse_address(values.call_listen),
             values.node,
@@ -77,8 +84,37 @@
             entry.failure_response,
         )
 
+    def _make_admin(self, tracer: traces.Tracer) -> admin.AdminServer:
+        values = self._values
+        identity = {
+            "node": values.node,
+            "incarnation": self.incarnation,
+            "failure_domain": values.failure_domain,
+            "region": values.region,
+        }
+        shown = status.Status(
+            identity,
+            self._reader.in_force,
+            self._configuration,
+            self._services,
+            self._runner,
+            self._metrics,
+        )
+        providers = admin.Providers(
+            self._metrics.exposition, shown.state, tracer.recent, shown.explain
+        )
+        return admin.AdminServer(parse_address(values.admin_listen or ""), providers)
+
+    def _configuration(self) -> dict[str, object]:
+        objects = self._reader.in_force()
+        if objects is None:
+            return {"revision": 0, "digest": ""}
+        return {"revision": objects.revision, "digest": objects.digest}
+
     def start(self) -> None:
         """Start serving."""
+        if self._admin is not None:
+            self._admin.start()
         self._pauses.start()
         self._reader.start()
         self._call_server.start()
--- a/src/snipelink/execute/service.py
+++ b/src/snipelink/execute/service.py
@@ -32,6 +32,7 @@
         location: tuple[str, str],
         now: float,
     ) -> None:
+        self.location = location
         self.tracker = trackers.Tracker(now)
         self.policy = make_policy(self.tracker, *location)
         self.retries = budget.Budget(service.budgets.retry_ratio)
--- /dev/null
+++ b/src/snipelink/execute/status.py
@@ -0,0 +1,95 @@
+"""What a node shows to operators; reads only."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+import typing
+
+from result import Err
+
+from snipelink import model
+from snipelink.balance import adaptive
+from snipelink.execute import local, routing, service
+from snipelink.observe import metrics
+
+Fields = dict[str, typing.Any]
+Objects = typing.Callable[[], model.ObjectSet | None]
+
+
+class Status:
+    """Reads the state of a node's parts.
+
+    Parameters
+    ----------
+    identity : dict of str to str
+        Name, incarnation, failure domain and region of the node.
+    configuration : callable
+        Returns the fields about revisions and where they were learned.
+    """
+
+    def __init__(
+        self,
+        identity: dict[str, str],
+        objects: Objects,
+        configuration: typing.Callable[[], Fields],
+        services: service.Services,
+        runner: local.LocalRunner,
+        recorded: metrics.Metrics,
+    ) -> None:
+        self._identity = identity
+        self._objects = objects
+        self._configuration = configuration
+        self._services = services
+        self._runner = runner
+        self._metrics = recorded
+
+    def state(self) -> Fields:
+        """Return the state of the whole node."""
+        now = time.monotonic()
+        load = self._runner.load()
+        return {
+            **self._identity,
+            "configuration": self._configuration(),
+            "own_endpoint": dataclasses.asdict(load) if load else None,
+            "services": {
+                name: self._service(state, now)
+                for name, state in sorted(self._services.states_by_name().items())
+            },
+            "latencies": self._metrics.summary(),
+        }
+
+    def explain(self, host: str, path: str, method: str, caller: str) -> Fields:
+        """Return where a call would go now, and why."""
+        objects = self._objects()
+        if objects is None:
+            return {"error": "not-ready", "detail": "no configuration is in force"}
+        routed = routing.route(objects, host.lower(), path, method, caller)
+        if isinstance(routed, Err):
+            failure = routed.err_value
+            return {"error": failure.kind.value, "detail": failure.detail}
+        route = routed.ok_value
+        now = time.monotonic()
+        state = self._services.get(objects, route.service, now)
+        return {
+            "revision": objects.revision,
+            "rule": route.rule,
+            "service": route.service.name,
+            "operation": dataclasses.asdict(route.operation),
+            "endpoint_set": route.endpoint_set,
+            "endpoints": _endpoints(state, route.endpoint_set, now),
+        }
+
+    def _service(self, state: service.ServiceState, now: float) -> Fields:
+        return {
+            "retries_left": state.retries.available(now),
+            "endpoints": _endpoints(state, "", now),
+        }
+
+
+def _endpoints(
+    state: service.ServiceState, endpoint_set: str, now: float
+) -> list[Fields]:
+    explainer = adaptive.Adaptive(state.tracker, *state.location)
+    rows = explainer.explain(state.candidates(endpoint_set), now)
+    return [dataclasses.asdict(row) for row in rows]
