--- /dev/null
+++ b/tests/retry/test_keys.py
@@ -0,0 +1,231 @@
+from __future__ import annotations
+
+import collections
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+from result import Err, Ok, Result
+
+from snipelink import errors, model
+from snipelink.retry import keys, ownership
+
+SKEW_S = ownership.SKEW_S
+NAMES = ["a", "b", "c", "d"]
+ANSWER = model.Answer(200, [("x", "y")], b"done")
+NOT_RUN = errors.Failure(errors.Kind.OVERLOADED)
+LOST = errors.Failure(errors.Kind.CONNECTION_LOST)
+
+
+class Fleet:
+    """Nodes with skewed clocks whose events a seeded schedule orders at will."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.time = 1_000_000.0
+        self.published: list[frozenset[str]] = []
+        self.skews = {n: self.rng.uniform(-SKEW_S / 2, SKEW_S / 2) for n in NAMES}
+        self.tables = {name: self.start(name) for name in NAMES}
+        self.revisions = dict.fromkeys(NAMES, 0)
+        self.claims: list[tuple[keys.KeyTable, keys.Claim]] = []
+        self.delayed: list[tuple[keys.KeyTable, str, float, float]] = []
+        self.issued: list[str] = []
+        self.starts: collections.Counter[str] = collections.Counter()
+        self.publish()
+
+    def wall(self, name: str) -> float:
+        return self.time + self.skews[name]
+
+    def start(self, name: str) -> keys.KeyTable:
+        return keys.KeyTable(name, self.wall(name), max_records=12, retention_s=60.0)
+
+    def publish(self) -> None:
+        size = self.rng.randint(1, len(NAMES))
+        self.published.append(frozenset(self.rng.sample(NAMES, size)))
+
+    def adopt(self) -> None:
+        name = self.rng.choice(NAMES)
+        known, latest = self.revisions[name], len(self.published)
+        if known < latest:
+            revision = self.rng.choice([known + 1, latest, latest])
+            owners = self.published[revision - 1]
+            self.tables[name].adopt(revision, owners, self.wall(name))
+            self.revisions[name] = revision
+
+    def confirm(self) -> None:
+        name = self.rng.choice(NAMES)
+        if self.revisions[name] == len(self.published):
+            self.tables[name].confirm(self.revisions[name], self.time, self.wall(name))
+
+    def restart(self) -> None:
+        name = self.rng.choice(NAMES)
+        self.tables[name] = self.start(name)
+        self.revisions[name] = 0
+        self.claims = [c for c in self.claims if c[0] in self.tables.values()]
+        self.delayed = [d for d in self.delayed if d[0] in self.tables.values()]
+
+    def issue(self) -> None:
+        issued = self.time + self.rng.choice([0, 0, 0, -0.5, -3, -8, -30, 0.9, 4])
+        self.issued.append(f"{int(issued * 1000)}-key{len(self.issued):08d}")
+
+    def send(self, paused: bool = False) -> None:
+        if not self.issued:
+            return
+        key = self.rng.choice(self.issued[-30:])
+        name = self.rng.choice(NAMES)
+        table = self.tables[name]
+        if paused:
+            self.delayed.append((table, key, self.time, self.wall(name)))
+        else:
+            self.begin(table, key, self.time, self.wall(name))
+
+    def resume(self) -> None:
+        if self.delayed:
+            place = self.rng.randrange(len(self.delayed))
+            self.begin(*self.delayed.pop(place))
+
+    def begin(
+        self, table: keys.KeyTable, key: str, now: float, wall: float
+    ) -> Result[keys.Claim, errors.Failure]:
+        begun = table.begin(key, "f", now, wall)
+        if isinstance(begun, Ok) and begun.ok_value.state is keys.State.IN_PROGRESS:
+            self.starts[key] += 1
+            assert self.starts[key] <= 1, key
+            self.claims.append((table, begun.ok_value))
+        return begun
+
+    def end(self) -> None:
+        if not self.claims:
+            return
+        place = self.rng.randrange(len(self.claims))
+        table, claim = self.claims.pop(place)
+        how = self.rng.random()
+        if how < 0.5:
+            table.finish(claim, ANSWER)
+        elif how < 0.8:
+            table.abandon(claim, LOST)
+        else:
+            table.abandon(claim, NOT_RUN)
+            self.starts[claim.key] -= 1
+
+    def run(self, steps: int) -> None:
+        actions = [self.adopt, self.confirm, self.issue, self.send, self.end]
+        weights = [12.0, 30.0, 20.0, 60.0, 15.0]
+        actions += [self.publish, self.restart, self.resume]
+        weights += [self.rng.choice([0.1, 1.0, 4.0]), self.rng.choice([0.0, 0.2]), 4.0]
+        for _ in range(steps):
+            self.time += self.rng.choice([0.0, 0.01, 0.1, 0.2])
+            if self.rng.random() < 0.01:
+                self.time += self.rng.choice([3.0, 8.0, 30.0])
+            if self.rng.random() < 0.03:
+                self.send(paused=True)
+            self.rng.choices(actions, weights)[0]()
+
+
+@hypothesis.given(st.integers(0, 1 << 32))
+@hypothesis.settings(max_examples=150, derandomize=True, deadline=None)
+def test_no_key_starts_twice_over_any_schedule(seed: int) -> None:
+    """Guards against a booking that runs twice across restarts, pauses and changes."""
+    Fleet(seed).run(800)
+
+
+def test_schedules_start_many_keys() -> None:
+    """Guards against a property that holds because every key is refused."""
+    started = 0
+    for seed in range(20):
+        fleet = Fleet(seed)
+        fleet.run(800)
+        started += len(fleet.starts)
+    assert started >= 200
+
+
+def make_table(wall: float = 0.0) -> keys.KeyTable:
+    """Return a table whose node owns all keys issued from 10 s on."""
+    table = keys.KeyTable("a", wall, max_records=4)
+    table.adopt(1, ["a"], wall)
+    table.confirm(1, 10.0, 10.0)
+    return table
+
+
+def begin(
+    table: keys.KeyTable, issued_ms: int, now: float = 10.0, tail: str = "12345678"
+) -> Result[keys.Claim, errors.Failure]:
+    return table.begin(f"{issued_ms}-{tail}", "f", now, now)
+
+
+def test_repeats_get_the_state_and_the_answer() -> None:
+    """Guards against a second start and against a lost answer."""
+    table = make_table()
+    claim = begin(table, 9500).unwrap()
+    assert begin(table, 9500).unwrap_err().kind is errors.Kind.KEY_IN_PROGRESS
+    table.finish(claim, ANSWER)
+    assert begin(table, 9500).unwrap().answer == ANSWER
+    other = table.begin("9500-12345678", "another request", 10.0, 10.0)
+    assert other.unwrap_err().kind is errors.Kind.BAD_REQUEST
+
+
+def test_unknown_outcome_stays_unknown_and_not_run_may_start_again() -> None:
+    """Guards against restarting a call that may have run, and against a lost key."""
+    table = make_table()
+    table.abandon(begin(table, 9500).unwrap(), LOST)
+    assert begin(table, 9500).unwrap_err().kind is errors.Kind.KEY_UNKNOWN
+    table.abandon(begin(table, 9600).unwrap(), NOT_RUN)
+    assert begin(table, 9600).unwrap().state is keys.State.IN_PROGRESS
+
+
+@pytest.mark.parametrize(
+    ("issued_ms", "now"),
+    [(1000, 10.0), (6000, 10.0), (11_500, 10.0), (9500, 15.5)],
+)
+def test_owner_refuses_what_it_cannot_know(issued_ms: int, now: float) -> None:
+    """Guards against starting keys from before the start or under an old lease."""
+    refused = begin(make_table(), issued_ms, now)
+    assert isinstance(refused, Err)
+    assert refused.err_value.kind is errors.Kind.KEY_UNKNOWN
+
+
+def test_eviction_refuses_older_keys_instead_of_restarting_them() -> None:
+    """Guards against a second start of a key whose record was evicted."""
+    table = make_table()
+    for step in range(6):
+        table.finish(begin(table, 9000 + step).unwrap(), ANSWER)
+    assert begin(table, 9000).unwrap_err().kind is errors.Kind.KEY_UNKNOWN
+    assert begin(table, 9005).unwrap().state is keys.State.FINISHED
+
+
+def test_keys_in_progress_are_not_evicted() -> None:
+    """Guards against forgetting a running call under load."""
+    table = make_table()
+    for step in range(4):
+        begin(table, 9000 + step).unwrap()
+    refused = begin(table, 9100).unwrap_err()
+    assert refused.kind is errors.Kind.OVERLOADED
+    assert begin(table, 9000).unwrap_err().kind is errors.Kind.KEY_IN_PROGRESS
+
+
+def test_consecutive_revisions_leave_most_keys_owned() -> None:
+    """Guards against refusing every key at each of many configuration changes."""
+    subject = ownership.Ownership()
+    owners = [f"e{i}" for i in range(10)]
+    subject.adopt(1, owners, 0.0)
+    subject.confirm(1, 100.0, 100.0)
+    subject.adopt(2, owners[:-1], 101.0)
+    subject.confirm(2, 101.0, 101.0)
+    for issued in (50.0, 107.0, 120.0):
+        owned = [subject.owner(f"k{i}", issued) for i in range(300)]
+        assert owned.count(None) <= 60
+
+
+@pytest.mark.parametrize("key", ["", "12", "x-12345678", "1-short", "1-12345678 "])
+def test_malformed_key_is_a_bad_request(key: str) -> None:
+    """Guards against keys without a usable issue time."""
+    refused = make_table().begin(key, "f", 10.0, 10.0)
+    assert refused.unwrap_err().kind is errors.Kind.BAD_REQUEST
+
+
+def test_unreachable_owner_is_unknown_to_the_caller() -> None:
+    """Guards against not-run for a key that an earlier attempt may have started."""
+    failure = errors.Failure(errors.Kind.UNREACHABLE)
+    assert keys.owner_failure(failure).kind is errors.Kind.KEY_UNKNOWN
+    assert keys.owner_failure(LOST) is LOST
