Contain calls that crash endpoints, follow an endpoint's drain signal

The local runner blames the calls that were running when its endpoint refused new connections, and refuses contained calls before the start. An answer or probe with Snipelink-State: draining turns admission off; the next one without it opens a new gate. Probes are sent only when no answer told the state for 1 s, and are charged by number and by time.

Not measured yet; the runner's drains and crashes will show it.

--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -13,6 +13,7 @@
 from snipelink.execute import endpoint_client, forward, local, routing, service
 from snipelink.observe import metrics, traces
 from snipelink.retry import policy as retries
+from snipelink.retry import suspects
 
 Cancelled = typing.Callable[[], bool]
 Outcome = Result[model.Answer, errors.Failure]
@@ -34,6 +35,8 @@
         Runs calls on endpoints with a node.
     recorded : Metrics
         Receives the latency and error kind of each attempt.
+    table : SuspectTable
+        Crash suspects; calls that are contained are refused.
     """
 
     def __init__(
@@ -43,12 +46,14 @@
         runner: local.LocalRunner,
         forwarder: forward.Forwarder,
         recorded: metrics.Metrics,
+        table: suspects.SuspectTable,
     ) -> None:
         self._node = node
         self._services = services
         self._runner = runner
         self._forwarder = forwarder
         self._metrics = recorded
+        self._suspects = table
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
 
@@ -62,6 +67,9 @@
         cancelled: Cancelled,
     ) -> Outcome:
         """Run a call until it is answered or given up on."""
+        contained = self._suspects.check(call, now)
+        if contained is not None:
+            return Err(contained)
         state = self._services.get(objects, route.service, now)
         failed: list[str] = []
         outcome: Outcome = _no_endpoint()
--- a/src/snipelink/execute/local.py
+++ b/src/snipelink/execute/local.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import threading
 import time
@@ -11,11 +12,13 @@
 
 from snipelink import addresses, errors, model
 from snipelink.admission import gate as gates
-from snipelink.execute import endpoint_client, pauses
+from snipelink.execute import crashes, endpoint_client, pauses
 from snipelink.generated import messages as generated
 from snipelink.observe import traces
+from snipelink.retry import suspects
 from snipelink.session import http, messages
 
+logger = logging.getLogger(__name__)
 DEFAULT_SLOTS = 10
 CRASH_CHECK_TIMEOUT_S = 0.2
 Cancelled = typing.Callable[[], bool]
@@ -26,6 +29,8 @@
 class LocalRunner:
     """Admits calls to the own endpoint and runs them.
 
+    Calls that were running when the endpoint crashed become crash suspects.
+
     Parameters
     ----------
     node : str
@@ -34,6 +39,10 @@
         Returns the set in force.
     client : EndpointClient
         Connections to the own endpoint.
+    endpoint_address : str
+        IP:port of the own endpoint.
+    table : SuspectTable
+        Crash suspects; calls that are contained are refused.
     """
 
     def __init__(
@@ -44,6 +53,7 @@
         endpoint_address: str,
         pause_detector: pauses.PauseDetector,
         tracer: traces.Tracer,
+        table: suspects.SuspectTable,
     ) -> None:
         self._node = node
         self._objects = objects
@@ -54,6 +64,10 @@
         self._lock = threading.Lock()
         self._gate: gates.Gate | None = None
         self._draining = False
+        self._endpoint_draining = False
+        self._crashes = crashes.CrashRecorder(node, table)
+        self._suspects = table
+        self.answered_at = float("-inf")
 
     def start_draining(self) -> None:
         """Refuse new work as ``leaving`` from now on."""
@@ -95,7 +109,11 @@
         self, call: model.Call, span: traces.Span, now: float, cancelled: Cancelled
     ) -> Outcome:
         """Run a call on the own endpoint when admission allows it."""
-        entered = self._own_gate().enter(call, now, cancelled)
+        contained = self._suspects.check(call, now)
+        if contained is not None:
+            return Err(contained)
+        gate = self._own_gate()
+        entered = gate.enter(call, now, cancelled)
         if isinstance(entered, Err):
             return entered
         admitted_at = entered.ok_value.admitted_at
@@ -104,11 +122,33 @@
         span.add(traces.Step.EXECUTED, admitted_at, self._node)
         ticket = entered.ok_value
         outcome: Outcome = _fail(errors.Kind.INTERNAL)
+        self._crashes.on_start(call)
         try:
             outcome = send(self._client, call, self._node)
-            return self._check_crash(outcome)
+            if isinstance(outcome, Ok):
+                self.observe(outcome.ok_value.headers, time.monotonic())
+            else:
+                outcome = self._check_crash(outcome, call)
+            return outcome
         finally:
-            self._own_gate().leave(ticket, _classify(outcome), time.monotonic())
+            ended = time.monotonic()
+            self._crashes.on_end(call, isinstance(outcome, Ok))
+            gate.leave(ticket, _classify(outcome), ended)
+
+    def observe(self, headers: model.Headers, now: float) -> None:
+        """Take note of the state that the own endpoint reports on an answer."""
+        self.answered_at = now
+        draining = ("snipelink-state", "draining") in headers
+        if draining is self._endpoint_draining:
+            return
+        with self._lock:
+            self._endpoint_draining = draining
+            if draining and self._gate is not None:
+                self._gate.start_draining()
+            elif not self._draining:
+                # Calls that still run leave through the gate they entered by.
+                self._gate = None
+        logger.info("endpoint %s", "drains" if draining else "accepts work again")
 
     def _find_operation(self, service_name: str, name: str) -> model.Operation | None:
         objects = self._objects()
@@ -122,27 +162,38 @@
             with self._lock:
                 if self._gate is None:
                     self._gate = gates.Gate(self._slots())
-                    if self._draining:
+                    if self._draining or self._endpoint_draining:
                         self._gate.start_draining()
         return self._gate
 
+    def budgets(self) -> model.Budgets:
+        """Return the budgets of the own service."""
+        service = self._own_service()
+        return service.budgets if service else model.Budgets()
+
     def _slots(self) -> int:
+        service = self._own_service()
+        if service is None:
+            return DEFAULT_SLOTS
+        return service.endpoints_by_name[self._node].slots
+
+    def _own_service(self) -> model.Service | None:
         objects = self._objects()
         for service in objects.services_by_name.values() if objects else ():
-            own = service.endpoints_by_name.get(self._node)
-            if own is not None:
-                return own.slots
-        return DEFAULT_SLOTS
+            if self._node in service.endpoints_by_name:
+                return service
+        return None
 
-    def _check_crash(self, outcome: Outcome) -> Outcome:
+    def _check_crash(
+        self, outcome: Err[errors.Failure], call: model.Call
+    ) -> Err[errors.Failure]:
         """Mark a lost connection as a crash when the endpoint refuses new ones."""
-        if isinstance(outcome, Ok):
-            return outcome
         failure = outcome.err_value
         if failure.kind is not errors.Kind.CONNECTION_LOST:
             return outcome
         if not _refuses_connections(self._endpoint_address):
             return outcome
+        self._crashes.on_crash(call, time.monotonic())
         detail = f"endpoint crashed: {failure.detail}"
         return Err(
             errors.Failure(failure.kind, detail, endpoint=self._node, crashed=True)
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -18,10 +18,12 @@
     local,
     pauses,
     policies,
+    probe,
     service,
     status,
 )
 from snipelink.observe import admin, metrics, traces
+from snipelink.retry import suspects
 from snipelink.session import call, caller, frames
 
 logger = logging.getLogger(__name__)
@@ -48,16 +50,27 @@
         rng = random.Random()
         self._metrics = metrics.Metrics()
         tracer = traces.Tracer(values.node, rng)
+        self._suspects = suspects.SuspectTable()
         self._forwarder = forward.Forwarder(
             values.node, self.incarnation, max_frame_bytes
         )
+        own_client = endpoint_client.EndpointClient(values.endpoint, values.node)
         self._runner = local.LocalRunner(
             values.node,
             self._reader.in_force,
-            endpoint_client.EndpointClient(values.endpoint, values.node),
+            own_client,
             values.endpoint,
             self._pauses,
             tracer,
+            self._suspects,
+        )
+        self._prober = probe.Prober(
+            values.node,
+            values.endpoint_health_path,
+            self._runner.budgets,
+            own_client,
+            self._runner,
+            time.monotonic(),
         )
         self._services = service.Services(
             policies.makers_by_name()[values.balance_policy],
@@ -65,7 +78,12 @@
             rng,
         )
         calls = executor.Executor(
-            values.node, self._services, self._runner, self._forwarder, self._metrics
+            values.node,
+            self._services,
+            self._runner,
+            self._forwarder,
+            self._metrics,
+            self._suspects,
         )
         self._entry = entry.Entry(self._reader.in_force, calls, tracer, self._metrics)
         self._admin = self._make_admin(tracer) if values.admin_listen else None
@@ -116,6 +134,8 @@
         if self._admin is not None:
             self._admin.start()
         self._pauses.start()
+        if self._values.endpoint_health_path:
+            self._prober.start()
         self._reader.start()
         self._call_server.start()
         self._caller_server.start_serving()
@@ -135,6 +155,7 @@
             0 if no call was cut off, else 1.
         """
         self._runner.start_draining()
+        self._prober.stop()
         self._call_server.stop()
         self._caller_server.stop_accepting()
         deadline = time.monotonic() + self._values.grace_s
--- /dev/null
+++ b/src/snipelink/execute/probe.py
@@ -0,0 +1,91 @@
+"""Asks the own endpoint for its state when no answer has told it lately."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+import typing
+
+from result import Ok
+
+from snipelink import model
+from snipelink.execute import endpoint_client, local
+from snipelink.measure import account
+
+logger = logging.getLogger(__name__)
+TICK_S = 0.25
+# Answers carry the endpoint's state; a probe is sent only when they are missing.
+FRESH_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+EXPECTED_COST_S = 0.0005
+MAX_ANSWER_BYTES = 4096
+PROBE_HEADERS = [("snipelink-probe", "1"), ("host", "snipelink")]
+
+
+class Prober:
+    """Probes the own endpoint within the budgets of its service.
+
+    One account limits the number of probes, one the time they cost the endpoint.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        path: str,
+        budgets: typing.Callable[[], model.Budgets],
+        client: endpoint_client.EndpointClient,
+        runner: local.LocalRunner,
+        now: float,
+    ) -> None:
+        self._node = node
+        self._path = path
+        self._budgets = budgets
+        self._client = client
+        self._runner = runner
+        self._counts = account.Ledger(1.0, 1.0, 1.0, 1.0, now)
+        self._costs = account.Ledger(0.01, 0.01, 0.002, 0.005, now)
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        """Probe in a thread of its own."""
+        threading.Thread(target=self._run, name="probe", daemon=True).start()
+
+    def stop(self) -> None:
+        """Send no further probe."""
+        self._stopped.set()
+
+    def is_due(self, now: float) -> bool:
+        """Whether the endpoint's state is older than an answer would make it."""
+        return now - self._runner.answered_at > FRESH_S
+
+    def _run(self) -> None:
+        while not self._stopped.wait(TICK_S):
+            now = time.monotonic()
+            if self.is_due(now):
+                self._probe(now)
+
+    def _probe(self, now: float) -> None:
+        budgets = self._budgets()
+        self._counts.set_endpoint_rate(budgets.probes_per_s, 1.0, now)
+        ratio = budgets.probe_cpu_ratio
+        self._costs.set_endpoint_rate(ratio, max(ratio, EXPECTED_COST_S), now)
+        cost = self._costs.try_spend(self._node, EXPECTED_COST_S, now)
+        if cost is None:
+            return
+        permit = self._counts.try_spend(self._node, 1.0, now)
+        started = time.monotonic()
+        if permit is None or not permit.may_start(started):
+            return
+        outcome = self._client.request(
+            "GET",
+            self._path,
+            PROBE_HEADERS,
+            b"",
+            started + PROBE_TIMEOUT_S,
+            MAX_ANSWER_BYTES,
+        )
+        ended = time.monotonic()
+        self._costs.settle(cost, ended - started, ended)
+        if isinstance(outcome, Ok):
+            self._runner.observe(outcome.ok_value.headers, ended)
--- a/src/snipelink/retry/suspects.py
+++ b/src/snipelink/retry/suspects.py
@@ -97,8 +97,14 @@
             if suspect is not None:
                 suspect.clean_runs += 1
 
-    def check(self, name: str, now: float) -> errors.Failure | None:
+    def check(self, call: model.Call, now: float) -> errors.Failure | None:
         """Return the refusal of a contained call, or None when it may run."""
+        if not self._suspects_by_fingerprint:
+            return None
+        return self.check_fingerprint(fingerprint(call), now)
+
+    def check_fingerprint(self, name: str, now: float) -> errors.Failure | None:
+        """Return the refusal of a contained fingerprint, or None."""
         with self._lock:
             suspect = self._suspects_by_fingerprint.get(name)
             if suspect is None or suspect.contained_at is None:
--- a/tests/retry/test_suspects.py
+++ b/tests/retry/test_suspects.py
@@ -22,7 +22,7 @@
         beside += [f"once-{serial + i}" for i in range(3)]
         serial += 3
         table.on_crash(f"e{fallen}", "1", [*beside, "killer"], now)
-        if table.check("killer", now) is not None:
+        if table.check_fingerprint("killer", now) is not None:
             return fallen
         for _ in range(40):
             table.on_clean_run(rng.choice(popular))
@@ -38,8 +38,8 @@
     table = suspects.SuspectTable()
     assert crash_repeatedly(table, seed) <= 3
     for name in [f"menu-{i}" for i in range(5)] + [f"once-{i}" for i in range(9)]:
-        assert table.check(name, 2.0) is None
-    refusal = table.check("killer", 2.0)
+        assert table.check_fingerprint(name, 2.0) is None
+    refusal = table.check_fingerprint("killer", 2.0)
     assert refusal is not None
     assert refusal.kind is errors.Kind.CRASH_SUSPECT
     assert refusal.retry_after_s > 0
@@ -59,7 +59,7 @@
     other.on_crash("e1", "1", ["a"], 100.0)
     for _ in range(5):
         table.merge(other.export(10, 101.0), 1.0)
-    assert table.check("a", 1.0) is None
+    assert table.check_fingerprint("a", 1.0) is None
 
 
 def test_reports_of_other_nodes_contain_and_expire() -> None:
@@ -68,9 +68,9 @@
     other.on_crash("e1", "1", ["a"], 1000.0)
     other.on_crash("e2", "1", ["a"], 1001.0)
     table.merge(other.export(10, 1002.0), 2.0)
-    assert table.check("a", 2.0) is not None
+    assert table.check_fingerprint("a", 2.0) is not None
     table.merge(table.export(10, 100.0), 100.0)
-    assert table.check("a", 2.0 + suspects.EXPIRY_S) is None
+    assert table.check_fingerprint("a", 2.0 + suspects.EXPIRY_S) is None
 
 
 def test_memory_is_bounded_and_keeps_the_contained() -> None:
@@ -81,7 +81,7 @@
     for step in range(3 * suspects.MAX_SUSPECTS):
         table.on_crash(f"f{step}", "1", [f"once-{step}"], 1.0)
     assert len(table) <= suspects.MAX_SUSPECTS
-    assert table.check("killer", 1.0) is not None
+    assert table.check_fingerprint("killer", 1.0) is not None
 
 
 def test_fingerprint_tells_bodies_and_fields_apart() -> None:
@@ -104,4 +104,4 @@
     table.on_crash("e2", "1", ["killer"], 0.0)
     table.on_crash("e3", "1", ["killer", "beside"], 0.1)
     table.on_crash("e4", "1", ["killer", "beside"], 0.1)
-    assert table.check("beside", 0.2) is None
+    assert table.check_fingerprint("beside", 0.2) is None
