Run nodes on the gossiped configuration and membership

The polling reader is replaced by the control part: accepted sets, members, load reports and crash suspects come from the exchange between nodes and a few readers of the platform. A node serves only when its set is known to be the highest and its beliefs are fresh after a pause.

--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -17,6 +17,7 @@
 
 Cancelled = typing.Callable[[], bool]
 Outcome = Result[model.Answer, errors.Failure]
+IsLeaving = typing.Callable[[str, float], bool]
 NO_ENDPOINT_RETRY_AFTER_S = 1.0
 
 
@@ -37,6 +38,8 @@
         Receives the latency and error kind of each attempt.
     table : SuspectTable
         Crash suspects; calls that are contained are refused.
+    is_leaving : callable
+        Tells whether the node beside an endpoint leaves at a time.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         forwarder: forward.Forwarder,
         recorded: metrics.Metrics,
         table: suspects.SuspectTable,
+        is_leaving: IsLeaving,
     ) -> None:
         self._node = node
         self._services = services
@@ -54,6 +58,7 @@
         self._forwarder = forwarder
         self._metrics = recorded
         self._suspects = table
+        self._is_leaving = is_leaving
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
 
@@ -101,11 +106,13 @@
         failed: list[str],
         now: float,
     ) -> model.Endpoint | None:
+        candidates = state.candidates(call.endpoint_set)
+        leaving = [e.name for e in candidates if self._is_leaving(e.name, now)]
         return state.policy.choose(
-            state.candidates(call.endpoint_set),
+            candidates,
             now,
             self._services.rng,
-            exclude=failed,
+            exclude=failed + leaving,
             idempotent=call.operation.idempotent,
         )
 
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -6,11 +6,10 @@
 import random
 import threading
 import time
-import uuid
 
 from snipelink import settings
-from snipelink.config import poll
 from snipelink.execute import (
+    control,
     endpoint_client,
     entry,
     executor,
@@ -41,23 +40,21 @@
 
     def __init__(self, values: settings.Settings) -> None:
         self._values = values
-        self.incarnation = uuid.uuid4().hex
         max_frame_bytes = values.max_body_bytes + frames.MESSAGE_OVERHEAD_BYTES
-        self._reader = poll.PollingReader(
-            values.platform_urls, values.platform_timeout_s
-        )
         self._pauses = pauses.PauseDetector(time.monotonic())
         rng = random.Random()
         self._metrics = metrics.Metrics()
         tracer = traces.Tracer(values.node, rng)
         self._suspects = suspects.SuspectTable()
+        self._control = control.Control(values, self._pauses, self._suspects, rng)
+        self.incarnation = self._control.incarnation
         self._forwarder = forward.Forwarder(
             values.node, self.incarnation, max_frame_bytes
         )
         own_client = endpoint_client.EndpointClient(values.endpoint, values.node)
         self._runner = local.LocalRunner(
             values.node,
-            self._reader.in_force,
+            self._control.in_force,
             own_client,
             values.endpoint,
             self._pauses,
@@ -84,8 +81,9 @@
             self._forwarder,
             self._metrics,
             self._suspects,
+            self._control.is_leaving,
         )
-        self._entry = entry.Entry(self._reader.in_force, calls, tracer, self._metrics)
+        self._entry = entry.Entry(self._control.in_force, calls, tracer, self._metrics)
         self._admin = self._make_admin(tracer) if values.admin_listen else None
         self._call_server = call.CallServer(
             parse_address(values.call_listen),
@@ -112,8 +110,7 @@
         }
         shown = status.Status(
             identity,
-            self._reader.in_force,
-            self._configuration,
+            self._control,
             self._services,
             self._runner,
             self._metrics,
@@ -123,12 +120,6 @@
         )
         return admin.AdminServer(parse_address(values.admin_listen or ""), providers)
 
-    def _configuration(self) -> dict[str, object]:
-        objects = self._reader.in_force()
-        if objects is None:
-            return {"revision": 0, "digest": ""}
-        return {"revision": objects.revision, "digest": objects.digest}
-
     def start(self) -> None:
         """Start serving."""
         if self._admin is not None:
@@ -136,7 +127,7 @@
         self._pauses.start()
         if self._values.endpoint_health_path:
             self._prober.start()
-        self._reader.start()
+        self._control.start(self._runner, self._services)
         self._call_server.start()
         self._caller_server.start_serving()
         logger.info("node %s started", self._values.node)
@@ -154,6 +145,7 @@
         status : int
             0 if no call was cut off, else 1.
         """
+        self._control.set_leaving()
         self._runner.start_draining()
         self._prober.stop()
         self._call_server.stop()
@@ -164,6 +156,7 @@
         left = self._busy()
         if left:
             logger.error("stopped with %d calls in flight", left)
+        self._control.stop()
         logger.info("node %s stopped", self._values.node)
         return 1 if left else 0
 
--- a/src/snipelink/execute/pauses.py
+++ b/src/snipelink/execute/pauses.py
@@ -33,7 +33,11 @@
 
     def paused_since(self, before: float, now: float) -> bool:
         """Whether a pause ended between `before` and `now`."""
-        return self._resumed_at >= before or now - self._last_tick > PAUSE_THRESHOLD_S
+        return self._resumed_at >= before or self.is_paused(now)
+
+    def is_paused(self, now: float) -> bool:
+        """Whether the process resumes just now, before the next tick noticed it."""
+        return now - self._last_tick > PAUSE_THRESHOLD_S
 
     def resumed_at(self) -> float:
         """Return when the last pause ended; minus infinity without one."""
--- a/src/snipelink/execute/service.py
+++ b/src/snipelink/execute/service.py
@@ -47,6 +47,10 @@
         self._candidates_by_set = {}
         self.tracker.retain(service.endpoints_by_name)
 
+    def endpoint(self, name: str) -> model.Endpoint | None:
+        """Return an endpoint of the service by name."""
+        return self._service.endpoints_by_name.get(name)
+
     def candidates(self, endpoint_set: str) -> tuple[model.Endpoint, ...]:
         """Return the endpoints that a rule admits; the same object while unchanged."""
         found = self._candidates_by_set.get(endpoint_set)
--- a/src/snipelink/execute/status.py
+++ b/src/snipelink/execute/status.py
@@ -8,13 +8,11 @@
 
 from result import Err
 
-from snipelink import model
 from snipelink.balance import adaptive
-from snipelink.execute import local, routing, service
+from snipelink.execute import control, local, routing, service
 from snipelink.observe import metrics
 
 Fields = dict[str, typing.Any]
-Objects = typing.Callable[[], model.ObjectSet | None]
 
 
 class Status:
@@ -24,22 +22,20 @@
     ----------
     identity : dict of str to str
         Name, incarnation, failure domain and region of the node.
-    configuration : callable
-        Returns the fields about revisions and where they were learned.
+    control_part : Control
+        Configuration and membership.
     """
 
     def __init__(
         self,
         identity: dict[str, str],
-        objects: Objects,
-        configuration: typing.Callable[[], Fields],
+        control_part: control.Control,
         services: service.Services,
         runner: local.LocalRunner,
         recorded: metrics.Metrics,
     ) -> None:
         self._identity = identity
-        self._objects = objects
-        self._configuration = configuration
+        self._control = control_part
         self._services = services
         self._runner = runner
         self._metrics = recorded
@@ -50,18 +46,20 @@
         load = self._runner.load()
         return {
             **self._identity,
-            "configuration": self._configuration(),
+            "configuration": self._control.configuration(),
             "own_endpoint": dataclasses.asdict(load) if load else None,
             "services": {
                 name: self._service(state, now)
                 for name, state in sorted(self._services.states_by_name().items())
             },
+            "members": self._control.member_rows(),
+            "control": self._control.counts(),
             "latencies": self._metrics.summary(),
         }
 
     def explain(self, host: str, path: str, method: str, caller: str) -> Fields:
         """Return where a call would go now, and why."""
-        objects = self._objects()
+        objects = self._control.in_force()
         if objects is None:
             return {"error": "not-ready", "detail": "no configuration is in force"}
         routed = routing.route(objects, host.lower(), path, method, caller)
