Give the stand-in endpoint a behaviour of its own, and add the load runner

The stand-in answered at once and kept no record, so no run could be checked against what really started. It now has slots, a connection limit, seeded service times, load that shifts every 5 to 500 ms, load reports that lag or lie, switches for faults, and a log of starts and ends that survives its crash. The load runner sends calls at planned times and counts latency from them, so a stall is not hidden. The two deployments of the design are described at their sizes.

--- /dev/null
+++ b/bench/behaviour.py
@@ -0,0 +1,126 @@
+"""How a stand-in endpoint behaves: service times, noisy neighbours and switches."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+
+SHORTEST_SHIFT_S = 0.005
+LONGEST_SHIFT_S = 0.5
+SERVICE_TIME_SIGMA = 0.5
+COLD_FACTOR = 4.0
+# Weight and factor of each level; normalised so that the mean over time is 1.
+NOISE_LEVELS = ((0.75, 1.0), (0.18, 3.0), (0.07, 8.0))
+
+
+@dataclasses.dataclass(slots=True)
+class Switches:
+    """Faults that the control path turns on and off.
+
+    Attributes
+    ----------
+    slow : float
+        Factor on every service time.
+    fail : bool
+        Answer 500 at once.
+    shed : bool
+        Answer 503 with ``Retry-After`` at once.
+    draining : bool
+        Announce ``Snipelink-State: draining`` on answers and refuse new work
+        after the time that callers have to react.
+    cut : float
+        Share of answers that are cut off inside the body.
+    lie : bool
+        Report an idle endpoint whatever the load.
+    crash_marked : bool
+        End the process when it runs a request marked ``crash``.
+    cold_s : float
+        Time after the start during which requests take longer.
+    freeze_s : float
+        Stop all work for this time; acts once when it is set.
+    """
+
+    slow: float = 1.0
+    fail: bool = False
+    shed: bool = False
+    draining: bool = False
+    cut: float = 0.0
+    lie: bool = False
+    crash_marked: bool = True
+    cold_s: float = 0.0
+    freeze_s: float = 0.0
+
+
+class Noise:
+    """Factor on service times that shifts every 5 to 500 ms, with mean 1."""
+
+    def __init__(self, rng: random.Random, enabled: bool, now: float) -> None:
+        self._rng = rng
+        self._enabled = enabled
+        self._factor = 1.0
+        self._next_shift = now
+
+    def factor(self, now: float) -> float:
+        """Return the factor at `now`; calls must not go back in time."""
+        if not self._enabled:
+            return 1.0
+        mean = sum(weight * level for weight, level in NOISE_LEVELS)
+        while now >= self._next_shift:
+            weights = [weight for weight, _ in NOISE_LEVELS]
+            levels = [level for _, level in NOISE_LEVELS]
+            self._factor = self._rng.choices(levels, weights)[0] / mean
+            low, high = math.log(SHORTEST_SHIFT_S), math.log(LONGEST_SHIFT_S)
+            self._next_shift += math.exp(self._rng.uniform(low, high))
+        return self._factor
+
+
+class ServiceTimes:
+    """Draws the time that a request takes.
+
+    Parameters
+    ----------
+    means_by_operation : dict of str to float
+        Mean seconds by operation; the key ``""`` is the default.
+    """
+
+    def __init__(
+        self, rng: random.Random, means_by_operation: dict[str, float], noise: Noise
+    ) -> None:
+        self._rng = rng
+        self._means_by_operation = means_by_operation
+        self._noise = noise
+
+    def draw(
+        self, operation: str, switches: Switches, age_s: float, now: float
+    ) -> float:
+        """Return seconds for one request of `operation` that starts at `now`."""
+        default = self._means_by_operation.get("", 0.0)
+        mean = self._means_by_operation.get(operation, default)
+        if mean <= 0.0:
+            return 0.0
+        sigma = SERVICE_TIME_SIGMA
+        drawn = mean * math.exp(self._rng.gauss(-sigma * sigma / 2, sigma))
+        cold = 1.0
+        if age_s < switches.cold_s:
+            cold += (COLD_FACTOR - 1.0) * (1.0 - age_s / switches.cold_s)
+        return drawn * self._noise.factor(now) * switches.slow * cold
+
+
+class LoadReports:
+    """Load report that is renewed only every `lag_s` seconds."""
+
+    def __init__(self, slots: int, lag_s: float) -> None:
+        self._slots = slots
+        self._lag_s = lag_s
+        self._taken_at = float("-inf")
+        self._report = ""
+
+    def report(self, running: int, queued: int, lie: bool, now: float) -> str:
+        """Return the value of ``Snipelink-Load``."""
+        if lie:
+            return f"running=0,queued=0,slots={self._slots}"
+        if now - self._taken_at >= self._lag_s:
+            self._taken_at = now
+            self._report = f"running={running},queued={queued},slots={self._slots}"
+        return self._report
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -68,8 +68,11 @@
         domains_by_server: dict[str, tuple[str, str]],
         slots: int = 10,
         endpoint_options: tuple[str, ...] = (),
+        platform_options: tuple[str, ...] = (),
+        connections: int = 200,
     ) -> None:
         """Plan servers; ``domains_by_server``: name -> (service, failure domain)."""
+        self.platform_options = platform_options
         self.rules = rules
         self.operations_by_service = operations_by_service
         self.endpoint_options = endpoint_options
@@ -78,6 +81,7 @@
         self.slots = slots
         self.directory = tempfile.TemporaryDirectory()
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.platform_process: subprocess.Popen[bytes] | None = None
         self.servers_by_name: dict[str, Server] = {}
         self.settings_by_server: dict[str, dict[str, object]] = {}
         ports = iter(free_ports(5 * len(domains_by_server) + 1))
@@ -93,20 +97,29 @@
                 addresses[1],
                 addresses[2],
                 slots=slots,
+                connections=connections,
             )
             self.servers_by_name[name] = Server(endpoint, addresses[3], addresses[4])
 
     def __enter__(self) -> Deployment:
-        self.spawn("bench.platform", f"--listen={self.platform_address}")
-        wait_for_port(self.platform_address)
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def _start(self) -> None:
+        self.start_platform()
         self.publish()
         for server in self.servers_by_name.values():
             self.start_endpoint(server)
+        for server in self.servers_by_name.values():
+            wait_for_port(server.endpoint.address)
             self.start_node(server)
         for server in self.servers_by_name.values():
             wait_for_port(server.caller_address)
         self.wait_ready()
-        return self
 
     def __exit__(self, *_: object) -> None:
         for process in reversed(self.processes):
@@ -130,17 +143,33 @@
         self.processes.append(process)
         return process
 
+    def start_platform(self) -> None:
+        """Start the stand-in for the platform; it holds no set yet."""
+        self.platform_process = self.spawn(
+            "bench.platform",
+            f"--listen={self.platform_address}",
+            *self.platform_options,
+        )
+        wait_for_port(self.platform_address)
+
+    @property
+    def log_directory(self) -> pathlib.Path:
+        """Directory of the endpoints' own logs."""
+        return pathlib.Path(self.directory.name) / "endpoints"
+
     def start_endpoint(self, server: Server) -> None:
-        """Start the stand-in endpoint of a server."""
+        """Start the stand-in endpoint of a server, without waiting for it."""
+        self.log_directory.mkdir(exist_ok=True)
         endpoint = server.endpoint
         server.endpoint_process = self.spawn(
             "bench.endpoint",
             f"--listen={endpoint.address}",
             f"--name={endpoint.name}",
             f"--slots={endpoint.slots}",
+            f"--connections={endpoint.connections}",
+            f"--log={self.log_directory / endpoint.name}",
             *self.endpoint_options,
         )
-        wait_for_port(endpoint.address)
 
     def start_node(self, server: Server) -> None:
         """Start the node of a server."""
@@ -174,6 +203,13 @@
             services[name] = model.Service(name, operations, endpoints)
         return model.ObjectSet(self.revision, "", self.rules, services)
 
+    def retire(self, name: str) -> float:
+        """Publish a set in which an endpoint leaves; return the time of it."""
+        server = self.servers_by_name[name]
+        server.endpoint = dataclasses.replace(server.endpoint, leaving=True)
+        self.publish()
+        return time.monotonic()
+
     def publish(self) -> int:
         """Publish the planned set under the next revision."""
         self.revision += 1
@@ -193,6 +229,18 @@
         self._control("instances", entries)
         return self.revision
 
+    def switch(self, name: str, **fields: object) -> dict[str, int]:
+        """Change the switches of an endpoint and return its counts."""
+        address = self.servers_by_name[name].endpoint.address
+        url = f"http://{address}/control/switches"
+        response = self.pool.request("POST", url, body=json.dumps(fields).encode())
+        counts: dict[str, int] = json.loads(response.data)
+        return counts
+
+    def platform_mode(self, mode: str, **fields: object) -> None:
+        """Switch the behaviour of the platform."""
+        self._control("mode", {"mode": mode, **fields})
+
     def _control(self, path: str, fields: object) -> None:
         url = f"http://{self.platform_address}/control/{path}"
         response = self.pool.request("POST", url, body=json.dumps(fields).encode())
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,138 @@
+"""The two deployments of the design at their sizes."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from bench import deployment, load
+from snipelink import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """Service of a deployment: its servers and the calls it receives."""
+
+    name: str
+    servers: int
+    kinds: tuple[load.Kind, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Size and calls of one deployment."""
+
+    name: str
+    connections: int
+    services: tuple[Service, ...]
+    failure_domains: int = 3
+    slots: int = 10
+
+    @property
+    def kinds(self) -> tuple[load.Kind, ...]:
+        """Return the calls of all services."""
+        return tuple(kind for service in self.services for kind in service.kinds)
+
+    @property
+    def hosts_by_service(self) -> dict[str, str]:
+        """Return the host that the rules map to each service."""
+        return {service.name: f"{service.name}.test" for service in self.services}
+
+    def server_names(self, service: str) -> list[str]:
+        """Return the names of the servers of a service."""
+        found = next(item for item in self.services if item.name == service)
+        return [f"{service}-{index + 1}" for index in range(found.servers)]
+
+
+AR_CENTRAL = Plan(
+    "ar-central",
+    200,
+    (
+        Service(
+            "rota",
+            4,
+            (
+                load.Kind("rota", "lookup", "GET", "/shifts/{id}", True, 3.0),
+                load.Kind("rota", "claim", "POST", "/claims", False, 1.0),
+                load.Kind("rota", "book", "POST", "/bookings", False, 1.0, keyed=True),
+            ),
+        ),
+        Service(
+            "archive",
+            5,
+            (load.Kind("archive", "read", "GET", "/records/{id}", True, 6.25),),
+        ),
+    ),
+)
+GA_CENTRAL = Plan(
+    "ga-central",
+    250,
+    (
+        Service(
+            "ordering",
+            4,
+            (
+                load.Kind("ordering", "menu", "GET", "/menu/{id}", True, 2.0),
+                load.Kind(
+                    "ordering", "order", "POST", "/orders", False, 2.0, 2, keyed=True
+                ),
+            ),
+        ),
+        Service(
+            "kitchen",
+            6,
+            (
+                load.Kind("kitchen", "queue", "GET", "/queue/{id}", True, 5.0),
+                load.Kind("kitchen", "cook", "POST", "/meals", False, 1.0),
+            ),
+        ),
+    ),
+)
+PLANS = (AR_CENTRAL, GA_CENTRAL)
+
+
+def operations(
+    service: Service, deadline_ms: int = 2000
+) -> tuple[model.Operation, ...]:
+    """Return the operations that the published set declares for a service."""
+    return tuple(
+        model.Operation(
+            kind.operation,
+            kind.method,
+            kind.path,
+            kind.idempotent,
+            priority="high" if kind.weight > 1 else "normal",
+            weight=kind.weight,
+            deadline_ms=deadline_ms,
+        )
+        for kind in service.kinds
+    )
+
+
+def start(
+    plan: Plan, endpoint_options: tuple[str, ...] = (), deadline_ms: int = 2000
+) -> deployment.Deployment:
+    """Return a deployment of stand-ins and nodes, not started yet."""
+    rules = tuple(
+        model.Rule(service.name, service.name, host=plan.hosts_by_service[service.name])
+        for service in plan.services
+    )
+    domains_by_server = {}
+    for service in plan.services:
+        for index, name in enumerate(plan.server_names(service.name)):
+            domain = f"{plan.name}-{index % plan.failure_domains + 1}"
+            domains_by_server[name] = (service.name, domain)
+    return deployment.Deployment(
+        rules,
+        {service.name: operations(service, deadline_ms) for service in plan.services},
+        domains_by_server,
+        slots=plan.slots,
+        endpoint_options=endpoint_options,
+        connections=plan.connections,
+    )
+
+
+def addresses_by_entry(running: deployment.Deployment) -> dict[str, str]:
+    """Return the caller address of each node."""
+    return {
+        name: server.caller_address for name, server in running.servers_by_name.items()
+    }
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -1,81 +1,314 @@
 """Stand-in endpoint: answers HTTP with a set number of slots.
 
 Usage:
-  endpoint --listen=ADDRESS --name=NAME [--slots=N] [--service-ms=MS]
+  endpoint --listen=ADDRESS --name=NAME [options]
 
 Options:
   --listen=ADDRESS   IP:port to listen on.
   --name=NAME        Name of the endpoint.
   --slots=N          Requests run at once [default: 10].
-  --service-ms=MS    Time a request takes, milliseconds [default: 0].
+  --connections=N    Connections served at once [default: 200].
+  --service-ms=MS    Mean time of a request, milliseconds [default: 0].
+  --times=LIST       Mean times by operation, as in "get=5,add=20" [default: ].
+  --noise            Shift the load every 5 to 500 ms.
+  --report-lag-ms=MS  Time between two load reports [default: 20].
+  --seed=N           Seed of all random choices [default: 0].
+  --log=PATH         File to which starts, ends and probes are written.
+
+Requests may carry ``Bench-Token`` (unique for each call), ``Bench-Operation``,
+``Bench-Answer-Bytes`` and ``Bench-Mark: crash``. Paths under ``/control/`` exist for
+tests only: ``switches`` (POST, fields of ``behaviour.Switches``) and ``state`` (GET).
 """
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import hashlib
 import json
+import os
+import random
+import signal
+import time
 
 import docopt
 import httptools
 
+from bench import behaviour
+
+STOP_GRACE_S = 10.0
+DRAIN_REFUSAL_S = 3.0
+RETRY_AFTER_S = 1
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request as the endpoint received it."""
+
+    method: str
+    target: str
+    headers_by_name: dict[str, str]
+    body: bytes
+
+    def header(self, name: str) -> str:
+        return self.headers_by_name.get(name, "")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """One answer; a `cut` answer ends inside its body and closes the connection."""
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+    cut: bool = False
+
+    def encode(self) -> bytes:
+        lines = [f"HTTP/1.1 {self.status} {'OK' if self.status == 200 else 'Error'}"]
+        lines += [f"{name}: {value}" for name, value in self.headers]
+        lines.append(f"content-length: {len(self.body)}")
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode()
+        return head + (self.body[: len(self.body) // 2] if self.cut else self.body)
+
+
+def filler(token: str, size: int) -> str:
+    """Return the part of an answer that only the call with `token` receives."""
+    return (token * (size // max(1, len(token)) + 1))[:size] if token else ""
+
+
+def answer_body(endpoint: str, request: Request) -> bytes:
+    """Return the body that proves which call was answered, and completely."""
+    token = request.header("bench-token")
+    fields = {
+        "endpoint": endpoint,
+        "target": request.target,
+        "size": len(request.body),
+        "digest": hashlib.sha256(request.body).hexdigest(),
+        "token": token,
+        "filler": filler(token, int(request.header("bench-answer-bytes") or 0)),
+    }
+    return json.dumps(fields).encode()
+
+
+class Log:
+    """Appends events to a file; survives the crash of this process."""
+
+    def __init__(self, path: str, endpoint: str) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._file = os.open(path, flags, 0o600) if path else -1
+        self._endpoint = endpoint
+
+    def write(self, event: str, request: Request) -> None:
+        if self._file < 0:
+            return
+        fields = {
+            "event": event,
+            "endpoint": self._endpoint,
+            "time": time.monotonic(),
+            "token": request.header("bench-token"),
+            "operation": request.header("bench-operation"),
+            "call_id": request.header("snipelink-call-id"),
+            "key": request.header("idempotency-key"),
+        }
+        os.write(self._file, json.dumps(fields).encode() + b"\n")
+
 
 class Endpoint:
-    def __init__(self, name: str, slots: int, service_ms: float) -> None:
-        self.name = name
-        self.service_s = service_ms / 1000
+    """State of the stand-in; all of it belongs to the event loop's thread."""
+
+    def __init__(self, options: dict[str, str]) -> None:
+        now = time.monotonic()
+        seed = f"{options['--name']}/{options['--seed']}"
+        noise = behaviour.Noise(
+            random.Random(f"noise/{seed}"), bool(options["--noise"]), now
+        )
+        means = {"": float(options["--service-ms"]) / 1000}
+        for item in filter(None, options["--times"].split(",")):
+            operation, milliseconds = item.split("=")
+            means[operation] = float(milliseconds) / 1000
+        slots = int(options["--slots"])
+        self.name = options["--name"]
+        self.log = Log(options["--log"] or "", self.name)
+        self.switches = behaviour.Switches()
+        self.times = behaviour.ServiceTimes(random.Random(seed), means, noise)
+        self.reports = behaviour.LoadReports(
+            slots, float(options["--report-lag-ms"]) / 1000
+        )
+        self.rng = random.Random(f"cut/{seed}")
         self.slots = asyncio.Semaphore(slots)
-        self.running = 0
+        self.max_connections = int(options["--connections"])
+        self.connections = 0
+        self.most_connections = 0
+        self.running = self.queued = self.started = self.probes = 0
+        self.started_at = now
+        self.draining_since = float("inf")
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+
+    async def answer(self, request: Request) -> Answer:
+        if request.target.startswith("/control/"):
+            return self._control(request)
+        await self.thawed.wait()
+        if request.header("snipelink-probe"):
+            self.probes += 1
+            self.log.write("probe", request)
+            return self._reply(200, request)
+        if self.switches.fail:
+            # A caller cannot tell how far a failed request came: it counts as run.
+            self.log.write("start", request)
+            self.log.write("done", request)
+            return self._reply(500, request)
+        now = time.monotonic()
+        drained = now - self.draining_since > DRAIN_REFUSAL_S
+        if self.switches.shed or drained:
+            return self._reply(503, request, (("retry-after", str(RETRY_AFTER_S)),))
+        return await self._run(request)
+
+    async def _run(self, request: Request) -> Answer:
+        self.queued += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.queued -= 1
+        self.running += 1
+        self.started += 1
+        self.log.write("start", request)
+        outcome = "cancelled"
+        try:
+            if self.switches.crash_marked and request.header("bench-mark") == "crash":
+                os._exit(70)
+            now = time.monotonic()
+            operation = request.header("bench-operation")
+            age_s = now - self.started_at
+            seconds = self.times.draw(operation, self.switches, age_s, now)
+            if seconds > 0:
+                await asyncio.sleep(seconds)
+            await self.thawed.wait()
+            outcome = "done"
+        finally:
+            self.log.write(outcome, request)
+            self.running -= 1
+            self.slots.release()
+        return self._reply(200, request, cut=self.rng.random() < self.switches.cut)
 
-    async def answer(self, method: str, target: str, body: bytes) -> bytes:
-        if self.service_s:
-            async with self.slots:
-                self.running += 1
-                await asyncio.sleep(self.service_s)
-                self.running -= 1
-        fields = {"endpoint": self.name, "target": target, "size": len(body)}
-        return json.dumps(fields).encode()
+    def _reply(
+        self,
+        status: int,
+        request: Request,
+        headers: tuple[tuple[str, str], ...] = (),
+        cut: bool = False,
+    ) -> Answer:
+        now = time.monotonic()
+        lie = self.switches.lie
+        load = self.reports.report(self.running, self.queued, lie, now)
+        headers += (("content-type", "application/json"), ("snipelink-load", load))
+        if self.switches.draining:
+            headers += (("snipelink-state", "draining"),)
+        return Answer(status, answer_body(self.name, request), headers, cut)
+
+    def _control(self, request: Request) -> Answer:
+        if request.target == "/control/switches":
+            self._switch(json.loads(request.body))
+        fields = {
+            "running": self.running,
+            "queued": self.queued,
+            "started": self.started,
+            "probes": self.probes,
+            "connections": self.connections,
+            "most_connections": self.most_connections,
+        }
+        return Answer(200, json.dumps(fields).encode())
+
+    def _switch(self, fields: dict[str, float]) -> None:
+        self.switches = dataclasses.replace(self.switches, **fields)
+        if not self.switches.draining:
+            self.draining_since = float("inf")
+        elif fields.get("draining"):
+            self.draining_since = time.monotonic()
+        if fields.get("freeze_s"):
+            self.thawed.clear()
+            loop = asyncio.get_running_loop()
+            loop.call_later(fields["freeze_s"], self.thawed.set)
 
 
 class Connection(asyncio.Protocol):
+    """One connection; a request is cancelled when its connection closes."""
+
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
+        self.headers_by_name: dict[str, str] = {}
         self.chunks: list[bytes] = []
         self.tasks: set[asyncio.Task[None]] = set()
+        self.counted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.counted:
+            self.endpoint.connections -= 1
+        for task in self.tasks:
+            task.cancel()
+
     def data_received(self, data: bytes) -> None:
         self.parser.feed_data(data)
 
+    def on_message_begin(self) -> None:
+        self.target, self.headers_by_name, self.chunks = b"", {}, []
+
     def on_url(self, url: bytes) -> None:
-        self.target = url
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers_by_name[name.decode().lower()] = value.decode()
 
     def on_body(self, data: bytes) -> None:
         self.chunks.append(data)
 
     def on_message_complete(self) -> None:
+        target = self.target.decode()
+        if not target.startswith("/control/") and not self._admit():
+            self.transport.abort()
+            return
         method = self.parser.get_method().decode()
-        body, self.chunks = b"".join(self.chunks), []
-        task = asyncio.ensure_future(self._answer(method, self.target.decode(), body))
+        body = b"".join(self.chunks)
+        request = Request(method, target, self.headers_by_name, body)
+        task = asyncio.ensure_future(self._answer(request))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _answer(self, method: str, target: str, body: bytes) -> None:
-        content = await self.endpoint.answer(method, target, body)
-        head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(content)}\r\n\r\n".encode()
-        self.transport.write(head + content)
+    def _admit(self) -> bool:
+        endpoint = self.endpoint
+        if self.counted:
+            return True
+        if endpoint.connections >= endpoint.max_connections:
+            return False
+        self.counted = True
+        endpoint.connections += 1
+        endpoint.most_connections = max(endpoint.most_connections, endpoint.connections)
+        return True
+
+    async def _answer(self, request: Request) -> None:
+        answer = await self.endpoint.answer(request)
+        self.transport.write(answer.encode())
+        if answer.cut:
+            self.transport.close()
 
 
 async def serve(options: dict[str, str]) -> None:
-    slots, service_ms = int(options["--slots"]), float(options["--service-ms"])
-    endpoint = Endpoint(options["--name"], slots, service_ms)
+    endpoint = Endpoint(options)
     host, port = options["--listen"].rsplit(":", 1)
     loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
     server = await loop.create_server(lambda: Connection(endpoint), host, int(port))
-    await server.serve_forever()
+    await stop.wait()
+    server.close()
+    deadline = time.monotonic() + STOP_GRACE_S
+    while endpoint.running + endpoint.queued and time.monotonic() < deadline:
+        await asyncio.sleep(0.02)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,370 @@
+"""Open-loop load: calls start at planned times, whatever happens to earlier ones."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import gc
+import hashlib
+import json
+import math
+import random
+import time
+from collections.abc import Callable, Sequence
+
+import httptools
+
+from bench import endpoint
+
+GIVE_UP_S = 5.0
+MAX_CONNECTIONS_PER_ENTRY = 200
+ANSWER_SIZES = (0, 100, 3000)
+BODY_SIZES = (0, 10, 1000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of call in a mix.
+
+    Attributes
+    ----------
+    share : float
+        Share of this kind relative to the others of its mix.
+    weight : int
+        Value of one answered call.
+    """
+
+    service: str
+    operation: str
+    method: str
+    path: str
+    idempotent: bool
+    share: float = 1.0
+    weight: int = 1
+    keyed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Planned:
+    """One call that will be sent; `at` in seconds after the start of the run."""
+
+    token: str
+    at: float
+    entry: str
+    kind: Kind
+    body: bytes = b""
+    key: str = ""
+    mark: str = ""
+    answer_bytes: int = 0
+    give_up_s: float = GIVE_UP_S
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """Life of one call; times are of the monotonic clock, in seconds.
+
+    Attributes
+    ----------
+    outcome : str
+        ``answered``, ``refused`` (with an error kind), ``gave-up`` or ``lost``.
+    """
+
+    token: str
+    service: str
+    operation: str
+    idempotent: bool
+    entry: str
+    intended: float
+    weight: int = 1
+    key: str = ""
+    sent: float = 0.0
+    finished: float = 0.0
+    outcome: str = "lost"
+    status: int = 0
+    error: str = ""
+    ran: str = ""
+    retry_after: str = ""
+    endpoint: str = ""
+    mark: str = ""
+    body_valid: bool = True
+    detail: str = ""
+
+    @property
+    def latency_s(self) -> float:
+        """Return seconds from the intended time to the end of the call."""
+        return self.finished - self.intended
+
+
+def poisson(rng: random.Random, rate: float, duration_s: float) -> list[float]:
+    """Return times of Poisson arrivals."""
+    times = []
+    now = rng.expovariate(rate)
+    while now < duration_s:
+        times.append(now)
+        now += rng.expovariate(rate)
+    return times
+
+
+def constant(rate: float, duration_s: float) -> list[float]:
+    """Return times at a constant distance."""
+    return [index / rate for index in range(math.floor(rate * duration_s))]
+
+
+def plan(
+    seed: int,
+    times: Sequence[float],
+    kinds: Sequence[Kind],
+    entries: Sequence[str],
+    repeat_ratio: float = 0.0,
+) -> list[Planned]:
+    """Return calls at `times`, the same for the same arguments.
+
+    Parameters
+    ----------
+    entries : sequence of str
+        Names of the nodes that callers use, chosen evenly.
+    repeat_ratio : float
+        Share of keyed calls that their caller sends again through another node,
+        concurrently or later.
+    """
+    rng = random.Random(f"plan/{seed}")
+    issued_ms = int(time.time() * 1000)
+    shares = [kind.share for kind in kinds]
+    planned = []
+    for index, at in enumerate(times):
+        kind = rng.choices(kinds, shares)[0]
+        key = f"{issued_ms + int(at * 1000)}-{seed}-{index}" if kind.keyed else ""
+        first = Planned(
+            f"t{seed}-{index}",
+            at,
+            rng.choice(entries),
+            kind,
+            rng.randbytes(rng.choice(BODY_SIZES)) if kind.method == "POST" else b"",
+            key,
+            answer_bytes=rng.choice(ANSWER_SIZES),
+        )
+        planned.append(first)
+        if key and rng.random() < repeat_ratio:
+            again = dataclasses.replace(
+                first,
+                token=f"{first.token}r",
+                at=at + rng.choice((0.0, 0.01, 0.3)),
+                entry=rng.choice(entries),
+            )
+            planned.append(again)
+    return sorted(planned, key=lambda call: call.at)
+
+
+class _Connection(asyncio.Protocol):
+    """Kept-alive connection that carries one call at a time."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.future: asyncio.Future[bool] | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers_by_name: dict[str, str] = {}
+        self.chunks: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        if self.future and not self.future.done():
+            self.future.set_result(False)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers_by_name[name.decode().lower()] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        self.chunks.append(data)
+
+    def on_message_complete(self) -> None:
+        if not self.parser.should_keep_alive():
+            self.closed = True
+        if self.future and not self.future.done():
+            self.future.set_result(True)
+
+    def send(self, payload: bytes) -> asyncio.Future[bool]:
+        """Send a request; the future tells whether a complete answer came."""
+        self._reset()
+        self.future = asyncio.get_running_loop().create_future()
+        self.transport.write(payload)
+        return self.future
+
+
+class Runner:
+    """Sends planned calls and records what their callers saw.
+
+    Parameters
+    ----------
+    addresses_by_entry : dict of str to str
+        Caller address by name of the node.
+    hosts_by_service : dict of str to str
+        Host header by service.
+    """
+
+    def __init__(
+        self, addresses_by_entry: dict[str, str], hosts_by_service: dict[str, str]
+    ) -> None:
+        self._addresses_by_entry = addresses_by_entry
+        self._hosts_by_service = hosts_by_service
+        self._idle_by_entry: dict[str, list[_Connection]] = {}
+        self._opened_by_entry: dict[str, asyncio.Semaphore] = {}
+        self.records: list[Record] = []
+
+    def run(
+        self,
+        calls: Sequence[Planned],
+        actions: Sequence[tuple[float, Callable[[], object]]] = (),
+    ) -> list[Record]:
+        """Send `calls`; run each of `actions` in a thread at its time."""
+        gc.collect()
+        gc.freeze()
+        asyncio.run(self._run(calls, actions))
+        return self.records
+
+    async def _run(
+        self,
+        calls: Sequence[Planned],
+        actions: Sequence[tuple[float, Callable[[], object]]],
+    ) -> None:
+        start = time.monotonic() + 0.05
+        acting = [asyncio.create_task(self._act(start, *item)) for item in actions]
+        running = []
+        for call in calls:
+            delay = start + call.at - time.monotonic()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            running.append(asyncio.create_task(self._call(call, start + call.at)))
+        await asyncio.gather(*running, *acting)
+        for connections in self._idle_by_entry.values():
+            for connection in connections:
+                connection.transport.close()
+
+    async def _act(self, start: float, at: float, act: Callable[[], object]) -> None:
+        await asyncio.sleep(start + at - time.monotonic())
+        await asyncio.to_thread(act)
+
+    async def _call(self, call: Planned, intended: float) -> None:
+        kind = call.kind
+        record = Record(
+            call.token,
+            kind.service,
+            kind.operation,
+            kind.idempotent,
+            call.entry,
+            intended,
+            kind.weight,
+            call.key,
+            mark=call.mark,
+        )
+        self.records.append(record)
+        limit = self._opened_by_entry.setdefault(
+            call.entry, asyncio.Semaphore(MAX_CONNECTIONS_PER_ENTRY)
+        )
+        try:
+            async with asyncio.timeout(call.give_up_s), limit:
+                await self._exchange(call, record)
+        except TimeoutError:
+            record.outcome = "gave-up"
+        except OSError as error:
+            record.detail = str(error)
+        record.finished = time.monotonic()
+
+    async def _exchange(self, call: Planned, record: Record) -> None:
+        connection = await self._acquire(call.entry)
+        record.sent = time.monotonic()
+        complete = False
+        try:
+            complete = await connection.send(self._encode(call))
+        finally:
+            if not complete:
+                connection.transport.abort()
+        if not complete:
+            record.detail = "connection closed before the answer"
+            return
+        _interpret(call, connection, record)
+        if not connection.closed:
+            self._idle_by_entry.setdefault(call.entry, []).append(connection)
+
+    async def _acquire(self, entry: str) -> _Connection:
+        idle = self._idle_by_entry.get(entry, [])
+        while idle:
+            connection = idle.pop()
+            if not connection.closed:
+                return connection
+        host, port = self._addresses_by_entry[entry].rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        _, opened = await loop.create_connection(_Connection, host, int(port))
+        return opened
+
+    def _encode(self, call: Planned) -> bytes:
+        kind = call.kind
+        fields = {
+            "host": self._hosts_by_service[kind.service],
+            "content-length": str(len(call.body)),
+            "bench-token": call.token,
+            "bench-operation": kind.operation,
+            "bench-answer-bytes": str(call.answer_bytes),
+        }
+        if call.key:
+            fields["idempotency-key"] = call.key
+        if call.mark:
+            fields["bench-mark"] = call.mark
+        lines = [f"{kind.method} {target(call)} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + call.body
+
+
+def target(call: Planned) -> str:
+    """Return the request target of a call."""
+    return call.kind.path.replace("{id}", call.token)
+
+
+def _interpret(call: Planned, connection: _Connection, record: Record) -> None:
+    fields = connection.headers_by_name
+    record.status = connection.parser.get_status_code()
+    record.error = fields.get("snipelink-error", "")
+    record.ran = fields.get("snipelink-ran", "")
+    record.retry_after = fields.get("retry-after", "")
+    if record.error:
+        record.outcome = "refused"
+        return
+    record.outcome = "answered"
+    content = b"".join(connection.chunks)
+    record.body_valid, record.endpoint = _check_body(call, content)
+
+
+def _check_body(call: Planned, content: bytes) -> tuple[bool, str]:
+    """Return whether the answer is the complete one to this call, and its sender."""
+    try:
+        fields = json.loads(content)
+    except ValueError:
+        return False, ""
+    expected = {
+        "target": target(call),
+        "size": len(call.body),
+        "digest": hashlib.sha256(call.body).hexdigest(),
+        "token": call.token,
+        "filler": endpoint.filler(call.token, call.answer_bytes),
+    }
+    name = fields.pop("endpoint", "") if isinstance(fields, dict) else ""
+    return fields == expected, name
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Return the value below which `share` of `values` lie; 0 without values."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- a/tests/bench/test_deployment.py
+++ b/tests/bench/test_deployment.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import hashlib
 import json
 
 import pytest
@@ -36,10 +37,18 @@
     pool = urllib3.PoolManager(retries=False)
     headers = {"Host": f"{service}.test"}
     url = f"http://{address}/items"
-    response = pool.request("POST", url, headers=headers, body=b"x" * 1000)
+    body = b"x" * 1000
+    headers |= {"Bench-Token": "one", "Bench-Answer-Bytes": "7"}
+    response = pool.request("POST", url, headers=headers, body=body)
     assert response.status == 200
-    answer = json.loads(response.data)
-    assert answer == {"endpoint": f"{service}-1", "target": "/items", "size": 1000}
+    assert json.loads(response.data) == {
+        "endpoint": f"{service}-1",
+        "target": "/items",
+        "size": 1000,
+        "digest": hashlib.sha256(body).hexdigest(),
+        "token": "one",
+        "filler": "oneoneo",
+    }
 
 
 def test_request_without_rule_is_told_not_run(running: deployment.Deployment) -> None:
