--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -10,7 +10,18 @@
 
 from snipelink import settings
 from snipelink.config import poll
-from snipelink.execute import endpoint_client, executor, forward, pauses
+from snipelink.execute import (
+    endpoint_client,
+    entry,
+    executor,
+    forward,
+    local,
+    pauses,
+    policies,
+    service,
+    status,
+)
+from snipelink.observe import admin, metrics, traces
 from snipelink.session import call, caller, frames
 
 logger = logging.getLogger(__name__)
@@ -34,34 +45,76 @@
             values.platform_urls, values.platform_timeout_s
         )
         self._pauses = pauses.PauseDetector(time.monotonic())
+        rng = random.Random()
+        self._metrics = metrics.Metrics()
+        tracer = traces.Tracer(values.node, rng)
         self._forwarder = forward.Forwarder(
             values.node, self.incarnation, max_frame_bytes
         )
-        self._executor = executor.Executor(
+        self._runner = local.LocalRunner(
             values.node,
             self._reader.in_force,
             endpoint_client.EndpointClient(values.endpoint, values.node),
-            self._forwarder,
+            values.endpoint,
             self._pauses,
-            random.Random(),
+            tracer,
         )
+        self._services = service.Services(
+            policies.makers_by_name()[values.balance_policy],
+            (values.failure_domain, values.region),
+            rng,
+        )
+        calls = executor.Executor(
+            values.node, self._services, self._runner, self._forwarder, self._metrics
+        )
+        self._entry = entry.Entry(self._reader.in_force, calls, tracer, self._metrics)
+        self._admin = self._make_admin(tracer) if values.admin_listen else None
         self._call_server = call.CallServer(
             parse_address(values.call_listen),
             values.node,
             self.incarnation,
-            self._executor,
+            self._runner,
             max_frame_bytes,
             values.max_connections,
         )
         self._caller_server = caller.CallerServer(
             parse_address(values.caller_listen),
             values,
-            self._executor.handle,
-            executor.failure_response,
+            self._entry.handle,
+            entry.failure_response,
         )
 
+    def _make_admin(self, tracer: traces.Tracer) -> admin.AdminServer:
+        values = self._values
+        identity = {
+            "node": values.node,
+            "incarnation": self.incarnation,
+            "failure_domain": values.failure_domain,
+            "region": values.region,
+        }
+        shown = status.Status(
+            identity,
+            self._reader.in_force,
+            self._configuration,
+            self._services,
+            self._runner,
+            self._metrics,
+        )
+        providers = admin.Providers(
+            self._metrics.exposition, shown.state, tracer.recent, shown.explain
+        )
+        return admin.AdminServer(parse_address(values.admin_listen or ""), providers)
+
+    def _configuration(self) -> dict[str, object]:
+        objects = self._reader.in_force()
+        if objects is None:
+            return {"revision": 0, "digest": ""}
+        return {"revision": objects.revision, "digest": objects.digest}
+
     def start(self) -> None:
         """Start serving."""
+        if self._admin is not None:
+            self._admin.start()
         self._pauses.start()
         self._reader.start()
         self._call_server.start()
@@ -81,7 +134,7 @@
         status : int
             0 if no call was cut off, else 1.
         """
-        self._executor.start_draining()
+        self._runner.start_draining()
         self._call_server.stop()
         self._caller_server.stop_accepting()
         deadline = time.monotonic() + self._values.grace_s
@@ -94,4 +147,6 @@
         return 1 if left else 0
 
     def _busy(self) -> int:
-        return self._executor.running() + self._caller_server.busy_connections()
+        load = self._runner.load()
+        running = load.running + load.queued if load else 0
+        return running + self._caller_server.busy_connections()
