Let published slots take effect and eject unreachable endpoints sooner

Cause: slots changed only when the node restarted, and three calls were lost to an endpoint that refuses connections before its ejection. Change: Gate.set_slots; a refused connection counts twice. The budget's words say what earns: answered calls. Conclusion: waiters start at once when slots rise; the second refused connection ejects.

--- a/src/snipelink/admission/admission.py
+++ b/src/snipelink/admission/admission.py
@@ -149,6 +149,12 @@
             slowness=self._pace.slowness(),
         )
 
+    def set_slots(self, slots: int, bounds: Bounds, now: float) -> None:
+        """Change the slots and the bounds of the queue."""
+        self._limit.set_slots(slots)
+        self._bounds = bounds
+        self.start_waiters(now)
+
     def start_draining(self) -> None:
         """Refuse new calls from now on; queued calls still run."""
         self._draining = True
--- a/src/snipelink/admission/gate.py
+++ b/src/snipelink/admission/gate.py
@@ -42,12 +42,11 @@
         max_wait_s: float = 0.1,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        bounds = admission.Bounds(
-            2 * slots if max_queued is None else max_queued, max_wait_s
-        )
+        self._max_queued = max_queued
+        self._max_wait_s = max_wait_s
         self._clock = clock
         self._lock = threading.Lock()
-        self._admission = admission.Admission(slots, bounds, clock())
+        self._admission = admission.Admission(slots, self._bounds(slots), clock())
 
     def enter(
         self,
@@ -94,6 +93,11 @@
         with self._lock:
             return self._admission.load(self._clock())
 
+    def set_slots(self, slots: int, now: float) -> None:
+        """Change the slots, as a newly accepted set says."""
+        with self._lock:
+            self._admission.set_slots(slots, self._bounds(slots), now)
+
     def start_draining(self) -> None:
         """Refuse new calls as ``leaving``; queued and running calls finish."""
         with self._lock:
@@ -104,6 +108,10 @@
         load = self.load()
         return load.running == 0 and load.queued == 0
 
+    def _bounds(self, slots: int) -> admission.Bounds:
+        max_queued = 2 * slots if self._max_queued is None else self._max_queued
+        return admission.Bounds(max_queued, self._max_wait_s)
+
     def _wait(self, waiter: queue.Waiter, now: float) -> Result[Ticket, errors.Failure]:
         assert waiter.wake is not None
         waiter.wake.wait(max(0.0, self._admission.wait_bound(waiter) - now))
--- a/src/snipelink/admission/limit.py
+++ b/src/snipelink/admission/limit.py
@@ -115,6 +115,14 @@
         """Return the number of calls that may run at once."""
         return int(self._value)
 
+    def set_slots(self, slots: int) -> None:
+        """Change the upper bound; the limit starts again from it."""
+        if slots != self._slots:
+            self._slots = slots
+            self._min = max(1.0, slots * MIN_LIMIT_RATIO)
+            self._value = float(slots)
+            self._before_trial = 0.0
+
     def service_s(self, operation: str) -> float:
         """Return the mean service time of an operation; 0 when unknown."""
         latency = self._latencies_by_operation.get(operation)
--- a/src/snipelink/balance/tracker.py
+++ b/src/snipelink/balance/tracker.py
@@ -118,6 +118,9 @@
             elif kind in FAILURES:
                 if failure.crashed:
                     subject.failure_share = 1.0
+                elif kind is errors.Kind.UNREACHABLE:
+                    # A refused connection says more than an error of one call.
+                    subject.record_outcome(True)
                 self._record_outcome(subject, attempt, True, now)
             elif kind is errors.Kind.DEADLINE_UNKNOWN:
                 self._record_time_out(subject, attempt, now)
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -1,4 +1,4 @@
-"""Budget for further attempts, relative to answered first attempts."""
+"""Budget for further attempts, relative to answered calls."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class Budget:
-    """Allows further attempts in proportion to answered first attempts.
+    """Allows further attempts in proportion to answered calls.
 
     A deposit can be spent for 10 s, so nothing accumulates over a pause. One attempt is
     kept beyond that, because a service that is rarely called would otherwise never earn
@@ -31,7 +31,7 @@
         self._sum = 0.0
 
     def deposit(self, now: float) -> None:
-        """Record a first attempt that was answered."""
+        """Record a call that was answered, whichever attempt was."""
         with self._lock:
             batches = self._batches
             if batches and now - batches[-1][0] < BATCH_S:
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -186,3 +186,13 @@
 ) -> None:
     """Guards against a weight that does not count."""
     assert queue.share_of(share) == expected
+
+
+def test_published_slots_take_effect_on_waiters() -> None:
+    """Guards against slots that change only when the node restarts."""
+    gate = make_admission(1, 10)
+    gate.offer(make_call(READ, 9.0), 0.0).unwrap()
+    waiter = gate.offer(make_call(READ, 9.0), 0.0).unwrap()
+    gate.set_slots(2, admission.Bounds(4), 0.01)
+    assert waiter.admitted
+    assert gate.load(0.01).limit == 2
