--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -14,6 +14,7 @@
 import time
 
 import urllib3
+import zmq.auth
 
 from snipelink import model
 from snipelink.objects import documents
@@ -186,11 +187,20 @@
             "endpoint": endpoint.address,
             "platform_urls": [f"http://{self.platform_address}"],
         }
+        values |= self._control_settings()
         values |= self.settings_by_server.get(endpoint.name, {})
         path = pathlib.Path(self.directory.name) / f"{endpoint.name}.json"
         path.write_text(json.dumps(values))
         server.node_process = self.spawn("snipelink.cli.node", str(path))
 
+    def _control_settings(self) -> dict[str, object]:
+        directory = pathlib.Path(self.directory.name)
+        key = directory / "control.key_secret"
+        if not key.exists():
+            zmq.auth.create_certificates(directory, "control")
+        addresses = [s.endpoint.control_address for s in self.servers_by_name.values()]
+        return {"control_key_files": [str(key)], "control_seeds": addresses[:3]}
+
     def object_set(self) -> model.ObjectSet:
         """Return the set that describes the servers as they are planned now."""
         services = {}
--- a/src/snipelink/cli/check.py
+++ b/src/snipelink/cli/check.py
@@ -80,3 +80,7 @@
     errors = len(problems) - warnings
     print(f"{errors} errors, {warnings} warnings", file=sys.stderr)
     return checks.has_errors(problems)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/snipelink/cli/inspect.py
+++ b/src/snipelink/cli/inspect.py
@@ -141,3 +141,7 @@
     columns = ("start_unix_s", "duration_ms", "service", "operation", "error_kind")
     row = {name: span[name] for name in columns}
     return row | {"trace_id": span["trace_id"], "steps (ms)": "; ".join(steps)}
+
+
+if __name__ == "__main__":
+    run()
