--- a/src/snipelink/observe/metrics.py
+++ b/src/snipelink/observe/metrics.py
@@ -6,7 +6,7 @@
 import dataclasses
 import itertools
 import threading
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Container, Iterator, Mapping
 
 import hdrh.histogram
 
@@ -62,6 +62,15 @@
         with self._lock:
             return dict(self._values)
 
+    def retain(self, names: Container[str]) -> None:
+        """Drop the series whose first label value is none of the names."""
+        with self._lock:
+            self._values = {
+                labels: value
+                for labels, value in self._values.items()
+                if labels[0] == OTHER or labels[0] in names
+            }
+
     def _admit(self, label_values: Labels) -> Labels:
         if len(label_values) != len(self.labels):
             raise ValueError(f"{self.name}: expected values for {self.labels}")
@@ -155,6 +164,15 @@
             histograms = dict(self._histograms)
         return {value: histograms[value].read() for value in sorted(histograms)}
 
+    def retain(self, names: Container[str]) -> None:
+        """Drop the series whose label value is none of the names."""
+        with self._lock:
+            self._histograms = {
+                value: histogram
+                for value, histogram in self._histograms.items()
+                if value == OTHER or value in names
+            }
+
     def _admit(self, label_value: str) -> _Histogram:
         with self._lock:
             if len(self._histograms) >= self._max_series:
@@ -214,6 +232,17 @@
         if kind is not None:
             self._attempt_failures.increment(endpoint, kind.value)
 
+    def retain(self, services: Container[str], endpoints: Container[str]) -> None:
+        """Drop the series of services and endpoints that the set no longer has.
+
+        Without this, replaced endpoints would use up the allowed series within days,
+        and every newer one would be recorded as ``other``.
+        """
+        self._calls.retain(services)
+        self._call_failures.retain(services)
+        self._attempts.retain(endpoints)
+        self._attempt_failures.retain(endpoints)
+
     def counter(self, name: str, help_text: str, labels: Labels = ()) -> Counter:
         """Return the counter of a name; it is created on first use."""
         with self._lock:
--- a/tests/observe/test_metrics.py
+++ b/tests/observe/test_metrics.py
@@ -104,3 +104,18 @@
     assert rota["count"] == 100
     assert rota["p50_ms"] == pytest.approx(50, rel=0.02)
     assert summary["counters"] == {'retries_total{service="rota"}': 1}
+
+
+def test_series_of_replaced_endpoints_make_room() -> None:
+    """Guards against a long-lived node that records new endpoints as one."""
+    registry = metrics.Metrics()
+    for number in range(1000):
+        name = f"rota-{number}"
+        registry.retain({"rota"}, {name})
+        registry.record_call("rota", 0.01)
+        registry.record_attempt(name, 0.01, errors.Kind.UNREACHABLE)
+    summary = registry.summary()
+    assert list(summary["attempts_by_endpoint"]) == ["rota-999"]  # type: ignore[call-overload]
+    assert summary["calls_by_service"]["rota"]["count"] == 1000  # type: ignore[index]
+    assert 'endpoint="rota-999",kind="unreachable"} 1' in registry.exposition()
+    assert "rota-998" not in registry.exposition()
