Report one message for a service that is declared twice

Cause: the check for rules without an operation looked only at the last declaration of a service, and added an error to the duplicate name. It takes the operations of all declarations now.

The planted errors of the test are a table of one line each, and each is also planted alone. A further test replaces parts of a valid directory by any JSON value: it must be reported, or give documents that decode.

--- a/src/snipelink/objects/checks.py
+++ b/src/snipelink/objects/checks.py
@@ -190,9 +190,16 @@
 
 
 def _find_rules_that_never_match(objects: reading.Objects) -> Iterator[jsonc.Problem]:
-    operations_by_service = {
-        item.name: (item, operations) for item, operations in objects.services
-    }
+    templates_by_service: dict[str, list[templates.Template]] = {}
+    services_in_doubt = {item.name for item, _ in objects.services if not item.valid}
+    for service, operations in objects.services:
+        found = templates_by_service.setdefault(service.name, [])
+        for operation in operations.values():
+            parsed = templates.parse(operation.path)
+            if isinstance(parsed, result.Err):
+                services_in_doubt.add(service.name)
+            else:
+                found.append(parsed.ok_value)
     earlier: list[tuple[reading.Item, model.Rule]] = []
     for item, rule in objects.rules:
         prefix = templates.parse_prefix(rule.path_prefix)
@@ -209,12 +216,10 @@
                 )
                 break
         earlier.append((item, rule))
-        if rule.service not in operations_by_service:
-            continue
-        service, operations = operations_by_service[rule.service]
-        parsed = [templates.parse(operation.path) for operation in operations.values()]
-        if service.valid and not any(
-            found.is_err() or found.unwrap().overlaps(prefix) for found in parsed
+        if (
+            rule.service in templates_by_service
+            and rule.service not in services_in_doubt
+            and not any(t.overlaps(prefix) for t in templates_by_service[rule.service])
         ):
             yield item.problem(
                 ("path_prefix",),
--- a/tests/objects/files.py
+++ b/tests/objects/files.py
@@ -50,7 +50,7 @@
     "endpoints/rota.json": {
         "endpoints": [
             _endpoint("rota", 1, 9100, endpoint_sets=["blue"]),
-            _endpoint("rota", 2, 9200),
+            _endpoint("rota", 2, 9200, failure_domain="domain-1"),
             _endpoint("rota", 3, 9300, state="leaving"),
         ]
     },
--- a/tests/objects/test_checks.py
+++ b/tests/objects/test_checks.py
@@ -1,19 +1,18 @@
 from __future__ import annotations
 
+import json
 import pathlib
 import tempfile
-from collections.abc import Callable
+from typing import Any
 
 import hypothesis
 import hypothesis.strategies as st
 import pytest
 
 from snipelink import jsonc
-from snipelink.objects import checks, documents, reading
+from snipelink.objects import changes, checks, documents, reading
 from tests.objects import files
 
-Plant = Callable[[files.Files], object]
-
 
 def _services(f: files.Files) -> list[dict]:
     return f["services.json"]["services"]
@@ -39,123 +38,45 @@
     return {"name": "added", "method": method, "path": path, "idempotent": True}
 
 
-# Each plants one error; none hides another.
-PLANTS: list[tuple[Plant, str, str, str]] = [
-    (lambda f: f["set.json"].update(revision=0), "set.json", "", "revision"),
-    (lambda f: f["set.json"]["budgets"].update(x=1), "set.json", "", "budgets.x"),
-    (
-        lambda f: _operations(f)[0].update(weight=101),
-        "services.json",
-        "service rota",
-        "operations[0].weight",
-    ),
-    (
-        lambda f: _operations(f)[1].update(deadline_ms=0),
-        "services.json",
-        "service rota",
-        "operations[1].deadline_ms",
-    ),
-    (
-        lambda f: _operations(f)[0].update(path="/shifts/{"),
-        "services.json",
-        "service rota",
-        "operations[0].path",
-    ),
-    (
-        lambda f: _services(f)[1]["operations"].append(
-            _operation("/other") | {"name": "read"}
-        ),
-        "services.json",
-        "service archive",
-        "operations[1].name",
-    ),
-    (
-        lambda f: f.update({"twice.json": {"services": [_services(files.FILES)[1]]}}),
-        "twice.json",
-        "service archive",
-        "name",
-    ),
-    (
-        lambda f: _services(f).append(
-            {"name": "new", "operations": [_operation("/new")]}
-        ),
-        "services.json",
-        "service new",
-        "name",
-    ),
-    (
-        lambda f: _rota(f)[0].update(address="localhost:80"),
-        "endpoints/rota.json",
-        "endpoint rota-1",
-        "address",
-    ),
-    (
-        lambda f: _rota(f)[1].update(call_address="rota-2:9201"),
-        "endpoints/rota.json",
-        "endpoint rota-2",
-        "call_address",
-    ),
-    (
-        lambda f: _rota(f)[2].update(slots="10"),
-        "endpoints/rota.json",
-        "endpoint rota-3",
-        "slots",
-    ),
-    (
-        lambda f: _rota(f)[2].update(unknown=1),
-        "endpoints/rota.json",
-        "endpoint rota-3",
-        "unknown",
-    ),
-    (
-        lambda f: _archive(f)[0].update(call_address="127.0.0.1:9400"),
-        "endpoints/archive.json",
-        "endpoint archive-1",
-        "call_address",
-    ),
-    (
-        lambda f: _rota(f)[1].update(failure_domain="domain-1", region="south"),
-        "endpoints/rota.json",
-        "endpoint rota-2",
-        "region",
-    ),
-    (
-        lambda f: _rules(f).append({"name": "r", "service": "nosuch", "host": "h"}),
-        "rules.json",
-        "rule r",
-        "service",
-    ),
-    (
-        lambda f: _rules(f).append(
-            {"name": "s", "service": "archive", "endpoint_set": "blue", "caller": "c"}
-        ),
-        "rules.json",
-        "rule s",
-        "endpoint_set",
-    ),
-    (
-        lambda f: _rules(f).append(
-            {"name": "t", "service": "archive", "path_prefix": "/archive/x"}
-        ),
-        "rules.json",
-        "rule t",
-        "",
-    ),
-    (
-        lambda f: _rules(f).append(
-            {"name": "u", "service": "archive", "path_prefix": "/elsewhere"}
-        ),
-        "rules.json",
-        "rule u",
-        "path_prefix",
-    ),
-    (
-        lambda f: _rules(f).append({"name": "v", "service": "rota", "host": "A:80"}),
-        "rules.json",
-        "rule v",
-        "host",
-    ),
-]
+# One error a line: file | path of the changed value, "+" appends | value | object
+# concerned | field concerned. No error hides another one.
+OPERATION = '{"name": "added", "method": "GET", "path": "/new", "idempotent": true}'
+PLANTS = """
+set.json | revision | 0 | | revision
+set.json | budgets.x | 1 | | budgets.x
+services.json | services.0.operations.0.weight | 101 | service rota | operations[0].weight
+services.json | services.0.operations.1.deadline_ms | 0 | service rota | operations[1].deadline_ms
+services.json | services.0.operations.0.path | "/shifts/{" | service rota | operations[0].path
+services.json | services.0.operations.2.name | "find" | service rota | operations[2].name
+services.json | services.+ | {"name": "new", "operations": [OPERATION]} | service new | name
+twice.json | services | [{"name": "archive", "operations": [OPERATION]}] | service archive | name
+endpoints/rota.json | endpoints.0.address | "localhost:80" | endpoint rota-1 | address
+endpoints/rota.json | endpoints.1.call_address | "rota-2:9201" | endpoint rota-2 | call_address
+endpoints/rota.json | endpoints.1.region | "south" | endpoint rota-2 | region
+endpoints/rota.json | endpoints.2.slots | "10" | endpoint rota-3 | slots
+endpoints/rota.json | endpoints.2.unknown | 1 | endpoint rota-3 | unknown
+rules.json | rules.1.name | "blue" | rule blue | name
+endpoints/archive.json | endpoints.0.call_address | "127.0.0.1:9400" | endpoint archive-1 | call_address
+rules.json | rules.+ | {"name": "r", "service": "nosuch", "host": "h"} | rule r | service
+rules.json | rules.+ | {"name": "s", "service": "archive", "endpoint_set": "blue", "caller": "c"} | rule s | endpoint_set
+rules.json | rules.+ | {"name": "t", "service": "rota", "path_prefix": "/shifts/x"} | rule t |
+rules.json | rules.+ | {"name": "u", "service": "archive", "path_prefix": "/no"} | rule u | path_prefix
+rules.json | rules.+ | {"name": "v", "service": "rota", "host": "A:80"} | rule v | host
+""".strip().splitlines()  # noqa: E501
+
+
+def _plant(content: files.Files, line: str) -> tuple[str, ...]:
+    file, path, value, *concerned = (part.strip() for part in line.split("|"))
+    *parents, last = path.split(".")
+    container: Any = content.setdefault(file, {})
+    for part in parents:
+        container = container[int(part) if part.isdigit() else part]
+    planted = json.loads(value.replace("OPERATION", OPERATION))
+    if last == "+":
+        container.append(planted)
+    else:
+        container[last] = planted
+    return file, *concerned
 
 
 def _check(content: files.Files) -> list[jsonc.Problem]:
@@ -188,21 +109,26 @@
     assert documents.decode(rendered["manifest"], rendered).is_ok()
 
 
-@hypothesis.given(st.sets(st.sampled_from(range(len(PLANTS))), min_size=1))
-def test_every_planted_error_is_reported_in_one_run(chosen: set[int]) -> None:
+@hypothesis.given(st.sets(st.sampled_from(PLANTS), min_size=1))
+def test_every_planted_error_is_reported_in_one_run(chosen: set[str]) -> None:
     """Guards against an error that is hidden by another one."""
     content = files.copy_files()
-    expected = []
-    for index in sorted(chosen):
-        plant, *place = PLANTS[index]
-        plant(content)
-        expected.append(tuple(place))
+    expected = [_plant(content, line) for line in PLANTS if line in chosen]
     problems = _check(content)
     found = [(problem.file, problem.object, problem.field) for problem in problems]
     assert sorted(found) == sorted(expected)
     assert all(problem.line > 1 for problem in problems)
 
 
+@pytest.mark.parametrize("line", PLANTS)
+def test_planted_error_is_reported(line: str) -> None:
+    """Guards against a check that works only together with others."""
+    content = files.copy_files()
+    expected = _plant(content, line)
+    (problem,) = _check(content)
+    assert (problem.file, problem.object, problem.field) == expected
+
+
 @pytest.mark.parametrize(
     ("path", "method", "ambiguous"),
     [
@@ -266,3 +192,48 @@
     )
     (problem,) = _check(content)
     assert (problem.object, "1000000" in problem.expected) == ("service archive", True)
+
+
+ANYTHING = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False)
+    # Text is stored as UTF-8, which has no lone surrogates.
+    | st.text(st.characters(exclude_categories=["Cs"]), max_size=3),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(st.text("ab/{}", max_size=2), inner)
+    ),
+    max_leaves=5,
+)
+
+
+def _find_places(value: object) -> list[tuple[Any, Any]]:
+    """Return every container in a value with each of its keys."""
+    if isinstance(value, dict):
+        items = list(value.items())
+    elif isinstance(value, list):
+        items = list(enumerate(value))
+    else:
+        return []
+    return [(value, key) for key, _ in items] + [
+        place for _, item in items for place in _find_places(item)
+    ]
+
+
+@hypothesis.given(st.data())
+@hypothesis.settings(max_examples=300)
+def test_any_value_anywhere_is_reported_or_published(data: st.DataObject) -> None:
+    """Guards against a traceback, and against a set that nodes refuse later."""
+    content = files.copy_files()
+    for _ in range(data.draw(st.integers(1, 3))):
+        container, key = data.draw(st.sampled_from(_find_places(content)))
+        container[key] = data.draw(ANYTHING)
+    with tempfile.TemporaryDirectory() as directory:
+        objects = reading.read(files.write(pathlib.Path(directory), content))
+        changes.check_change(objects, objects)
+        if checks.has_errors(checks.check(objects)):
+            return
+    rendered = documents.render(reading.to_set(objects))
+    assert documents.decode(rendered["manifest"], rendered).is_ok()
