--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -11,10 +11,13 @@
 
 from snipelink import errors, model
 from snipelink.execute import endpoint_client, forward, local, routing, service
+from snipelink.observe import metrics, traces
 from snipelink.retry import policy as retries
+from snipelink.retry import suspects
 
 Cancelled = typing.Callable[[], bool]
 Outcome = Result[model.Answer, errors.Failure]
+IsLeaving = typing.Callable[[str, float], bool]
 NO_ENDPOINT_RETRY_AFTER_S = 1.0
 
 
@@ -31,6 +34,12 @@
         Runs calls on the own endpoint.
     forwarder : Forwarder
         Runs calls on endpoints with a node.
+    recorded : Metrics
+        Receives the latency and error kind of each attempt.
+    table : SuspectTable
+        Crash suspects; calls that are contained are refused.
+    is_leaving : callable
+        Tells whether the node beside an endpoint leaves at a time.
     """
 
     def __init__(
@@ -39,11 +48,17 @@
         services: service.Services,
         runner: local.LocalRunner,
         forwarder: forward.Forwarder,
+        recorded: metrics.Metrics,
+        table: suspects.SuspectTable,
+        is_leaving: IsLeaving,
     ) -> None:
         self._node = node
         self._services = services
         self._runner = runner
         self._forwarder = forwarder
+        self._metrics = recorded
+        self._suspects = table
+        self._is_leaving = is_leaving
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
 
@@ -52,10 +67,14 @@
         call: model.Call,
         objects: model.ObjectSet,
         route: routing.Route,
+        span: traces.Span,
         now: float,
         cancelled: Cancelled,
     ) -> Outcome:
         """Run a call until it is answered or given up on."""
+        contained = self._suspects.check(call, now)
+        if contained is not None:
+            return Err(contained)
         state = self._services.get(objects, route.service, now)
         failed: list[str] = []
         outcome: Outcome = _no_endpoint()
@@ -63,7 +82,7 @@
             endpoint = self._choose(state, call, failed, now)
             if endpoint is None:
                 return outcome
-            outcome = self._attempt(state, call, endpoint, now, cancelled)
+            outcome = self._attempt(state, call, endpoint, span, now, cancelled)
             now = time.monotonic()
             if isinstance(outcome, Ok):
                 state.retries.deposit(now)
@@ -77,6 +96,7 @@
             outcome = Err(decision.failure)
             if decision.action is not retries.Action.RETRY:
                 return outcome
+            span.add(traces.Step.RETRIED, now, endpoint.name, failure.kind.value)
             call.attempt += 1
 
     def _choose(
@@ -86,11 +106,13 @@
         failed: list[str],
         now: float,
     ) -> model.Endpoint | None:
+        candidates = state.candidates(call.endpoint_set)
+        leaving = [e.name for e in candidates if self._is_leaving(e.name, now)]
         return state.policy.choose(
-            state.candidates(call.endpoint_set),
+            candidates,
             now,
             self._services.rng,
-            exclude=failed,
+            exclude=failed + leaving,
             idempotent=call.operation.idempotent,
         )
 
@@ -99,6 +121,7 @@
         state: service.ServiceState,
         call: model.Call,
         endpoint: model.Endpoint,
+        span: traces.Span,
         now: float,
         cancelled: Cancelled,
     ) -> Outcome:
@@ -107,8 +130,10 @@
         if cancelled():
             return _fail(errors.Kind.CANCELLED)
         attempt = state.tracker.on_start(endpoint, call.operation.name, now)
-        outcome = self._send(call, endpoint, now, cancelled)
+        outcome = self._send(call, endpoint, span, now, cancelled)
         ended = time.monotonic()
+        kind = None if isinstance(outcome, Ok) else outcome.err_value.kind
+        self._metrics.record_attempt(endpoint.name, ended - now, kind)
         if isinstance(outcome, Ok):
             answer = outcome.ok_value
             retry_after_s = _retry_after_s(answer) if answer.status == 503 else 0.0
@@ -123,15 +148,17 @@
         self,
         call: model.Call,
         endpoint: model.Endpoint,
+        span: traces.Span,
         now: float,
         cancelled: Cancelled,
     ) -> Outcome:
         if endpoint.name == self._node:
-            outcome = self._runner.run(call, now, cancelled)
+            outcome = self._runner.run(call, span, now, cancelled)
             if isinstance(outcome, Ok):
                 answer = outcome.ok_value
                 return Ok(dataclasses.replace(answer, load=self._runner.load()))
             return outcome
+        span.add(traces.Step.FORWARDED, now, endpoint.name)
         if endpoint.call_address:
             return self._forwarder.forward(call, endpoint)
         return local.send(self._client(endpoint), call, endpoint.name)
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -6,11 +6,10 @@
 import random
 import threading
 import time
-import uuid
 
 from snipelink import settings
-from snipelink.config import poll
 from snipelink.execute import (
+    control,
     endpoint_client,
     entry,
     executor,
@@ -18,8 +17,12 @@
     local,
     pauses,
     policies,
+    probe,
     service,
+    status,
 )
+from snipelink.observe import admin, metrics, traces
+from snipelink.retry import suspects
 from snipelink.session import call, caller, frames
 
 logger = logging.getLogger(__name__)
@@ -37,31 +40,51 @@
 
     def __init__(self, values: settings.Settings) -> None:
         self._values = values
-        self.incarnation = uuid.uuid4().hex
         max_frame_bytes = values.max_body_bytes + frames.MESSAGE_OVERHEAD_BYTES
-        self._reader = poll.PollingReader(
-            values.platform_urls, values.platform_timeout_s
-        )
         self._pauses = pauses.PauseDetector(time.monotonic())
+        rng = random.Random()
+        self._metrics = metrics.Metrics()
+        tracer = traces.Tracer(values.node, rng)
+        self._suspects = suspects.SuspectTable()
+        self._control = control.Control(values, self._pauses, self._suspects, rng)
+        self.incarnation = self._control.incarnation
         self._forwarder = forward.Forwarder(
             values.node, self.incarnation, max_frame_bytes
         )
+        own_client = endpoint_client.EndpointClient(values.endpoint, values.node)
         self._runner = local.LocalRunner(
             values.node,
-            self._reader.in_force,
-            endpoint_client.EndpointClient(values.endpoint, values.node),
+            self._control.in_force,
+            own_client,
             values.endpoint,
             self._pauses,
+            tracer,
+            self._suspects,
+        )
+        self._prober = probe.Prober(
+            values.node,
+            values.endpoint_health_path,
+            self._runner.budgets,
+            own_client,
+            self._runner,
+            time.monotonic(),
         )
         self._services = service.Services(
             policies.makers_by_name()[values.balance_policy],
             (values.failure_domain, values.region),
-            random.Random(),
+            rng,
         )
         calls = executor.Executor(
-            values.node, self._services, self._runner, self._forwarder
+            values.node,
+            self._services,
+            self._runner,
+            self._forwarder,
+            self._metrics,
+            self._suspects,
+            self._control.is_leaving,
         )
-        self._entry = entry.Entry(self._reader.in_force, calls)
+        self._entry = entry.Entry(self._control.in_force, calls, tracer, self._metrics)
+        self._admin = self._make_admin(tracer) if values.admin_listen else None
         self._call_server = call.CallServer(
             parse_address(values.call_listen),
             values.node,
@@ -77,10 +100,34 @@
             entry.failure_response,
         )
 
+    def _make_admin(self, tracer: traces.Tracer) -> admin.AdminServer:
+        values = self._values
+        identity = {
+            "node": values.node,
+            "incarnation": self.incarnation,
+            "failure_domain": values.failure_domain,
+            "region": values.region,
+        }
+        shown = status.Status(
+            identity,
+            self._control,
+            self._services,
+            self._runner,
+            self._metrics,
+        )
+        providers = admin.Providers(
+            self._metrics.exposition, shown.state, tracer.recent, shown.explain
+        )
+        return admin.AdminServer(parse_address(values.admin_listen or ""), providers)
+
     def start(self) -> None:
         """Start serving."""
+        if self._admin is not None:
+            self._admin.start()
         self._pauses.start()
-        self._reader.start()
+        if self._values.endpoint_health_path:
+            self._prober.start()
+        self._control.start(self._runner, self._services)
         self._call_server.start()
         self._caller_server.start_serving()
         logger.info("node %s started", self._values.node)
@@ -98,7 +145,9 @@
         status : int
             0 if no call was cut off, else 1.
         """
+        self._control.set_leaving()
         self._runner.start_draining()
+        self._prober.stop()
         self._call_server.stop()
         self._caller_server.stop_accepting()
         deadline = time.monotonic() + self._values.grace_s
@@ -107,6 +156,7 @@
         left = self._busy()
         if left:
             logger.error("stopped with %d calls in flight", left)
+        self._control.stop()
         logger.info("node %s stopped", self._values.node)
         return 1 if left else 0
 
