--- a/src/snipelink/config/reader.py
+++ b/src/snipelink/config/reader.py
@@ -206,14 +206,20 @@
         if encoding not in ("identity", "gzip"):
             return result.Err(ReadFailure.INVALID)
         inflate = zlib.decompressobj(wbits=31) if encoding == "gzip" else None
+        length = response.headers.get("Content-Length", "")
+        if not length.isdecimal() or int(length) > max_bytes:
+            return result.Err(ReadFailure.INVALID)
+        unread = int(length)
         content = bytearray()
         try:
-            while True:
-                if not self._wait_to_spend(BLOCK_BYTES, self._timeout_s * 10):
+            while unread > 0:
+                size = min(BLOCK_BYTES, unread)
+                if not self._wait_to_spend(size, self._timeout_s * 10):
                     return result.Err(ReadFailure.BUDGET)
-                block = response.read(BLOCK_BYTES, decode_content=False)
+                block = response.read(size, decode_content=False)
                 if not block:
-                    break
+                    return result.Err(ReadFailure.UNREACHABLE)
+                unread -= len(block)
                 room = max_bytes + 1 - len(content)
                 content += inflate.decompress(block, room) if inflate else block
                 if len(content) > max_bytes:
--- a/src/snipelink/config/watcher.py
+++ b/src/snipelink/config/watcher.py
@@ -22,14 +22,20 @@
 # Also the longest time between two confirmations of a watching node.
 WATCH_S = 2.5
 STEP_S = 0.25
-# Documents that a watching node reads itself at once; more are left to peers first.
+# Documents that a running node reads itself at once. More of them, and all of a first
+# set, are left to peers first: nodes that start together would exceed the rate limit.
 FEW_DOCUMENTS = 8
-PEER_PATIENCE_S = 2.0
+SHORTEST_PEER_PATIENCE_S = 1.0
+LONGEST_PEER_PATIENCE_S = 3.0
 
 
 class Situation(Protocol):
     """What the thread needs to know of the node's exchange."""
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether this node has no peers to read from."""
+
     @property
     def is_watching(self) -> bool:
         """Whether this node holds a watch."""
@@ -131,7 +137,7 @@
         self._stopped = threading.Event()
         self._platform_revision = 0
         self._collecting: assembly.Assembly | None = None
-        self._collecting_since = 0.0
+        self._peers_until = 0.0
         now = time.monotonic()
         self._plan = Plan(now + rng.uniform(0.0, 0.5), now + rng.uniform(0.0, 1.0))
         self._thread = threading.Thread(
@@ -183,8 +189,7 @@
         """Whether documents that peers did not supply must be read now."""
         if self._store.claim().revision <= self._store.revision():
             return False
-        waiting = self._collecting is not None
-        late = waiting and now - self._collecting_since > PEER_PATIENCE_S
+        late = self._collecting is not None and now >= self._peers_until
         return late or self._wants_platform()
 
     def _read(self) -> None:
@@ -264,12 +269,12 @@
         if same and self._collecting is not None:
             collected.documents_by_key.update(self._collecting.documents_by_key)
         else:
-            self._collecting_since = now
+            self._peers_until = now + self._rng.uniform(
+                SHORTEST_PEER_PATIENCE_S, LONGEST_PEER_PATIENCE_S
+            )
         self._collecting = collected
-        late = now - self._collecting_since > PEER_PATIENCE_S
         while missing := collected.missing():
-            few = len(missing) <= FEW_DOCUMENTS
-            if not (few or late or self._wants_platform()):
+            if not self._may_read_documents(len(missing), now):
                 return False
             answer = self._reader.read(missing[0])
             if isinstance(answer, result.Err):
@@ -285,6 +290,11 @@
                 return False
         return True
 
+    def _may_read_documents(self, missing: int, now: float) -> bool:
+        few = self._store.revision() > 0 and missing <= FEW_DOCUMENTS
+        late = now >= self._peers_until or self._situation.is_alone
+        return few or late or self._wants_platform()
+
     def _succeed(self, now: float) -> None:
         plan = self._plan
         plan.failures = 0
--- a/src/snipelink/gossip/agent.py
+++ b/src/snipelink/gossip/agent.py
@@ -81,8 +81,8 @@
             settings.control_seeds,
             now,
             rng,
+            self._transport is None,
         )
-        self.exchange.is_alone = self._transport is None
         client = reader.Reader(
             settings.node,
             settings.platform_urls,
--- a/src/snipelink/gossip/exchange.py
+++ b/src/snipelink/gossip/exchange.py
@@ -116,6 +116,8 @@
         Start, monotonic seconds.
     rng : random.Random
         Randomness of all choices.
+    is_alone : bool
+        Whether the node has no control port.
     """
 
     def __init__(
@@ -128,10 +130,11 @@
         seeds: Sequence[str],
         now: float,
         rng: random.Random,
+        is_alone: bool = False,
     ) -> None:
         self.counts_by_event: collections.Counter[str] = collections.Counter()
         self.ready = False
-        self.is_alone = False
+        self._is_alone = is_alone
         self.resumed_at = float("-inf")
         self.platform_reads = 0
         self.platform_revision = 0
@@ -170,10 +173,15 @@
             MAX_CRASH_SUSPECTS, CRASH_SUSPECT_S
         )
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether this node has no control port and therefore no peers."""
+        return self._is_alone
+
     @property
     def is_watching(self) -> bool:
         """Whether this node is one of those that watch the platform."""
-        return self.is_alone or self._table.own.name in self._watchers
+        return self._is_alone or self._table.own.name in self._watchers
 
     @property
     def domain_size(self) -> int:
--- a/src/snipelink/gossip/rumours.py
+++ b/src/snipelink/gossip/rumours.py
@@ -7,14 +7,16 @@
 from collections.abc import Hashable
 from typing import Generic, TypeVar
 
-SENDS_PER_LOG2 = 3
-
 Item = TypeVar("Item", bound=Hashable)
 
 
 def sends_for(members: int) -> int:
-    """Return how often a node forwards a record in a fleet of this size."""
-    return SENDS_PER_LOG2 * math.ceil(math.log2(members + 2))
+    """Return how often a node forwards a record in a fleet of this size.
+
+    Random forwarding reaches all of ``n`` nodes after about ``ln n`` sends by each; the
+    comparison of checksums finds the nodes that were missed.
+    """
+    return math.ceil(math.log2(members + 2))
 
 
 @dataclasses.dataclass(slots=True)
