Confirm only answers that are known to be recent and about the set in force

Cause: a watch that ended across a pause of the process counted as a fresh answer; a watch during the collection of a newer set confirmed the older one; a platform that is stale as a whole was read about every 0.6 s by each node. Change: an answer is as old as its question, a claim that is not in force prevents confirmations, and a stale answer is followed by two early retries only.

--- a/src/snipelink/config/store.py
+++ b/src/snipelink/config/store.py
@@ -99,6 +99,11 @@
         """Return the accepted set, or None before the first one."""
         return self._in_force
 
+    def objects(self) -> model.ObjectSet | None:
+        """Return the accepted objects, or None before the first set."""
+        accepted = self._in_force
+        return accepted.objects if accepted else None
+
     def revision(self) -> int:
         """Return the revision in force, 0 before the first one."""
         accepted = self._in_force
--- a/src/snipelink/config/watcher.py
+++ b/src/snipelink/config/watcher.py
@@ -27,6 +27,8 @@
 FEW_DOCUMENTS = 8
 SHORTEST_PEER_PATIENCE_S = 1.0
 LONGEST_PEER_PATIENCE_S = 3.0
+# A platform that is stale as a whole must not be read again and again by every node.
+STALE_RETRIES = 2
 
 
 class Situation(Protocol):
@@ -138,6 +140,7 @@
         self._platform_revision = 0
         self._collecting: assembly.Assembly | None = None
         self._peers_until = 0.0
+        self._stale_answers = 0
         now = time.monotonic()
         self._plan = Plan(now + rng.uniform(0.0, 0.5), now + rng.uniform(0.0, 1.0))
         self._thread = threading.Thread(
@@ -170,7 +173,7 @@
         if action is Action.WAIT:
             self._stopped.wait(STEP_S)
         elif action is Action.READ:
-            self._read()
+            self._read(now)
         elif action is Action.LIST:
             self._list()
         else:
@@ -192,7 +195,7 @@
         late = self._collecting is not None and now >= self._peers_until
         return late or self._wants_platform()
 
-    def _read(self) -> None:
+    def _read(self, asked_at: float) -> None:
         self.counts_by_event["reads"] += 1
         answer = self._reader.read(documents.MANIFEST_KEY)
         now = time.monotonic()
@@ -201,7 +204,7 @@
             self._fail(now)
             return
         self._succeed(now)
-        self._take(answer.ok_value)
+        self._take(answer.ok_value, asked_at)
 
     def _watch(self, now: float) -> None:
         self.counts_by_event["watches"] += 1
@@ -213,10 +216,12 @@
             self._fail(time.monotonic())
         elif answer.ok_value is None:
             self._plan.failures = 0
-            self._situation.confirm(self._store.revision(), time.monotonic())
+            if self._store.claim().revision <= self._store.revision():
+                answered_at = min(now + wait_s, time.monotonic())
+                self._situation.confirm(self._store.revision(), answered_at)
         else:
             self._succeed(time.monotonic())
-            self._take(answer.ok_value)
+            self._take(answer.ok_value, now)
 
     def _list(self) -> None:
         self.counts_by_event["lists"] += 1
@@ -232,8 +237,12 @@
         self._plan.list_at = now + pacing.list_delay(listed.size_bytes, self._rng)
         self._on_list(listed, now)
 
-    def _take(self, reading: reader.Reading) -> None:
-        """Collect the set of a manifest and offer it."""
+    def _take(self, reading: reader.Reading, asked_at: float) -> None:
+        """Collect the set of a manifest and offer it.
+
+        The platform's answer is as old as the question: a pause of this process may
+        lie between the two.
+        """
         now = time.monotonic()
         origin = source.platform(reading.url)
         started = self._store.assemble(reading.content)
@@ -243,9 +252,9 @@
             return
         collected = started.ok_value
         if collected.revision < self._store.revision():
-            self.counts_by_event["stale-replica"] += 1
-            self._plan.read_at = now + pacing.retry_delay(1, self._rng)
+            self._note_stale(now)
             return
+        self._stale_answers = 0
         self._platform_revision = max(self._platform_revision, reading.revision)
         if collected.revision > self._store.revision():
             self._store.learn(collected.revision, collected.set_digest, origin, now)
@@ -254,11 +263,19 @@
         accepted = self._store.accept(collected, origin, time.monotonic())
         self._collecting = None
         if isinstance(accepted, result.Ok):
-            self._situation.confirm(collected.revision, time.monotonic())
+            self._situation.confirm(collected.revision, asked_at)
             self._wake()
         else:
             self._store.drop_claim(collected.revision)
-            self._situation.confirm(self._store.revision(), time.monotonic())
+            self._situation.confirm(self._store.revision(), asked_at)
+
+    def _note_stale(self, now: float) -> None:
+        """Try other replicas soon, but only a few times."""
+        self.counts_by_event["stale-replica"] += 1
+        self._stale_answers += 1
+        if self._stale_answers <= STALE_RETRIES:
+            delay = pacing.retry_delay(self._stale_answers, self._rng)
+            self._plan.read_at = now + delay
 
     def _collect(self, collected: assembly.Assembly, now: float) -> bool:
         """Read missing documents; False when they are left to peers or failed."""
