--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -192,7 +192,10 @@
             "endpoint": "127.0.0.1:1",
             "control_listen": f"127.0.0.1:{self._ports[index]}",
             "control_key_files": [key],
-            "control_seeds": [f"127.0.0.1:{p}" for p in self._ports[:6]],
+            "control_seeds": [
+                f"127.0.0.1:{port}"
+                for port in self._rng.sample(self._ports, min(6, len(self._ports)))
+            ],
             "platform_urls": [self.platform.url],
             "log_level": "error",
         }
