Check callers' requests strictly and bound their memory and time

Cause: httptools lets through requests without Host or with two, targets in authority form, HTTP/0.9 and RTSP request lines, gzip codings, bodies on GET, unbounded trailers and chunk extensions, and paths that an endpoint reads in another way than a rule does. A slow sender was bounded per read only.

Change: a reader finds where each request ends, so the parser never sees a byte of the next request, and adds these rules. Paths are normalised (escapes of unreserved characters decoded) or refused (dot segments, empty segments, encoded slashes). Bodies in both directions are charged to one budget of the node. Sockets are non-blocking with a deadline over the whole request; a descriptor wakes idle threads when the node stops. A refused request is answered, the rest of its bytes is dropped and the connection closes. Headers that would split a message are refused on the way out. Via and Forwarded are appended.

--- a/src/snipelink/execute/endpoint_client.py
+++ b/src/snipelink/execute/endpoint_client.py
@@ -6,57 +6,143 @@
 import socket
 import threading
 import time
+import typing
 
 import httptools
 import urllib3.connection
 from result import Err, Ok, Result
 
 from snipelink import errors, model
-from snipelink.session import frames, http
+from snipelink.session import headers as header_rules
+from snipelink.session import http, memory, streams
 
 RECEIVE_BYTES = 65536
 MAX_IDLE_CONNECTIONS = 16
+# Common servers close idle connections after 5 s; a request that crosses such a
+# close could not be told from one that ran.
+MAX_IDLE_S = 4.0
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_HEAD_BYTES = 65536
+# Bytes of an answer beside its body: heads, chunk lines and trailers.
+MAX_ANSWER_FRAMING_BYTES = 262144
+
+
+class _Invalid(Exception):
+    """The answer breaks a rule; the connection cannot be used further."""
+
+    def __init__(self, kind: errors.Kind, detail: str) -> None:
+        super().__init__(detail)
+        self.kind = kind
+        self.detail = detail
 
 
 class _ResponseReader:
     """Collects one response from the parser's callbacks."""
 
-    def __init__(self, method: str) -> None:
+    def __init__(self, method: str, max_bytes: int, budget: memory.Budget) -> None:
         self.parser = httptools.HttpResponseParser(self)
-        self.method = method
+        self.status = 0
         self.headers: model.Headers = []
-        self.chunks: list[bytes] = []
-        self.size = 0
-        self.head_done = False
         self.done = False
-        self.framed = False
+        self.head_done = False
+        self.reusable = True
+        self.received = 0
+        self.surplus = False
+        self._method = method
+        self._max_bytes = max_bytes
+        self._budget = budget
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    @property
+    def body(self) -> bytes:
+        return b"".join(self._chunks)
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes; raises ``_Invalid``."""
+        self.received += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if isinstance(error.__context__, _Invalid):
+                raise error.__context__ from None
+            if not self.done:
+                raise _Invalid(errors.Kind.ANSWER_INVALID, str(error)) from None
+            self.surplus = True
+        if not self.head_done and self.received > MAX_ANSWER_HEAD_BYTES:
+            raise _Invalid(errors.Kind.ANSWER_INVALID, "answer head too large")
+        if self.received - self._size > MAX_ANSWER_FRAMING_BYTES:
+            raise _Invalid(errors.Kind.ANSWER_INVALID, "too much framing")
+
+    def on_message_begin(self) -> None:
+        if self.done:
+            self.surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        key = name.decode("latin-1").lower()
-        if key in ("content-length", "transfer-encoding"):
-            self.framed = True
-        self.headers.append((key, value.decode("latin-1")))
+        # Trailers are dropped; headers of a second message do not count.
+        if not self.head_done:
+            text = value.strip(b" \t").decode("latin-1")
+            self.headers.append((name.decode("latin-1").lower(), text))
 
     def on_headers_complete(self) -> None:
+        if self.head_done:
+            return
         status = self.parser.get_status_code()
-        if 100 <= status < 200:
+        if self.parser.get_http_version() not in ("1.1", "1.0"):
+            raise _Invalid(errors.Kind.ANSWER_INVALID, "HTTP version")
+        if 100 <= status < 200 and status != 101:
             return
+        if not 200 <= status <= 599:
+            raise _Invalid(errors.Kind.ANSWER_INVALID, f"status {status}")
+        self.status = status
+        self._check_framing()
         self.head_done = True
-        if http.has_no_body(self.method, status):
-            self.done = True
+        self.done = http.has_no_body(self._method, status)
 
     def on_body(self, data: bytes) -> None:
-        self.chunks.append(data)
-        self.size += len(data)
+        if self.done:
+            self.surplus = True
+            return
+        self._size += len(data)
+        if self._size > self._max_bytes:
+            raise _Invalid(errors.Kind.ANSWER_TOO_LARGE, "answer body too large")
+        if not self._budget.charge(len(data)):
+            raise _Invalid(errors.Kind.ANSWER_TOO_LARGE, "no memory for the answer")
+        self._chunks.append(data)
 
     def on_message_complete(self) -> None:
-        if not self.head_done:
+        if self.head_done:
+            self.done = True
+        else:
             self.headers.clear()
-            self.framed = False
+
+    def _check_framing(self) -> None:
+        lengths = [value for name, value in self.headers if name == "content-length"]
+        codings = [value for name, value in self.headers if name == "transfer-encoding"]
+        version = self.parser.get_http_version()
+        options = header_rules.connection_options(self.headers)
+        self.reusable = version == "1.1" and "close" not in options
+        if codings and (
+            version == "1.0" or [c.lower() for c in codings] != ["chunked"]
+        ):
+            raise _Invalid(errors.Kind.ANSWER_INVALID, "transfer coding")
+        if len(lengths) > 1 or (lengths and codings):
+            raise _Invalid(errors.Kind.ANSWER_INVALID, "more than one length")
+        if http.has_no_body(self._method, self.status):
             return
-        self.done = True
+        if not lengths and not codings:
+            # The end of the connection looks the same after a crash.
+            detail = "an answer without length cannot be known to be complete"
+            raise _Invalid(errors.Kind.ANSWER_INCOMPLETE, detail)
+        if lengths and int(lengths[0]) > self._max_bytes:
+            raise _Invalid(errors.Kind.ANSWER_TOO_LARGE, "answer body too large")
+
+
+class _Idle(typing.NamedTuple):
+    """A connection without a request, since a monotonic time in seconds."""
+
+    stream: streams.Stream
+    since: float
 
 
 class EndpointClient:
@@ -68,23 +154,32 @@
         IP:port of the endpoint.
     endpoint : str
         Name of the endpoint, for failures.
+    budget : memory.Budget
+        Charged for bodies of answers.
     """
 
-    def __init__(self, address: str, endpoint: str) -> None:
-        self._host, port = address.rsplit(":", 1)
+    def __init__(self, address: str, endpoint: str, budget: memory.Budget) -> None:
+        host, port = address.rsplit(":", 1)
+        self._host = host.strip("[]")
         self._port = int(port)
-        self._address = address
         self._endpoint = endpoint
-        self._idle: collections.deque[socket.socket] = collections.deque()
+        self._budget = budget
+        self._idle: collections.deque[_Idle] = collections.deque()
         self._lock = threading.Lock()
+        # Answers, or parts of them, that no request was waiting for.
+        self.unexpected_answers = 0
+
+    def for_address(self, address: str, endpoint: str) -> EndpointClient:
+        """Return a client of another endpoint with the same settings."""
+        return EndpointClient(address, endpoint, self._budget)
 
     def close(self) -> None:
         """Close the idle connections."""
         with self._lock:
-            connections = list(self._idle)
+            idle = list(self._idle)
             self._idle.clear()
-        for connection in connections:
-            connection.close()
+        for connection in idle:
+            connection.stream.close()
 
     def request(
         self,
@@ -104,41 +199,87 @@
         deadline : float
             Monotonic time in seconds.
         """
+        try:
+            payload = self._encode(method, target, headers, body)
+        except ValueError as error:
+            return self._fail(errors.Kind.BAD_REQUEST, str(error))
         acquired = self._acquire(deadline)
         if isinstance(acquired, Err):
             return acquired
-        connection = acquired.ok_value
-        payload = self._encode(method, target, headers, body)
-        try:
-            connection.settimeout(max(0.001, deadline - time.monotonic()))
-            connection.sendall(payload)
-        except OSError as error:
-            connection.close()
-            # A partly sent request may still be run by a lenient endpoint.
-            return self._fail(errors.Kind.CONNECTION_LOST, str(error))
-        return self._receive(connection, method, deadline, max_answer_bytes)
+        stream = acquired.ok_value
+        stream.deadline = deadline
+        reader = _ResponseReader(method, max_answer_bytes, self._budget)
+        outcome = self._exchange(stream, payload, reader)
+        if reader.surplus:
+            self._count_unexpected()
+        if isinstance(outcome, Ok) and reader.reusable and not reader.surplus:
+            self._release(stream)
+        else:
+            stream.close()
+        return outcome
 
     def _encode(
         self, method: str, target: str, headers: model.Headers, body: bytes
     ) -> bytes:
-        lines = [f"{method} {target} HTTP/1.1\r\n"]
-        lines += [f"{name}: {value}\r\n" for name, value in headers]
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers]
         if body or method in ("POST", "PUT", "PATCH"):
-            lines.append(f"content-length: {len(body)}\r\n")
-        lines.append("\r\n")
-        return "".join(lines).encode("latin-1") + body
+            lines.append(f"content-length: {len(body)}")
+        return http.encode_head(lines) + body
+
+    def _exchange(
+        self, stream: streams.Stream, payload: bytes, reader: _ResponseReader
+    ) -> Result[http.Response, errors.Failure]:
+        try:
+            if not self._send(stream, payload):
+                reader.reusable = False
+            while not reader.done:
+                data = stream.recv(RECEIVE_BYTES)
+                if not data:
+                    return self._ended(reader, "the endpoint closed the connection")
+                reader.feed(data)
+        except _Invalid as error:
+            return self._fail(error.kind, error.detail)
+        except TimeoutError:
+            return self._fail(errors.Kind.DEADLINE_UNKNOWN)
+        except OSError as error:
+            return self._ended(reader, str(error))
+        return Ok(http.Response(reader.status, reader.headers, reader.body))
 
-    def _acquire(self, deadline: float) -> Result[socket.socket, errors.Failure]:
+    def _send(self, stream: streams.Stream, payload: bytes) -> bool:
+        """Send the request; false if the endpoint answered or closed before its end."""
+        try:
+            return stream.send_until_readable(payload)
+        except TimeoutError:
+            raise
+        except OSError:
+            # An answer may wait although the endpoint reads no further.
+            return False
+
+    def _ended(self, reader: _ResponseReader, detail: str) -> Err[errors.Failure]:
+        # A request that was sent, even in part, may have run.
+        if reader.received == 0:
+            return self._fail(errors.Kind.CONNECTION_LOST, detail)
+        return self._fail(errors.Kind.ANSWER_INCOMPLETE, detail)
+
+    def _acquire(self, deadline: float) -> Result[streams.Stream, errors.Failure]:
         while True:
             with self._lock:
-                connection = self._idle.pop() if self._idle else None
-            if connection is None:
+                idle = self._idle.pop() if self._idle else None
+            if idle is None:
                 return self._connect(deadline)
-            if not frames.is_closed(connection):
-                return Ok(connection)
-            connection.close()
+            if time.monotonic() - idle.since < MAX_IDLE_S:
+                try:
+                    unread = idle.stream.recv_now(1)
+                except OSError:
+                    unread = b""
+                if unread is None:
+                    return Ok(idle.stream)
+                if unread:
+                    self._count_unexpected()
+            idle.stream.close()
 
-    def _connect(self, deadline: float) -> Result[socket.socket, errors.Failure]:
+    def _connect(self, deadline: float) -> Result[streams.Stream, errors.Failure]:
         timeout = min(CONNECT_TIMEOUT_S, max(0.001, deadline - time.monotonic()))
         opener = urllib3.connection.HTTPConnection(
             self._host, self._port, timeout=timeout
@@ -151,59 +292,18 @@
         if connection is None:
             return self._fail(errors.Kind.UNREACHABLE, "no connection")
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Ok(connection)
+        return Ok(streams.Stream(connection))
 
-    def _receive(
-        self,
-        connection: socket.socket,
-        method: str,
-        deadline: float,
-        max_answer_bytes: int,
-    ) -> Result[http.Response, errors.Failure]:
-        reader = _ResponseReader(method)
-        received = 0
-        try:
-            while not reader.done:
-                connection.settimeout(max(0.001, deadline - time.monotonic()))
-                data = connection.recv(RECEIVE_BYTES)
-                if not data:
-                    break
-                received += len(data)
-                reader.parser.feed_data(data)
-                if reader.size > max_answer_bytes:
-                    connection.close()
-                    return self._fail(errors.Kind.ANSWER_TOO_LARGE)
-                if not reader.head_done and received > MAX_ANSWER_HEAD_BYTES:
-                    connection.close()
-                    return self._fail(errors.Kind.ANSWER_INVALID, "head too large")
-        except TimeoutError:
-            connection.close()
-            return self._fail(errors.Kind.DEADLINE_UNKNOWN)
-        except httptools.HttpParserError as error:
-            connection.close()
-            return self._fail(errors.Kind.ANSWER_INVALID, str(error))
-        except OSError as error:
-            connection.close()
-            kind = errors.Kind.CONNECTION_LOST
-            if reader.head_done:
-                kind = errors.Kind.ANSWER_INCOMPLETE
-            return self._fail(kind, str(error))
-        if not reader.done:
-            connection.close()
-            if received == 0:
-                return self._fail(errors.Kind.CONNECTION_LOST, "closed before answer")
-            return self._fail(errors.Kind.ANSWER_INCOMPLETE, "closed inside answer")
-        status = reader.parser.get_status_code()
-        self._release(connection, reader)
-        return Ok(http.Response(status, reader.headers, b"".join(reader.chunks)))
-
-    def _release(self, connection: socket.socket, reader: _ResponseReader) -> None:
-        keep = reader.parser.should_keep_alive() or reader.method == "HEAD"
+    def _release(self, stream: streams.Stream) -> None:
         with self._lock:
-            if keep and len(self._idle) < MAX_IDLE_CONNECTIONS:
-                self._idle.append(connection)
+            if len(self._idle) < MAX_IDLE_CONNECTIONS:
+                self._idle.append(_Idle(stream, time.monotonic()))
                 return
-        connection.close()
+        stream.close()
+
+    def _count_unexpected(self) -> None:
+        with self._lock:
+            self.unexpected_answers += 1
 
     def _fail(self, kind: errors.Kind, detail: str = "") -> Err[errors.Failure]:
         return Err(errors.Failure(kind, detail, endpoint=self._endpoint))
--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -78,10 +78,10 @@
         objects = self._objects()
         if objects is None:
             return _fail(errors.Kind.NOT_READY, "no configuration is in force")
-        host = request.header("host").rsplit(":", 1)[0].lower()
-        path = request.target.split("?", 1)[0]
         caller = request.header("snipelink-caller")
-        routed = routing.route(objects, host, path, request.method, caller)
+        routed = routing.route(
+            objects, request.host, request.path, request.method, caller
+        )
         if isinstance(routed, Err):
             return routed
         route = routed.ok_value
@@ -182,7 +182,7 @@
         with self._lock:
             client = self._direct_clients_by_address.get(endpoint.address)
             if client is None:
-                client = endpoint_client.EndpointClient(endpoint.address, endpoint.name)
+                client = self._own_client.for_address(endpoint.address, endpoint.name)
                 self._direct_clients_by_address[endpoint.address] = client
         return self._request(client, call, endpoint.name)
 
@@ -194,7 +194,6 @@
             ("snipelink-deadline-ms", str(max(1, remaining_ms))),
             ("snipelink-depth", str(call.depth)),
             ("snipelink-call-id", call.call_id),
-            ("via", "1.1 snipelink"),
         ]
         if call.traceparent:
             sent.append(("traceparent", call.traceparent))
@@ -239,13 +238,17 @@
     if wanted.isascii() and wanted.isdigit():
         deadline_ms = min(deadline_ms, int(wanted))
     depth = request.header("snipelink-depth")
+    passed = headers.end_to_end(request.headers, headers.SET_BY_NODE)
+    passed += headers.forwarding(
+        request.headers, request.peer, request.host, request.secure
+    )
     return model.Call(
         call_id=call_id,
         service=route.service.name,
         operation=operation,
         method=request.method,
         target=request.target,
-        headers=headers.end_to_end(request.headers, headers.SET_BY_NODE),
+        headers=passed,
         body=request.body,
         deadline=now + deadline_ms / 1000,
         endpoint_set=route.endpoint_set,
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -11,7 +11,7 @@
 from snipelink import settings
 from snipelink.config import poll
 from snipelink.execute import endpoint_client, executor, forward, pauses
-from snipelink.session import call, caller, frames
+from snipelink.session import call, caller, frames, memory
 
 logger = logging.getLogger(__name__)
 STOP_POLL_S = 0.02
@@ -30,6 +30,7 @@
         self._values = values
         self.incarnation = uuid.uuid4().hex
         max_frame_bytes = values.max_body_bytes + frames.MESSAGE_OVERHEAD_BYTES
+        budget = memory.Budget(values.max_buffered_bytes)
         self._reader = poll.PollingReader(
             values.platform_urls, values.platform_timeout_s
         )
@@ -40,7 +41,7 @@
         self._executor = executor.Executor(
             values.node,
             self._reader.in_force,
-            endpoint_client.EndpointClient(values.endpoint, values.node),
+            endpoint_client.EndpointClient(values.endpoint, values.node, budget),
             self._forwarder,
             self._pauses,
             random.Random(),
@@ -58,6 +59,7 @@
             values,
             self._executor.handle,
             executor.failure_response,
+            budget,
         )
 
     def start(self) -> None:
@@ -85,7 +87,7 @@
         self._call_server.stop()
         self._caller_server.stop_accepting()
         deadline = time.monotonic() + self._values.grace_s
-        while self._busy() and time.monotonic() < deadline and not cut.is_set():
+        while self._open() and time.monotonic() < deadline and not cut.is_set():
             time.sleep(STOP_POLL_S)
         left = self._busy()
         if left:
@@ -93,5 +95,9 @@
         logger.info("node %s stopped", self._values.node)
         return 1 if left else 0
 
+    def _open(self) -> int:
+        # An idle connection may still receive a request that crosses the stop.
+        return self._executor.running() + self._caller_server.open_connections()
+
     def _busy(self) -> int:
         return self._executor.running() + self._caller_server.busy_connections()
--- a/src/snipelink/session/caller.py
+++ b/src/snipelink/session/caller.py
@@ -2,158 +2,187 @@
 
 from __future__ import annotations
 
-import collections
 import logging
+import select
 import socket
 import threading
+import time
 import typing
 
 import cheroot.server
-import httptools
 
-from snipelink import errors, model
-from snipelink.session import frames, http
+from snipelink import errors
+from snipelink.session import http, memory, requests, streams
 
 logger = logging.getLogger(__name__)
 RECEIVE_BYTES = 65536
+# Time in which a request that crosses the stop of the node may still arrive.
+STOP_DRAIN_S = 0.1
+BACKLOG_POLL_S = 0.005
+# Time and bytes for which the rest of a refused request is read and dropped.
+LINGER_S = 1.0
+LINGER_BYTES = 1 << 20
 Cancelled = typing.Callable[[], bool]
 Handle = typing.Callable[[http.Request, Cancelled], http.Response]
+Refuse = typing.Callable[[errors.Failure], http.Response]
 
 
-class Limits(typing.Protocol):
+class Limits(requests.Limits, typing.Protocol):
     """Limits of a caller's connection."""
 
-    max_header_bytes: int
-    max_body_bytes: int
     max_connections: int
     header_timeout_s: float
     idle_timeout_s: float
 
 
-class _RequestReader:
-    """Collects requests from the parser's callbacks."""
-
-    def __init__(self, limits: Limits) -> None:
-        self._limits = limits
-        self.parser = httptools.HttpRequestParser(self)
-        self.ready: collections.deque[http.Request] = collections.deque()
-        self.in_request = False
-        self.in_head = False
-        self.head_bytes = 0
-        self.failure: errors.Failure | None = None
-        self._target = b""
-        self._headers: model.Headers = []
-        self._chunks: list[bytes] = []
-        self._size = 0
-
-    def feed(self, data: bytes) -> None:
-        if self.in_head or not self.in_request:
-            self.head_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            if self.failure is None:
-                self._reject(errors.Kind.BAD_REQUEST, str(error))
-        if self.in_head and self.head_bytes > self._limits.max_header_bytes:
-            self._reject(errors.Kind.HEADER_TOO_LARGE, "request head too large")
-
-    def on_message_begin(self) -> None:
-        self.in_request = self.in_head = True
-        self._target = b""
-        self._headers = []
-        self._chunks = []
-        self._size = 0
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        pair = (name.decode("latin-1").lower(), value.decode("latin-1"))
-        self._headers.append(pair)
-
-    def on_headers_complete(self) -> None:
-        self.in_head = False
-        self.head_bytes = 0
-
-    def on_body(self, data: bytes) -> None:
-        self._size += len(data)
-        if self._size > self._limits.max_body_bytes:
-            self._reject(errors.Kind.REQUEST_TOO_LARGE, "request body too large")
-        else:
-            self._chunks.append(data)
-
-    def on_message_complete(self) -> None:
-        self.in_request = False
-        request = http.Request(
-            method=self.parser.get_method().decode("ascii"),
-            target=self._target.decode("latin-1"),
-            headers=self._headers,
-            body=b"".join(self._chunks),
-            keep_alive=self.parser.should_keep_alive(),
-        )
-        self.ready.append(request)
-
-    def _reject(self, kind: errors.Kind, detail: str) -> None:
-        self.failure = errors.Failure(kind, detail)
-
-
 class _Connection(cheroot.server.HTTPConnection):
     """A caller's connection, read and answered by one thread until it closes."""
 
+    busy = False
+
     def serve(self) -> None:
         """Answer requests until the connection closes."""
         server: CallerServer = self.server
-        connection = self.socket
-        reader = _RequestReader(server.limits)
+        reader = requests.RequestReader(server.limits, server.budget)
+        stream = streams.Stream(self.socket, server.waker)
         try:
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            while self._serve_one(server, connection, reader):
-                pass
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream.deadline = time.monotonic() + server.limits.header_timeout_s
+            stream.handshake()
+            while self._serve_one(server, stream, reader):
+                server.budget.settle()
+                self.busy = False
+        except requests.Refused as refused:
+            del reader
+            server.budget.settle()
+            self._refuse(server, stream, refused.failure)
         except OSError:
             pass
+        except Exception:
+            logger.exception("caller connection failed")
         finally:
-            server.forget(self)
+            server.budget.settle()
+            stream.close()
             self.close()
+            server.forget(self)
+
+    def close(self) -> None:
+        """Close the socket; cheroot's own method fails on a closed one."""
+        self.rfile.close()
+        self.socket.close()
 
     def _serve_one(
-        self, server: CallerServer, connection: socket.socket, reader: _RequestReader
+        self,
+        server: CallerServer,
+        stream: streams.Stream,
+        reader: requests.RequestReader,
     ) -> bool:
-        if not server.set_idle(self, True):
+        request = self._receive(server, stream, reader)
+        if request is None:
             return False
-        while not reader.ready and reader.failure is None:
-            timeout = server.limits.header_timeout_s
-            if not reader.in_request:
-                timeout = server.limits.idle_timeout_s
-            connection.settimeout(timeout)
-            data = connection.recv(RECEIVE_BYTES)
-            if not data:
-                return False
-            reader.feed(data)
-            server.set_idle(self, False)
-        connection.settimeout(server.limits.header_timeout_s)
-        if not reader.ready:
-            failure = reader.failure or errors.Failure(errors.Kind.BAD_REQUEST)
-            response = server.refuse(failure)
-            connection.sendall(http.encode_response(response, "GET", False))
-            return False
-        request = reader.ready.popleft()
         request.peer = str(self.remote_addr)
-        response = server.handle(request, lambda: _is_gone(connection, reader))
-        keep_alive = request.keep_alive and not server.stopping
-        connection.sendall(http.encode_response(response, request.method, keep_alive))
+        request.secure = server.ssl_adapter is not None
+        if server.stopping:
+            failure = errors.Failure(errors.Kind.LEAVING, "the node is stopping")
+            response = server.refuse(failure)
+        else:
+            response = self._handle(server, request, stream, reader)
+        keep_alive = request.keep_alive
+        if server.stopping and not reader.in_request():
+            keep_alive = False
+        stream.deadline = time.monotonic() + server.limits.header_timeout_s
+        stream.sendall(self._encode(server, response, request.method, keep_alive))
+        if not keep_alive:
+            self.busy = False
+            server.budget.settle()
+            stream.close_gracefully(LINGER_S, LINGER_BYTES)
         return keep_alive
 
+    def _handle(
+        self,
+        server: CallerServer,
+        request: http.Request,
+        stream: streams.Stream,
+        reader: requests.RequestReader,
+    ) -> http.Response:
+        try:
+            return server.handle(request, lambda: _is_gone(stream, reader))
+        except Exception:
+            logger.exception("a request failed")
+            return server.refuse(errors.Failure(errors.Kind.INTERNAL))
+
+    def _receive(
+        self,
+        server: CallerServer,
+        stream: streams.Stream,
+        reader: requests.RequestReader,
+    ) -> http.Request | None:
+        """Return the next request, or ``None`` when the connection is over."""
+        request = reader.next_request()
+        if request is None:
+            if not reader.in_request() and not self._wait_idle(server, stream):
+                return None
+            self.busy = True
+            stream.deadline = time.monotonic() + server.limits.header_timeout_s
+            try:
+                while request is None:
+                    if reader.take_wants_continue():
+                        stream.sendall(requests.CONTINUE)
+                    data = stream.recv(RECEIVE_BYTES)
+                    if not data:
+                        return None
+                    reader.feed(data)
+                    request = reader.next_request()
+            except TimeoutError:
+                detail = "the request was not complete in time"
+                raise requests.Refused(errors.Kind.REQUEST_TIMEOUT, detail) from None
+        self.busy = True
+        return request
+
+    def _wait_idle(self, server: CallerServer, stream: streams.Stream) -> bool:
+        if not server.stopping and stream.wait_idle(server.limits.idle_timeout_s):
+            return True
+        return server.stopping and stream.wait_readable(STOP_DRAIN_S)
+
+    def _encode(
+        self,
+        server: CallerServer,
+        response: http.Response,
+        method: str,
+        keep_alive: bool,
+    ) -> bytes:
+        try:
+            return http.encode_response(response, method, keep_alive)
+        except ValueError as error:
+            failure = errors.Failure(errors.Kind.ANSWER_INVALID, str(error))
+            return http.encode_response(server.refuse(failure), method, keep_alive)
 
-def _is_gone(connection: socket.socket, reader: _RequestReader) -> bool:
+    def _refuse(
+        self, server: CallerServer, stream: streams.Stream, failure: errors.Failure
+    ) -> None:
+        server.count_refused(failure.kind)
+        # The method is not known for certain, so a body may follow a HEAD; the
+        # connection closes, which bounds it.
+        data = http.encode_response(server.refuse(failure), "GET", False)
+        stream.deadline = time.monotonic() + LINGER_S
+        try:
+            stream.sendall(data)
+        except OSError:
+            return
+        stream.close_gracefully(LINGER_S, LINGER_BYTES)
+
+
+def _is_gone(stream: streams.Stream, reader: requests.RequestReader) -> bool:
     """Whether the caller closed its connection; pipelined data does not count."""
-    if reader.ready:
+    if reader.in_request():
         return False
     try:
-        if not frames.is_readable(connection):
-            return False
-        return connection.recv(1, socket.MSG_PEEK) == b""
+        data = stream.recv_now(RECEIVE_BYTES)
     except (OSError, ValueError):
         return True
+    if data:
+        reader.feed(data)
+    return data == b""
 
 
 class CallerServer(cheroot.server.HTTPServer):
@@ -169,6 +198,8 @@
         Answers a request; its second argument tells whether the caller is gone.
     refuse : callable
         Makes the response for a failure found before a call exists.
+    budget : memory.Budget
+        Charged for bodies of requests.
     """
 
     ConnectionClass = _Connection
@@ -178,57 +209,92 @@
         address: tuple[str, int],
         limits: Limits,
         handle: Handle,
-        refuse: typing.Callable[[errors.Failure], http.Response],
+        refuse: Refuse,
+        budget: memory.Budget,
     ) -> None:
         super().__init__(address, gateway=None, minthreads=1, server_name="snipelink")
         self.limits = limits
         self.handle = handle
         self.refuse = refuse
+        self.budget = budget
+        self.waker = streams.Waker()
         self.stopping = False
+        self.refused_by_kind: dict[errors.Kind, int] = {}
         self._state_lock = threading.Lock()
-        self._idle_by_connection: dict[_Connection, bool] = {}
+        self._open: set[_Connection] = set()
 
     def start_serving(self) -> None:
         """Bind the port and accept connections in a thread of its own."""
         self.prepare()
         threading.Thread(target=self.serve, name="caller-accept", daemon=True).start()
 
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Pass a message of cheroot to the log."""
+        logger.log(level, "%s", msg, exc_info=traceback)
+
     def process_conn(self, conn: _Connection) -> None:
         """Start the thread that owns a new connection."""
         with self._state_lock:
-            full = len(self._idle_by_connection) >= self.limits.max_connections
-            if not full and not self.stopping:
-                self._idle_by_connection[conn] = True
-        if full or self.stopping:
-            conn.close()
+            full = len(self._open) >= self.limits.max_connections
+            if not full:
+                self._open.add(conn)
+        if full:
+            self.count_refused(errors.Kind.OVERLOADED)
+            self._turn_away(conn)
             return
         threading.Thread(target=conn.serve, name="caller", daemon=True).start()
 
-    def set_idle(self, conn: _Connection, idle: bool) -> bool:
-        """Record whether a connection carries a request; false once stopping."""
+    def _turn_away(self, conn: _Connection) -> None:
+        """Refuse a connection without a thread; the answer fits any send buffer."""
+        failure = errors.Failure(errors.Kind.OVERLOADED, "too many connections")
+        try:
+            if self.ssl_adapter is None:
+                conn.socket.setblocking(False)
+                data = http.encode_response(self.refuse(failure), "GET", False)
+                conn.socket.send(data)
+                conn.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        conn.close()
+
+    def count_refused(self, kind: errors.Kind) -> None:
+        """Count a request that was refused before a call existed."""
         with self._state_lock:
-            if idle and self.stopping:
-                return False
-            self._idle_by_connection[conn] = idle
-            return True
+            self.refused_by_kind[kind] = self.refused_by_kind.get(kind, 0) + 1
 
     def forget(self, conn: _Connection) -> None:
         """Remove a connection that its thread has left."""
         with self._state_lock:
-            self._idle_by_connection.pop(conn, None)
+            self._open.discard(conn)
+
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
+        with self._state_lock:
+            return len(self._open)
 
     def busy_connections(self) -> int:
         """Return how many connections carry a request."""
         with self._state_lock:
-            return sum(not idle for idle in self._idle_by_connection.values())
+            return sum(conn.busy for conn in self._open)
 
     def stop_accepting(self) -> None:
-        """Refuse new connections and close those that carry no request."""
-        with self._state_lock:
-            self.stopping = True
-            idle = [conn for conn, free in self._idle_by_connection.items() if free]
-        for conn in idle:
-            try:
-                conn.socket.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+        """Close the listener and let each connection end after its last answer.
+
+        A request that arrives within `STOP_DRAIN_S` is answered as `leaving`.
+        """
+        if not self.ready:
+            return
+        self.stopping = True
+        self.waker.wake()
+        self._drain_backlog()
+        self.stop()
+
+    def _drain_backlog(self) -> None:
+        """Wait until connections that are established already are accepted."""
+        poller = select.poll()
+        poller.register(self.socket, select.POLLIN)
+        deadline = time.monotonic() + STOP_DRAIN_S
+        while poller.poll(0) and time.monotonic() < deadline:
+            time.sleep(BACKLOG_POLL_S)
--- a/src/snipelink/session/headers.py
+++ b/src/snipelink/session/headers.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
+
 from snipelink import model
 
+VIA = "1.1 snipelink"
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -17,31 +20,92 @@
         "upgrade",
     }
 )
-# Set anew by every hop from its own knowledge; a caller cannot forge them.
-SET_BY_NODE = frozenset(
-    {
-        "content-length",
-        "expect",
-        "snipelink-deadline-ms",
-        "snipelink-depth",
-        "snipelink-call-id",
-        "traceparent",
-    }
-)
-# Only a node may state the outcome of a call.
-OUTCOME_HEADERS = frozenset(
-    {"snipelink-error", "snipelink-ran", "snipelink-call-id", "content-length"}
-)
+# Set anew by every hop from its own knowledge; a caller cannot forge them. The
+# X- forms are no lists, so an own entry could not be told from a forged one.
+SET_BY_NODE = HOP_BY_HOP | {
+    "content-length",
+    "expect",
+    "forwarded",
+    "http2-settings",
+    "snipelink-call-id",
+    "snipelink-deadline-ms",
+    "snipelink-depth",
+    "traceparent",
+    "via",
+    "x-forwarded-for",
+    "x-forwarded-host",
+    "x-forwarded-proto",
+    "x-real-ip",
+}
+# Only a node may state the outcome of a call; load is for nodes only.
+OUTCOME_HEADERS = HOP_BY_HOP | {
+    "content-length",
+    "snipelink-call-id",
+    "snipelink-error",
+    "snipelink-load",
+    "snipelink-ran",
+    "snipelink-state",
+}
+# A Connection header that names one of these must not remove it.
+_KEPT = frozenset({"host", "idempotency-key", "snipelink-caller"})
+_TOKEN = r"[A-Za-z0-9!#$%&'*+.^_`|~-]+"
+_QUOTED = r'"(?:[^"\\\x00-\x1f\x7f]|\\[^\x00-\x1f\x7f])*+"'
+_PAIR = rf"{_TOKEN}=(?:{_TOKEN}|{_QUOTED})"
+_ELEMENT = rf"{_PAIR}(?:[ \t]*;[ \t]*{_PAIR})*+"
+_FORWARDED = re.compile(rf"{_ELEMENT}(?:[ \t]*,[ \t]*{_ELEMENT})*+")
+_VIA = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~/:,\[\] \t-]+")
 
 
 def end_to_end(headers: model.Headers, dropped: frozenset[str]) -> model.Headers:
-    """Return the headers that pass an intermediary, without those in `dropped`."""
-    named: set[str] = set()
+    """Return the headers that pass an intermediary.
+
+    Parameters
+    ----------
+    dropped : frozenset of str
+        Names to remove: `SET_BY_NODE` of requests, `OUTCOME_HEADERS` of answers.
+    """
+    passed = [field for field in headers if field[0] not in dropped]
+    named = connection_options(headers) - _KEPT
+    if named:
+        passed = [field for field in passed if field[0] not in named]
+    return passed
+
+
+def connection_options(headers: model.Headers) -> set[str]:
+    """Return the lower-case options of all Connection headers."""
+    options: set[str] = set()
     for name, value in headers:
         if name == "connection":
-            named.update(token.strip().lower() for token in value.split(","))
-    return [
-        (name, value)
-        for name, value in headers
-        if name not in HOP_BY_HOP and name not in dropped and name not in named
-    ]
+            options.update(token.strip().lower() for token in value.split(","))
+    return options
+
+
+def forwarding(
+    headers: model.Headers, peer: str, host: str, secure: bool
+) -> model.Headers:
+    """Return the ``Via`` and ``Forwarded`` headers that this hop sends.
+
+    Entries of the caller stay before the own one, which is the last and the only
+    one that the node vouches for. Malformed values are dropped, because an open
+    quote would swallow the own entry.
+
+    Parameters
+    ----------
+    peer : str
+        IP address of the caller.
+    host : str
+        Host of the request, without port; may be empty.
+    """
+    via, forwarded = [], []
+    for name, value in headers:
+        if name == "via" and _VIA.fullmatch(value):
+            via.append(value)
+        elif name == "forwarded" and _FORWARDED.fullmatch(value):
+            forwarded.append(value)
+    own = f'for="[{peer}]"' if ":" in peer else f"for={peer}"
+    if host:
+        own += f';host="{host}"' if ":" in host else f";host={host}"
+    own += ";proto=https" if secure else ";proto=http"
+    via.append(VIA)
+    forwarded.append(own)
+    return [("via", ", ".join(via)), ("forwarded", ", ".join(forwarded))]
--- a/src/snipelink/session/http.py
+++ b/src/snipelink/session/http.py
@@ -7,14 +7,28 @@
 
 from snipelink import model
 
-REASONS_BY_STATUS = {
-    status.value: status.phrase.encode("latin-1") for status in http.HTTPStatus
-} | {499: b"Client Closed Request"}
+REASONS_BY_STATUS = {status.value: status.phrase for status in http.HTTPStatus} | {
+    499: "Client Closed Request"
+}
 
 
 @dataclasses.dataclass(slots=True)
 class Request:
-    """A complete request of a caller."""
+    """A complete request of a caller.
+
+    Attributes
+    ----------
+    target : str
+        Target in origin form, with a normalised path.
+    host : str
+        Lower-case host without port; empty if an HTTP/1.0 request has none.
+    path : str
+        Path of the target.
+    peer : str
+        IP address of the caller.
+    secure : bool
+        Whether the request arrived over TLS.
+    """
 
     method: str
     target: str
@@ -22,6 +36,9 @@
     body: bytes = b""
     keep_alive: bool = True
     peer: str = ""
+    host: str = ""
+    path: str = ""
+    secure: bool = False
 
     def header(self, name: str) -> str:
         """Return the first value of a header, by lower-case name, or ''."""
@@ -46,24 +63,45 @@
 
 
 def encode_response(response: Response, method: str, keep_alive: bool) -> bytes:
-    """Return the bytes of a response with its framing headers."""
+    """Return the bytes of a response with its framing headers.
+
+    Raises
+    ------
+    ValueError
+        If a header cannot be written in one line.
+    """
     status = response.status
-    lines = [
-        b"HTTP/1.1 %d %s\r\n" % (status, REASONS_BY_STATUS.get(status, b"Unknown"))
-    ]
+    reason = REASONS_BY_STATUS.get(status, "Unknown")
+    lines = [f"HTTP/1.1 {status} {reason}"]
     length = None
     for name, value in response.headers:
         if name == "content-length":
             length = value
             continue
-        lines.append(f"{name}: {value}\r\n".encode("latin-1"))
+        lines.append(f"{name}: {value}")
+    body = response.body
     if has_no_body(method, status):
-        if length is not None and status != 204:
-            lines.append(b"content-length: %s\r\n" % length.encode("latin-1"))
         body = b""
+        if length is not None and status != 204:
+            lines.append(f"content-length: {length}")
     else:
-        body = response.body
-        lines.append(b"content-length: %d\r\n" % len(body))
-    lines.append(b"\r\n" if keep_alive else b"connection: close\r\n\r\n")
-    lines.append(body)
-    return b"".join(lines)
+        lines.append(f"content-length: {len(body)}")
+    if not keep_alive:
+        lines.append("connection: close")
+    return encode_head(lines) + body
+
+
+def encode_head(lines: list[str]) -> bytes:
+    """Return the bytes of a message head.
+
+    Raises
+    ------
+    ValueError
+        If a line holds a line end, a NUL or a character beyond Latin-1; it could
+        add a header or a second message.
+    """
+    count = len(lines) + 1
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    if head.count("\n") != count or head.count("\r") != count or "\0" in head:
+        raise ValueError("line end or NUL inside a header")
+    return head.encode("latin-1")
--- /dev/null
+++ b/src/snipelink/session/memory.py
@@ -0,0 +1,51 @@
+"""Budget of the node for bodies that are held in memory."""
+
+from __future__ import annotations
+
+import threading
+
+
+class Budget:
+    """Bytes of bodies that all calls of the node may hold at once.
+
+    One thread serves a call from its first byte to the end of its answer, so
+    bytes are charged to the calling thread, and `settle` returns them.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes held at once.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._lock = threading.Lock()
+        self._used = 0
+        self._thread = _Charges()
+        self.refused = 0
+
+    def charge(self, size: int) -> bool:
+        """Charge `size` bytes to this thread; false if they do not fit."""
+        with self._lock:
+            if self._used + size > self._limit:
+                self.refused += 1
+                return False
+            self._used += size
+        self._thread.size += size
+        return True
+
+    def settle(self) -> None:
+        """Return all bytes that were charged to this thread."""
+        size = self._thread.size
+        if size:
+            self._thread.size = 0
+            with self._lock:
+                self._used -= size
+
+    def used(self) -> int:
+        """Return the bytes that are held now."""
+        return self._used
+
+
+class _Charges(threading.local):
+    size = 0
--- /dev/null
+++ b/tests/session/servers.py
@@ -0,0 +1,99 @@
+"""Servers and raw connections that the session tests share."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import types
+import typing
+
+from snipelink import errors
+from snipelink.execute import executor
+from snipelink.session import caller, http, memory
+
+HOST = "127.0.0.1"
+BODY = b"answer"
+
+
+def limits(**changes: object) -> types.SimpleNamespace:
+    values: dict[str, object] = {
+        "max_header_bytes": 4096,
+        "max_body_bytes": 10000,
+        "max_connections": 50,
+        "header_timeout_s": 5.0,
+        "idle_timeout_s": 5.0,
+    }
+    return types.SimpleNamespace(**(values | changes))
+
+
+class Recorder:
+    """Handler that records what reaches it."""
+
+    def __init__(self) -> None:
+        self.requests: list[http.Request] = []
+        self.response = http.Response(200, [("x-one", "1")], BODY)
+
+    def handle(
+        self, request: http.Request, cancelled: caller.Cancelled
+    ) -> http.Response:
+        self.requests.append(request)
+        return self.response
+
+
+@contextlib.contextmanager
+def serving(
+    handle: caller.Handle, budget_bytes: int = 1 << 20, **changes: object
+) -> typing.Iterator[tuple[caller.CallerServer, int]]:
+    """Serve on a free port; stop at the end."""
+    server = caller.CallerServer(
+        (HOST, 0),
+        typing.cast(caller.Limits, limits(**changes)),
+        handle,
+        executor.failure_response,
+        memory.Budget(budget_bytes),
+    )
+    server.start_serving()
+    try:
+        yield server, server.socket.getsockname()[1]
+    finally:
+        server.stop_accepting()
+
+
+def connect(port: int) -> socket.socket:
+    connection = socket.create_connection((HOST, port), 10)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return connection
+
+
+def read_all(connection: socket.socket) -> bytes:
+    """Read until the server closes."""
+    data = b""
+    while chunk := connection.recv(65536):
+        data += chunk
+    return data
+
+
+def exchange(port: int, *parts: bytes) -> bytes:
+    """Send the parts and return all that the server sends until it closes."""
+    with connect(port) as connection:
+        for part in parts:
+            connection.sendall(part)
+        return read_all(connection)
+
+
+def kinds(answers: bytes) -> list[str]:
+    """Return the error kinds of all answers, in order."""
+    return [
+        line.split(b": ")[1].decode()
+        for line in answers.split(b"\r\n")
+        if line.startswith(b"snipelink-error: ")
+    ]
+
+
+def statuses(answers: bytes) -> list[int]:
+    """Return the statuses of all answers, in order."""
+    return [int(part[:3]) for part in answers.split(b"HTTP/1.1 ")[1:]]
+
+
+def status_of(kind: errors.Kind) -> int:
+    return errors.ENTRIES_BY_KIND[kind].status
