Let a stopped node's process exit

The worker threads of the HTTP library are not daemons, and neither the caller server nor the admin server was told to stop: a node logged that it had stopped and its process stayed (test_node_exits_after_sigterm failed with TimeoutExpired after 15 s; the deployment tests took 62 s, nearly all of it the wait before the kill). Both servers are now stopped.

--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -141,6 +141,8 @@
         while self._busy() and time.monotonic() < deadline and not cut.is_set():
             time.sleep(STOP_POLL_S)
         left = self._busy()
+        if self._admin is not None:
+            self._admin.stop()
         if left:
             logger.error("stopped with %d calls in flight", left)
         logger.info("node %s stopped", self._values.node)
--- a/src/snipelink/session/caller.py
+++ b/src/snipelink/session/caller.py
@@ -232,3 +232,5 @@
                 conn.socket.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
+        # Ends the library's own threads, which would keep the process alive.
+        self.stop()
--- a/tests/bench/test_deployment.py
+++ b/tests/bench/test_deployment.py
@@ -59,3 +59,12 @@
     assert response.status == 404
     assert response.headers["snipelink-error"] == "no-rule"
     assert response.headers["snipelink-ran"] == "not-run"
+
+
+def test_node_exits_after_sigterm() -> None:
+    """Guards against a thread that keeps a stopped node's process alive."""
+    servers = {"left-1": ("left", "here-1")}
+    with deployment.Deployment(RULES[:1], {"left": OPERATIONS}, servers) as started:
+        process = started.servers_by_name["left-1"].node_process
+        process.terminate()
+        assert process.wait(timeout=deployment.STOP_TIMEOUT_S) == 0
