Check recorded runs against the endpoints' own logs

Nothing judged whether a run kept the invariants. The checker compares each caller's record with the starts, ends and probes that the endpoints logged: wrong answers, not-run that started, second starts of a call or of an idempotency key, work on a leaving endpoint, calls cut by a planned stop, measuring above its budget in any window, and refusals that do not match the table of error kinds.

--- /dev/null
+++ b/bench/history.py
@@ -0,0 +1,235 @@
+"""Checks the recorded life of calls against the endpoints' own logs."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import json
+import pathlib
+from collections.abc import Iterable, Sequence
+
+from bench import load
+from snipelink import errors
+
+LEAVING_GRACE_S = 3.0
+# Kinds that tell a caller that its call was cut off while it may have run.
+CUT_KINDS = frozenset(
+    {
+        errors.Kind.CONNECTION_LOST.value,
+        errors.Kind.STOPPED.value,
+        errors.Kind.ANSWER_INCOMPLETE.value,
+        errors.Kind.INTERNAL.value,
+    }
+)
+
+
+class Rule(enum.Enum):
+    """What a violation breaks; the value is shown in reports."""
+
+    WRONG_ANSWER = "answer is not the complete one to its own call"
+    NOT_RUN_BUT_STARTED = "told not-run, but started"
+    STARTED_TWICE = "non-idempotent call started twice"
+    KEY_STARTED_TWICE = "idempotency key started twice"
+    STARTED_WHILE_LEAVING = "new work on a leaving endpoint"
+    CUT_BY_PLANNED_STOP = "call in flight cut by a planned stop"
+    MEASURED_TOO_MUCH = "measuring exceeds its budget"
+    REFUSED_WRONGLY = "refusal does not match the table of error kinds"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken rule, with the call or endpoint that shows it."""
+
+    rule: Rule
+    subject: str
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """One start on an endpoint; `ended` is None when the process died before."""
+
+    endpoint: str
+    token: str
+    started: float
+    ended: float | None = None
+    outcome: str = ""
+    key: str = ""
+    call_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """One measuring request that reached an endpoint."""
+
+    endpoint: str
+    time: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """An endpoint announced at `announced` that it leaves, until `returned`."""
+
+    endpoint: str
+    announced: float
+    returned: float = float("inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """A process of the server was told to stop at `time`."""
+
+    server: str
+    time: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeBudget:
+    """Probes that one endpoint may receive: a rate with a burst."""
+
+    per_s: float = 1.0
+    burst: float = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class History:
+    """Everything that is known about one run."""
+
+    records: Sequence[load.Record]
+    runs: Sequence[Run]
+    probes: Sequence[Probe] = ()
+    departures: Sequence[Departure] = ()
+    planned_stops: Sequence[PlannedStop] = ()
+    probe_budget: ProbeBudget = ProbeBudget()
+
+
+def read_logs(directory: pathlib.Path) -> tuple[list[Run], list[Probe]]:
+    """Return the runs and probes that the endpoints wrote to their logs."""
+    runs: list[Run] = []
+    probes: list[Probe] = []
+    for path in sorted(directory.iterdir()):
+        # A start is matched with the next end of the same token and node's call.
+        open_by_call: dict[tuple[str, str], collections.deque[int]] = {}
+        for line in path.read_bytes().splitlines():
+            fields = json.loads(line)
+            call = (fields["token"], fields["call_id"])
+            if fields["event"] == "probe":
+                probes.append(Probe(fields["endpoint"], fields["time"]))
+            elif fields["event"] == "start":
+                started = fields["time"]
+                run = Run(fields["endpoint"], call[0], started, key=fields["key"])
+                open_by_call.setdefault(call, collections.deque()).append(len(runs))
+                runs.append(dataclasses.replace(run, call_id=call[1]))
+            else:
+                index = open_by_call[call].popleft()
+                runs[index] = dataclasses.replace(
+                    runs[index], ended=fields["time"], outcome=fields["event"]
+                )
+    return runs, probes
+
+
+def check(history: History) -> list[Violation]:
+    """Return every violation in a history."""
+    runs_by_token: dict[str, list[Run]] = collections.defaultdict(list)
+    for run in history.runs:
+        runs_by_token[run.token].append(run)
+    violations: list[Violation] = []
+    for record in history.records:
+        violations += _check_answer(record, runs_by_token[record.token])
+        violations += _check_refusal(record)
+        violations += _check_starts(record, runs_by_token[record.token])
+    violations += _check_keys(history)
+    violations += _check_departures(history)
+    violations += _check_planned_stops(history, runs_by_token)
+    violations += _check_probes(history)
+    return violations
+
+
+def _check_answer(record: load.Record, runs: Sequence[Run]) -> Iterable[Violation]:
+    if record.outcome != "answered":
+        return
+    if not record.body_valid:
+        yield Violation(Rule.WRONG_ANSWER, record.token, "body")
+    elif record.status == 200 and not any(
+        run.outcome == "done" and run.endpoint == record.endpoint for run in runs
+    ):
+        detail = f"no run on {record.endpoint}"
+        yield Violation(Rule.WRONG_ANSWER, record.token, detail)
+
+
+def _check_refusal(record: load.Record) -> Iterable[Violation]:
+    if record.outcome != "refused":
+        return
+    try:
+        entry = errors.ENTRIES_BY_KIND[errors.Kind(record.error)]
+    except ValueError:
+        yield Violation(Rule.REFUSED_WRONGLY, record.token, record.error)
+        return
+    later = entry.repeat is not errors.Repeat.NO
+    if record.ran != entry.ran.value or record.status != entry.status:
+        detail = f"{record.error} {record.status} {record.ran}"
+        yield Violation(Rule.REFUSED_WRONGLY, record.token, detail)
+    elif later and not record.retry_after:
+        detail = f"{record.error} without Retry-After"
+        yield Violation(Rule.REFUSED_WRONGLY, record.token, detail)
+
+
+def _check_starts(record: load.Record, runs: Sequence[Run]) -> Iterable[Violation]:
+    detail = ", ".join(f"{run.endpoint} {run.started:.3f}" for run in runs)
+    if runs and record.outcome == "refused" and record.ran == "not-run":
+        detail = f"{record.error}: {detail}"
+        yield Violation(Rule.NOT_RUN_BUT_STARTED, record.token, detail)
+    if len(runs) > 1 and not record.idempotent:
+        yield Violation(Rule.STARTED_TWICE, record.token, detail)
+
+
+def _check_keys(history: History) -> Iterable[Violation]:
+    idempotent_by_token = {r.token: r.idempotent for r in history.records}
+    runs_by_key: dict[str, list[Run]] = collections.defaultdict(list)
+    for run in history.runs:
+        if run.key and not idempotent_by_token.get(run.token, False):
+            runs_by_key[run.key].append(run)
+    for key, runs in runs_by_key.items():
+        if len(runs) > 1:
+            detail = ", ".join(f"{run.token} on {run.endpoint}" for run in runs)
+            yield Violation(Rule.KEY_STARTED_TWICE, key, detail)
+
+
+def _check_departures(history: History) -> Iterable[Violation]:
+    for departure in history.departures:
+        last = departure.announced + LEAVING_GRACE_S
+        for run in history.runs:
+            if run.endpoint == departure.endpoint and (
+                last < run.started < departure.returned
+            ):
+                detail = f"{run.token} {run.started - departure.announced:.3f} s after"
+                yield Violation(Rule.STARTED_WHILE_LEAVING, run.endpoint, detail)
+
+
+def _check_planned_stops(
+    history: History, runs_by_token: dict[str, list[Run]]
+) -> Iterable[Violation]:
+    for stop in history.planned_stops:
+        for record in history.records:
+            runs = runs_by_token[record.token]
+            touched = record.entry == stop.server or any(
+                run.endpoint == stop.server for run in runs
+            )
+            cut = record.outcome == "lost" or record.error in CUT_KINDS
+            if touched and runs and cut and record.finished >= stop.time:
+                detail = f"{record.token}: {record.outcome} {record.error}"
+                yield Violation(Rule.CUT_BY_PLANNED_STOP, stop.server, detail)
+
+
+def _check_probes(history: History) -> Iterable[Violation]:
+    """Check every window at once: the budget's bucket must never overflow."""
+    budget = history.probe_budget
+    level_by_endpoint: dict[str, tuple[float, float]] = {}
+    for probe in sorted(history.probes, key=lambda probe: probe.time):
+        level, before = level_by_endpoint.get(probe.endpoint, (0.0, probe.time))
+        level = max(0.0, level - (probe.time - before) * budget.per_s) + 1.0
+        level_by_endpoint[probe.endpoint] = (level, probe.time)
+        if level > budget.burst + 1e-6:
+            detail = f"{level:.2f} probes above the rate, burst {budget.burst}"
+            yield Violation(Rule.MEASURED_TOO_MUCH, probe.endpoint, detail)
