Add the demonstration of both deployments

It starts stand-ins and a node for each of the 9 and 10 servers, sends idempotent and non-idempotent calls, retires one server by publishing a set, and checks every call.

--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,126 @@
+"""Runs both deployments on loopback with stand-ins and checks the invariants.
+
+Usage:
+  demo [--seconds=S] [--rate=N] [--seed=N]
+
+Options:
+  --seconds=S  Length of the load on each deployment [default: 10].
+  --rate=N     Calls per second on each deployment [default: 200].
+  --seed=N     Seed of arrivals, operations and service times [default: 1].
+
+While the load goes on, one endpoint is retired: a new set is published in which it is
+leaving, and 4 s later its node and the endpoint itself are stopped.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import sys
+import time
+from collections.abc import Sequence
+
+import docopt
+
+from bench import deployments, history, load
+
+ENDPOINT_OPTIONS = ("--service-ms=15", "--noise")
+RETIRE_AT = 0.2
+STOP_AFTER_S = 4.0
+SETTLE_S = 1.0
+REPEAT_RATIO = 0.2
+COLUMNS = ("deployment", "calls", "answered", "refused", "unknown", "p50", "p99")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What one deployment showed."""
+
+    name: str
+    records: Sequence[load.Record]
+    violations: Sequence[history.Violation]
+    problems: Sequence[str]
+
+    def row(self) -> list[str]:
+        """Return the cells of the table."""
+        answered = [r for r in self.records if r.outcome == "answered"]
+        refused = [r for r in self.records if r.ran == "not-run"]
+        latencies = [r.latency_s * 1000 for r in answered]
+        return [
+            self.name,
+            str(len(self.records)),
+            str(len(answered)),
+            str(len(refused)),
+            str(len(self.records) - len(answered) - len(refused)),
+            f"{load.quantile(latencies, 0.5):.1f} ms",
+            f"{load.quantile(latencies, 0.99):.1f} ms",
+        ]
+
+
+def run(plan: deployments.Plan, seed: int, rate: float, seconds: float) -> Outcome:
+    """Run one deployment, retire an endpoint and check what happened."""
+    retired = plan.server_names(plan.services[0].name)[-1]
+    options = (*ENDPOINT_OPTIONS, f"--seed={seed}")
+    with deployments.start(plan, options) as running:
+        departures: list[history.Departure] = []
+        stops: list[history.PlannedStop] = []
+        problems: list[str] = []
+
+        def retire() -> None:
+            announced = running.retire(retired)
+            departures.append(history.Departure(retired, announced))
+
+        def stop() -> None:
+            stops.append(history.PlannedStop(retired, time.monotonic()))
+            problems.extend(running.stop_server(retired))
+
+        addresses = deployments.addresses_by_entry(running)
+        entries = [name for name in addresses if name != retired]
+        times = load.poisson(random.Random(f"demo/{seed}"), rate, seconds)
+        calls = load.plan(seed, times, plan.kinds, entries, REPEAT_RATIO)
+        retire_at = RETIRE_AT * seconds
+        actions = ((retire_at, retire), (retire_at + STOP_AFTER_S, stop))
+        records = load.Runner(addresses, plan.hosts_by_service).run(calls, actions)
+        time.sleep(SETTLE_S)
+        runs, probes = history.read_logs(running.log_directory)
+    told = history.History(records, runs, probes, departures, stops)
+    if not any(r.outcome == "answered" for r in records):
+        problems.append("no call was answered")
+    return Outcome(plan.name, records, history.check(told), problems)
+
+
+def print_table(rows: Sequence[Sequence[str]]) -> None:
+    """Print rows with aligned columns."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        cells = zip(row, widths, strict=True)
+        print("  ".join(cell.rjust(width) for cell, width in cells))
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the demonstration; return 0 only if every check held."""
+    options = docopt.docopt(__doc__, arguments)
+    seed, rate = int(options["--seed"]), float(options["--rate"])
+    outcomes = [
+        run(plan, seed, rate, float(options["--seconds"])) for plan in deployments.PLANS
+    ]
+    rows = [[*COLUMNS, "violations"]]
+    rows += [[*item.row(), str(len(item.violations))] for item in outcomes]
+    print_table(rows)
+    held = True
+    print("checked on every call:")
+    for rule in history.Rule:
+        found = [v for item in outcomes for v in item.violations if v.rule is rule]
+        held = held and not found
+        print(f"  {'VIOLATED' if found else 'held':8}  not: {rule.value}")
+        for violation in found[:3]:
+            print(f"            {violation.subject}: {violation.detail}")
+    for item in outcomes:
+        for problem in item.problems:
+            print(f"{item.name}: {problem}")
+            held = False
+    return 0 if held else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -210,6 +210,23 @@
         self.publish()
         return time.monotonic()
 
+    def stop_server(self, name: str) -> list[str]:
+        """Stop the node and then the endpoint of a server; return what went wrong."""
+        server = self.servers_by_name[name]
+        problems = []
+        for process in (server.node_process, server.endpoint_process):
+            if process is None:
+                continue
+            process.terminate()
+            try:
+                status = process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                problems.append(f"{name}: a process did not stop on SIGTERM")
+            else:
+                if status != 0:
+                    problems.append(f"{name}: a process stopped with {status}")
+        return problems
+
     def publish(self) -> int:
         """Publish the planned set under the next revision."""
         self.revision += 1
