--- a/bench/behaviour.py
+++ b/bench/behaviour.py
@@ -27,8 +27,8 @@
     shed : bool
         Answer 503 with ``Retry-After`` at once.
     draining : bool
-        Announce ``Snipelink-State: draining`` on answers and refuse new work
-        after the time that callers have to react.
+        Announce ``Snipelink-State: draining`` on answers. New work is still
+        accepted, so that a run shows whether it keeps coming.
     cut : float
         Share of answers that are cut off inside the body.
     lie : bool
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -67,7 +67,7 @@
         problems: list[str] = []
 
         def retire() -> None:
-            announced = running.retire(retired)
+            announced = running.set_leaving(retired, True)
             departures.append(history.Departure(retired, announced))
 
         def stop() -> None:
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -15,6 +15,7 @@
 
 import urllib3
 
+from bench import relay
 from snipelink import model
 from snipelink.objects import documents
 
@@ -30,6 +31,7 @@
     endpoint: model.Endpoint
     caller_address: str
     admin_address: str
+    call_listen: str
     endpoint_process: subprocess.Popen[bytes] | None = None
     node_process: subprocess.Popen[bytes] | None = None
 
@@ -70,9 +72,13 @@
         endpoint_options: tuple[str, ...] = (),
         platform_options: tuple[str, ...] = (),
         connections: int = 200,
+        relayed: bool = False,
     ) -> None:
         """Plan servers; ``domains_by_server``: name -> (service, failure domain)."""
         self.platform_options = platform_options
+        self.node_module = "snipelink.cli.node"
+        self.node_arguments: tuple[str, ...] = ()
+        self.relays_by_server: dict[str, relay.Relay] = {}
         self.rules = rules
         self.operations_by_service = operations_by_service
         self.endpoint_options = endpoint_options
@@ -84,10 +90,10 @@
         self.platform_process: subprocess.Popen[bytes] | None = None
         self.servers_by_name: dict[str, Server] = {}
         self.settings_by_server: dict[str, dict[str, object]] = {}
-        ports = iter(free_ports(5 * len(domains_by_server) + 1))
+        ports = iter(free_ports(6 * len(domains_by_server) + 1))
         self.platform_address = f"{HOST}:{next(ports)}"
         for name, (service, domain) in domains_by_server.items():
-            addresses = [f"{HOST}:{next(ports)}" for _ in range(5)]
+            addresses = [f"{HOST}:{next(ports)}" for _ in range(6)]
             endpoint = model.Endpoint(
                 name,
                 service,
@@ -99,7 +105,12 @@
                 slots=slots,
                 connections=connections,
             )
-            self.servers_by_name[name] = Server(endpoint, addresses[3], addresses[4])
+            server = Server(endpoint, addresses[3], addresses[4], addresses[1])
+            if relayed:
+                server.call_listen = addresses[5]
+                found = relay.Relay(addresses[1], addresses[5])
+                self.relays_by_server[name] = found
+            self.servers_by_name[name] = server
 
     def __enter__(self) -> Deployment:
         try:
@@ -110,6 +121,8 @@
         return self
 
     def _start(self) -> None:
+        for item in self.relays_by_server.values():
+            item.start()
         self.start_platform()
         self.publish()
         for server in self.servers_by_name.values():
@@ -132,6 +145,8 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        for item in self.relays_by_server.values():
+            item.stop()
         self.directory.cleanup()
 
     def spawn(self, module: str, *arguments: str) -> subprocess.Popen[bytes]:
@@ -180,7 +195,7 @@
             "failure_domain": endpoint.failure_domain,
             "region": endpoint.region,
             "caller_listen": server.caller_address,
-            "call_listen": endpoint.call_address,
+            "call_listen": server.call_listen,
             "control_listen": endpoint.control_address,
             "admin_listen": server.admin_address,
             "endpoint": endpoint.address,
@@ -189,7 +204,9 @@
         values |= self.settings_by_server.get(endpoint.name, {})
         path = pathlib.Path(self.directory.name) / f"{endpoint.name}.json"
         path.write_text(json.dumps(values))
-        server.node_process = self.spawn("snipelink.cli.node", str(path))
+        server.node_process = self.spawn(
+            self.node_module, *self.node_arguments, str(path)
+        )
 
     def object_set(self) -> model.ObjectSet:
         """Return the set that describes the servers as they are planned now."""
@@ -203,10 +220,10 @@
             services[name] = model.Service(name, operations, endpoints)
         return model.ObjectSet(self.revision, "", self.rules, services)
 
-    def retire(self, name: str) -> float:
-        """Publish a set in which an endpoint leaves; return the time of it."""
+    def set_leaving(self, name: str, leaving: bool) -> float:
+        """Publish whether an endpoint leaves; return the time of it."""
         server = self.servers_by_name[name]
-        server.endpoint = dataclasses.replace(server.endpoint, leaving=True)
+        server.endpoint = dataclasses.replace(server.endpoint, leaving=leaving)
         self.publish()
         return time.monotonic()
 
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -109,7 +109,10 @@
 
 
 def start(
-    plan: Plan, endpoint_options: tuple[str, ...] = (), deadline_ms: int = 2000
+    plan: Plan,
+    endpoint_options: tuple[str, ...] = (),
+    deadline_ms: int = 2000,
+    relayed: bool = False,
 ) -> deployment.Deployment:
     """Return a deployment of stand-ins and nodes, not started yet."""
     rules = tuple(
@@ -128,6 +131,7 @@
         slots=plan.slots,
         endpoint_options=endpoint_options,
         connections=plan.connections,
+        relayed=relayed,
     )
 
 
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -37,7 +37,6 @@
 from bench import behaviour
 
 STOP_GRACE_S = 10.0
-DRAIN_REFUSAL_S = 3.0
 RETRY_AFTER_S = 1
 
 
@@ -141,7 +140,6 @@
         self.most_connections = 0
         self.running = self.queued = self.started = self.probes = 0
         self.started_at = now
-        self.draining_since = float("inf")
         self.thawed = asyncio.Event()
         self.thawed.set()
 
@@ -158,9 +156,7 @@
             self.log.write("start", request)
             self.log.write("done", request)
             return self._reply(500, request)
-        now = time.monotonic()
-        drained = now - self.draining_since > DRAIN_REFUSAL_S
-        if self.switches.shed or drained:
+        if self.switches.shed:
             return self._reply(503, request, (("retry-after", str(RETRY_AFTER_S)),))
         return await self._run(request)
 
@@ -221,10 +217,6 @@
 
     def _switch(self, fields: dict[str, float]) -> None:
         self.switches = dataclasses.replace(self.switches, **fields)
-        if not self.switches.draining:
-            self.draining_since = float("inf")
-        elif fields.get("draining"):
-            self.draining_since = time.monotonic()
         if fields.get("freeze_s"):
             self.thawed.clear()
             loop = asyncio.get_running_loop()
--- a/bench/load.py
+++ b/bench/load.py
@@ -327,8 +327,8 @@
 
 
 def target(call: Planned) -> str:
-    """Return the request target of a call."""
-    return call.kind.path.replace("{id}", call.token)
+    """Return the request target of a call; repeats of a marked call share one."""
+    return call.kind.path.replace("{id}", call.mark or call.token)
 
 
 def _interpret(call: Planned, connection: _Connection, record: Record) -> None:
