--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -13,9 +13,11 @@
 from snipelink.execute import endpoint_client, forward, local, routing, service
 from snipelink.observe import metrics, traces
 from snipelink.retry import policy as retries
+from snipelink.retry import suspects
 
 Cancelled = typing.Callable[[], bool]
 Outcome = Result[model.Answer, errors.Failure]
+IsLeaving = typing.Callable[[str, float], bool]
 NO_ENDPOINT_RETRY_AFTER_S = 1.0
 
 
@@ -34,6 +36,10 @@
         Runs calls on endpoints with a node.
     recorded : Metrics
         Receives the latency and error kind of each attempt.
+    table : SuspectTable
+        Crash suspects; calls that are contained are refused.
+    is_leaving : callable
+        Tells whether the node beside an endpoint leaves at a time.
     """
 
     def __init__(
@@ -43,12 +49,16 @@
         runner: local.LocalRunner,
         forwarder: forward.Forwarder,
         recorded: metrics.Metrics,
+        table: suspects.SuspectTable,
+        is_leaving: IsLeaving,
     ) -> None:
         self._node = node
         self._services = services
         self._runner = runner
         self._forwarder = forwarder
         self._metrics = recorded
+        self._suspects = table
+        self._is_leaving = is_leaving
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
 
@@ -62,6 +72,9 @@
         cancelled: Cancelled,
     ) -> Outcome:
         """Run a call until it is answered or given up on."""
+        contained = self._suspects.check(call, now)
+        if contained is not None:
+            return Err(contained)
         state = self._services.get(objects, route.service, now)
         failed: list[str] = []
         outcome: Outcome = _no_endpoint()
@@ -93,11 +106,13 @@
         failed: list[str],
         now: float,
     ) -> model.Endpoint | None:
+        candidates = state.candidates(call.endpoint_set)
+        leaving = [e.name for e in candidates if self._is_leaving(e.name, now)]
         return state.policy.choose(
-            state.candidates(call.endpoint_set),
+            candidates,
             now,
             self._services.rng,
-            exclude=failed,
+            exclude=failed + leaving,
             idempotent=call.operation.idempotent,
         )
 
