--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -159,6 +159,8 @@
         while self._open() and time.monotonic() < deadline and not cut.is_set():
             time.sleep(STOP_POLL_S)
         left = self._busy()
+        if self._admin is not None:
+            self._admin.stop()
         if left:
             logger.error("stopped with %d calls in flight", left)
         self._control.stop()
