--- a/tests/session/servers.py
+++ b/tests/session/servers.py
@@ -8,7 +8,7 @@
 import typing
 
 from snipelink import errors
-from snipelink.execute import executor
+from snipelink.execute import entry
 from snipelink.session import caller, http, memory
 
 HOST = "127.0.0.1"
@@ -49,7 +49,7 @@
         (HOST, 0),
         typing.cast(caller.Limits, limits(**changes)),
         handle,
-        executor.failure_response,
+        entry.failure_response,
         memory.Budget(budget_bytes),
     )
     server.start_serving()
