Show nested state as sections, and unknown numbers as null

Cause, seen with snipelink-inspect on three nodes: the state of services was squeezed into single cells, an age of infinity made the answer invalid JSON, and a percentile was above the maximum (3.007 against 2.992 ms) because the histogram gave the upper end of its bucket.

--- a/src/snipelink/cli/tables.py
+++ b/src/snipelink/cli/tables.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import textwrap
 from collections.abc import Sequence
 from typing import Any
 
 _GAP = "  "
+_DECIMALS = 4
+_LEAST_ROUNDED = 0.001
 
 
 def format_value(value: Any) -> str:
@@ -20,7 +23,9 @@
         sections.append(_align([[key, _format_cell(v)] for key, v in plain.items()]))
     for key, item in value.items():
         if _is_nested(item):
-            sections.append(f"{_clean(key)}:\n{_indent(_format_nested(item))}")
+            sections.append(
+                f"{_clean(key)}:\n{textwrap.indent(_format_nested(item), _GAP)}"
+            )
     return "\n\n".join(sections)
 
 
@@ -30,10 +35,14 @@
     return isinstance(value, dict) and bool(value)
 
 
+def _is_row(value: Any) -> bool:
+    return isinstance(value, dict) and not any(map(_is_nested, value.values()))
+
+
 def _format_nested(value: Any) -> str:
     if isinstance(value, list):
         return _format_list(value)
-    if all(isinstance(item, dict) for item in value.values()):
+    if all(_is_row(item) for item in value.values()):
         return _format_rows([{"": key, **item} for key, item in value.items()])
     return format_value(value)
 
@@ -66,7 +75,7 @@
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
-        return f"{value:.15g}"
+        return _format_number(value)
     if isinstance(value, list):
         return ", ".join(_format_cell(item) for item in value) or "-"
     if isinstance(value, dict):
@@ -75,10 +84,12 @@
     return _clean(str(value))
 
 
+def _format_number(value: float) -> str:
+    if 0 < abs(value) < _LEAST_ROUNDED:
+        return f"{value:.3g}"
+    return f"{round(value, _DECIMALS):.15g}"
+
+
 def _clean(text: str) -> str:
     # Names come from callers; control characters would reach the terminal.
     return "".join(c if c.isprintable() else "?" for c in text)
-
-
-def _indent(text: str) -> str:
-    return "\n".join(f"{_GAP}{line}" for line in text.splitlines())
--- a/src/snipelink/observe/admin.py
+++ b/src/snipelink/observe/admin.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import logging
+import math
 import threading
 import urllib.parse
 from collections.abc import Callable, Iterable
@@ -173,9 +174,20 @@
 
 
 def _to_json(value: Any) -> _Response:
-    body = json.dumps(value, indent=1) + "\n"
+    body = json.dumps(_without_infinity(value), indent=1, allow_nan=False) + "\n"
     return _Response("200 OK", _JSON, body.encode())
 
 
+def _without_infinity(value: Any) -> Any:
+    """Put null in place of infinity and NaN, which JSON does not have."""
+    if isinstance(value, dict):
+        return {key: _without_infinity(item) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [_without_infinity(item) for item in value]
+    if isinstance(value, float) and not math.isfinite(value):
+        return None
+    return value
+
+
 def _to_error(status: str, text: str) -> _Response:
     return _Response(status, _JSON, json.dumps({"error": text}).encode() + b"\n")
--- a/src/snipelink/observe/metrics.py
+++ b/src/snipelink/observe/metrics.py
@@ -114,7 +114,9 @@
         cumulative = list(itertools.accumulate(counts))
         total = cumulative[-1]
         quantiles = {
-            quantile: self._value_at(cumulative, quantile * total)
+            quantile: min(
+                self._value_at(cumulative, quantile * total), max_us / _US_PER_S
+            )
             for quantile in QUANTILES
         }
         at_bounds = tuple(
--- a/tests/cli/test_inspect.py
+++ b/tests/cli/test_inspect.py
@@ -129,6 +129,22 @@
     assert "no answer" in capsys.readouterr().err
 
 
+def test_nested_tables_are_sections() -> None:
+    """Guards against a table squeezed into one cell of another one."""
+    rows = [{"endpoint": "rota-1", "cost": 1.00012345}, {"endpoint": "rota-2"}]
+    shown = tables.format_value({"services": {"rota": {"left": 4, "endpoints": rows}}})
+    assert shown.splitlines() == [
+        "services:",
+        "  rota:",
+        "    left  4",
+        "",
+        "    endpoints:",
+        "      endpoint  cost",
+        "      rota-1    1.0001",
+        "      rota-2",
+    ]
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.floats(allow_nan=False) | st.text(max_size=4),
     lambda inner: (
--- a/tests/observe/test_admin.py
+++ b/tests/observe/test_admin.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterator
 from typing import Any
 
@@ -18,7 +19,7 @@
 def server() -> Iterator[admin.AdminServer]:
     providers = admin.Providers(
         metrics=lambda: "calls_total 3\n",
-        state=lambda: {"node": "rota-1"},
+        state=lambda: {"node": "rota-1", "ages_s": (1.5, math.inf, math.nan)},
         spans=lambda limit: [{"limit": limit}],
         explain=lambda *arguments: {"arguments": arguments},
     )
@@ -39,7 +40,7 @@
 @pytest.mark.parametrize(
     ("path", "expected"),
     [
-        ("/state", {"node": "rota-1"}),
+        ("/state", {"node": "rota-1", "ages_s": [1.5, None, None]}),
         ("/spans", [{"limit": admin.MAX_SPANS_ANSWERED}]),
         ("/spans?limit=3", [{"limit": 3}]),
         ("/explain?path=/a%2Fb", {"arguments": ["", "/a/b", "GET", ""]}),
--- a/tests/observe/test_metrics.py
+++ b/tests/observe/test_metrics.py
@@ -25,6 +25,7 @@
     found = recorded.read()["x"]
     ordered = sorted(latencies)
     assert found.count == len(ordered)
+    assert max(found.quantiles_s.values()) <= found.max_s
     assert found.sum_s == pytest.approx(sum(ordered), rel=0.01, abs=1e-4)
     for quantile, value in found.quantiles_s.items():
         rank = max(1, -(-quantile * len(ordered) // 1))
