--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -17,6 +17,7 @@
 
 Cancelled = typing.Callable[[], bool]
 Outcome = Result[model.Answer, errors.Failure]
+MakeClient = typing.Callable[[str, str], endpoint_client.EndpointClient]
 IsLeaving = typing.Callable[[str, float], bool]
 NO_ENDPOINT_RETRY_AFTER_S = 1.0
 
@@ -40,6 +41,8 @@
         Crash suspects; calls that are contained are refused.
     is_leaving : callable
         Tells whether the node beside an endpoint leaves at a time.
+    make_client : callable
+        Makes the client of an endpoint without a node from its address and name.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         recorded: metrics.Metrics,
         table: suspects.SuspectTable,
         is_leaving: IsLeaving,
+        make_client: MakeClient,
     ) -> None:
         self._node = node
         self._services = services
@@ -59,6 +63,7 @@
         self._metrics = recorded
         self._suspects = table
         self._is_leaving = is_leaving
+        self._make_client = make_client
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
 
@@ -167,7 +172,7 @@
         with self._lock:
             client = self._clients_by_address.get(endpoint.address)
             if client is None:
-                client = endpoint_client.EndpointClient(endpoint.address, endpoint.name)
+                client = self._make_client(endpoint.address, endpoint.name)
                 self._clients_by_address[endpoint.address] = client
             return client
 
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -23,7 +23,7 @@
 )
 from snipelink.observe import admin, metrics, traces
 from snipelink.retry import suspects
-from snipelink.session import call, caller, frames
+from snipelink.session import call, caller, frames, memory
 
 logger = logging.getLogger(__name__)
 STOP_POLL_S = 0.02
@@ -51,7 +51,10 @@
         self._forwarder = forward.Forwarder(
             values.node, self.incarnation, max_frame_bytes
         )
-        own_client = endpoint_client.EndpointClient(values.endpoint, values.node)
+        budget = memory.Budget(values.max_buffered_bytes)
+        own_client = endpoint_client.EndpointClient(
+            values.endpoint, values.node, budget
+        )
         self._runner = local.LocalRunner(
             values.node,
             self._control.in_force,
@@ -82,6 +85,7 @@
             self._metrics,
             self._suspects,
             self._control.is_leaving,
+            own_client.for_address,
         )
         self._entry = entry.Entry(self._control.in_force, calls, tracer, self._metrics)
         self._admin = self._make_admin(tracer) if values.admin_listen else None
@@ -98,6 +102,7 @@
             values,
             self._entry.handle,
             entry.failure_response,
+            budget,
         )
 
     def _make_admin(self, tracer: traces.Tracer) -> admin.AdminServer:
@@ -151,16 +156,24 @@
         self._call_server.stop()
         self._caller_server.stop_accepting()
         deadline = time.monotonic() + self._values.grace_s
-        while self._busy() and time.monotonic() < deadline and not cut.is_set():
+        while self._open() and time.monotonic() < deadline and not cut.is_set():
             time.sleep(STOP_POLL_S)
         left = self._busy()
+        if self._admin is not None:
+            self._admin.stop()
         if left:
             logger.error("stopped with %d calls in flight", left)
         self._control.stop()
         logger.info("node %s stopped", self._values.node)
         return 1 if left else 0
 
+    def _open(self) -> int:
+        # An idle connection may still receive a request that crosses the stop.
+        return self._running() + self._caller_server.open_connections()
+
     def _busy(self) -> int:
+        return self._running() + self._caller_server.busy_connections()
+
+    def _running(self) -> int:
         load = self._runner.load()
-        running = load.running + load.queued if load else 0
-        return running + self._caller_server.busy_connections()
+        return load.running + load.queued if load else 0
