Weigh reported load and pace by how long they hold

Cause: a reported pace lost its weight as fast as a reported load, though a slowed server stays slow for longer. Change: load reports fade with 0.05 s, pace reports with 0.2 s; the cost grows with the third power of utilisation; the pace assumes less ordinary work on top of what it saw.

--- a/src/snipelink/admission/pace.py
+++ b/src/snipelink/admission/pace.py
@@ -7,7 +7,7 @@
 MIN_TAU_S = 0.05
 TAU_SERVICES = 3.0
 # Ordinary work assumed on top of what was seen, so that few calls say little.
-PRIOR_CALLS = 2.0
+PRIOR_CALLS = 0.5
 MAX_SLOWNESS = 20.0
 
 
--- a/src/snipelink/balance/adaptive.py
+++ b/src/snipelink/balance/adaptive.py
@@ -10,10 +10,13 @@
 from snipelink.balance import ejection, facts
 from snipelink.balance import tracker as tracker_module
 
+# Endpoints with little load cost about the same; one that is slow is used before the
+# others queue deeply.
+LOAD_EXPONENT = 3
 # Above the cost of an ordinary endpoint at this utilisation a tier has no room and the
 # next one is considered, before calls queue.
 SPILL_UTILISATION = 0.8
-SPILL_COST = 1.0 + SPILL_UTILISATION**4
+SPILL_COST = 1.0 + SPILL_UTILISATION**LOAD_EXPONENT
 # The mean of exponential latencies is 1.44 medians; lower values are not a sign of a
 # slow endpoint.
 ORDINARY_SLOWNESS = 2.0
@@ -150,7 +153,7 @@
             subject.reported_slowness_now(now) / ORDINARY_PACE,
             subject.stall(now, self._tracker.median_s()),
         )
-        cost = slowness * (1.0 + utilisation**4)
+        cost = slowness * (1.0 + utilisation**LOAD_EXPONENT)
         cost *= 1.0 + FAILURE_COST * subject.failure_share
         if now < subject.busy_until:
             cost += BUSY_COST
--- a/src/snipelink/balance/facts.py
+++ b/src/snipelink/balance/facts.py
@@ -6,9 +6,10 @@
 import enum
 import math
 
-# A report's weight falls to a third within this time: server load shifts within
-# milliseconds, and a node hears from each server a few times in this span.
-REPORT_TAU_S = 0.1
+# A report's weight falls to a third within this time, because load shifts within
+# milliseconds. A slowed server usually stays slow for longer than its load is the same.
+REPORT_TAU_S = 0.05
+REPORTED_SLOWNESS_TAU_S = 0.2
 SLOWNESS_TAU_S = 5.0
 RISE = 0.2
 FALL = 0.1
@@ -119,7 +120,7 @@
         """Return the slowness the endpoint's node reported, weighted by age."""
         if self.reported_slowness <= 1.0:
             return 1.0
-        weight = math.exp((self.reported_at - now) / REPORT_TAU_S)
+        weight = math.exp((self.reported_at - now) / REPORTED_SLOWNESS_TAU_S)
         return 1.0 + (self.reported_slowness - 1.0) * weight
 
     def record_outcome(self, failed: bool) -> None:
