--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -14,7 +14,9 @@
 import time
 
 import urllib3
+import zmq.auth
 
+from bench import relay
 from snipelink import model
 from snipelink.objects import documents
 
@@ -30,6 +32,7 @@
     endpoint: model.Endpoint
     caller_address: str
     admin_address: str
+    call_listen: str
     endpoint_process: subprocess.Popen[bytes] | None = None
     node_process: subprocess.Popen[bytes] | None = None
 
@@ -68,8 +71,15 @@
         domains_by_server: dict[str, tuple[str, str]],
         slots: int = 10,
         endpoint_options: tuple[str, ...] = (),
+        platform_options: tuple[str, ...] = (),
+        connections: int = 200,
+        relayed: bool = False,
     ) -> None:
         """Plan servers; ``domains_by_server``: name -> (service, failure domain)."""
+        self.platform_options = platform_options
+        self.node_module = "snipelink.cli.node"
+        self.node_arguments: tuple[str, ...] = ()
+        self.relays_by_server: dict[str, relay.Relay] = {}
         self.rules = rules
         self.operations_by_service = operations_by_service
         self.endpoint_options = endpoint_options
@@ -78,12 +88,13 @@
         self.slots = slots
         self.directory = tempfile.TemporaryDirectory()
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.platform_process: subprocess.Popen[bytes] | None = None
         self.servers_by_name: dict[str, Server] = {}
         self.settings_by_server: dict[str, dict[str, object]] = {}
-        ports = iter(free_ports(5 * len(domains_by_server) + 1))
+        ports = iter(free_ports(6 * len(domains_by_server) + 1))
         self.platform_address = f"{HOST}:{next(ports)}"
         for name, (service, domain) in domains_by_server.items():
-            addresses = [f"{HOST}:{next(ports)}" for _ in range(5)]
+            addresses = [f"{HOST}:{next(ports)}" for _ in range(6)]
             endpoint = model.Endpoint(
                 name,
                 service,
@@ -93,20 +104,36 @@
                 addresses[1],
                 addresses[2],
                 slots=slots,
+                connections=connections,
             )
-            self.servers_by_name[name] = Server(endpoint, addresses[3], addresses[4])
+            server = Server(endpoint, addresses[3], addresses[4], addresses[1])
+            if relayed:
+                server.call_listen = addresses[5]
+                found = relay.Relay(addresses[1], addresses[5])
+                self.relays_by_server[name] = found
+            self.servers_by_name[name] = server
 
     def __enter__(self) -> Deployment:
-        self.spawn("bench.platform", f"--listen={self.platform_address}")
-        wait_for_port(self.platform_address)
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def _start(self) -> None:
+        for item in self.relays_by_server.values():
+            item.start()
+        self.start_platform()
         self.publish()
         for server in self.servers_by_name.values():
             self.start_endpoint(server)
+        for server in self.servers_by_name.values():
+            wait_for_port(server.endpoint.address)
             self.start_node(server)
         for server in self.servers_by_name.values():
             wait_for_port(server.caller_address)
         self.wait_ready()
-        return self
 
     def __exit__(self, *_: object) -> None:
         for process in reversed(self.processes):
@@ -119,6 +146,8 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        for item in self.relays_by_server.values():
+            item.stop()
         self.directory.cleanup()
 
     def spawn(self, module: str, *arguments: str) -> subprocess.Popen[bytes]:
@@ -130,17 +159,33 @@
         self.processes.append(process)
         return process
 
+    def start_platform(self) -> None:
+        """Start the stand-in for the platform; it holds no set yet."""
+        self.platform_process = self.spawn(
+            "bench.platform",
+            f"--listen={self.platform_address}",
+            *self.platform_options,
+        )
+        wait_for_port(self.platform_address)
+
+    @property
+    def log_directory(self) -> pathlib.Path:
+        """Directory of the endpoints' own logs."""
+        return pathlib.Path(self.directory.name) / "endpoints"
+
     def start_endpoint(self, server: Server) -> None:
-        """Start the stand-in endpoint of a server."""
+        """Start the stand-in endpoint of a server, without waiting for it."""
+        self.log_directory.mkdir(exist_ok=True)
         endpoint = server.endpoint
         server.endpoint_process = self.spawn(
             "bench.endpoint",
             f"--listen={endpoint.address}",
             f"--name={endpoint.name}",
             f"--slots={endpoint.slots}",
+            f"--connections={endpoint.connections}",
+            f"--log={self.log_directory / endpoint.name}",
             *self.endpoint_options,
         )
-        wait_for_port(endpoint.address)
 
     def start_node(self, server: Server) -> None:
         """Start the node of a server."""
@@ -151,16 +196,27 @@
             "failure_domain": endpoint.failure_domain,
             "region": endpoint.region,
             "caller_listen": server.caller_address,
-            "call_listen": endpoint.call_address,
+            "call_listen": server.call_listen,
             "control_listen": endpoint.control_address,
             "admin_listen": server.admin_address,
             "endpoint": endpoint.address,
             "platform_urls": [f"http://{self.platform_address}"],
         }
+        values |= self._control_settings()
         values |= self.settings_by_server.get(endpoint.name, {})
         path = pathlib.Path(self.directory.name) / f"{endpoint.name}.json"
         path.write_text(json.dumps(values))
-        server.node_process = self.spawn("snipelink.cli.node", str(path))
+        server.node_process = self.spawn(
+            self.node_module, *self.node_arguments, str(path)
+        )
+
+    def _control_settings(self) -> dict[str, object]:
+        directory = pathlib.Path(self.directory.name)
+        key = directory / "control.key_secret"
+        if not key.exists():
+            zmq.auth.create_certificates(directory, "control")
+        addresses = [s.endpoint.control_address for s in self.servers_by_name.values()]
+        return {"control_key_files": [str(key)], "control_seeds": addresses[:3]}
 
     def object_set(self) -> model.ObjectSet:
         """Return the set that describes the servers as they are planned now."""
@@ -174,6 +230,30 @@
             services[name] = model.Service(name, operations, endpoints)
         return model.ObjectSet(self.revision, "", self.rules, services)
 
+    def set_leaving(self, name: str, leaving: bool) -> float:
+        """Publish whether an endpoint leaves; return the time of it."""
+        server = self.servers_by_name[name]
+        server.endpoint = dataclasses.replace(server.endpoint, leaving=leaving)
+        self.publish()
+        return time.monotonic()
+
+    def stop_server(self, name: str) -> list[str]:
+        """Stop the node and then the endpoint of a server; return what went wrong."""
+        server = self.servers_by_name[name]
+        problems = []
+        for process in (server.node_process, server.endpoint_process):
+            if process is None:
+                continue
+            process.terminate()
+            try:
+                status = process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                problems.append(f"{name}: a process did not stop on SIGTERM")
+            else:
+                if status != 0:
+                    problems.append(f"{name}: a process stopped with {status}")
+        return problems
+
     def publish(self) -> int:
         """Publish the planned set under the next revision."""
         self.revision += 1
@@ -193,6 +273,18 @@
         self._control("instances", entries)
         return self.revision
 
+    def switch(self, name: str, **fields: object) -> dict[str, int]:
+        """Change the switches of an endpoint and return its counts."""
+        address = self.servers_by_name[name].endpoint.address
+        url = f"http://{address}/control/switches"
+        response = self.pool.request("POST", url, body=json.dumps(fields).encode())
+        counts: dict[str, int] = json.loads(response.data)
+        return counts
+
+    def platform_mode(self, mode: str, **fields: object) -> None:
+        """Switch the behaviour of the platform."""
+        self._control("mode", {"mode": mode, **fields})
+
     def _control(self, path: str, fields: object) -> None:
         url = f"http://{self.platform_address}/control/{path}"
         response = self.pool.request("POST", url, body=json.dumps(fields).encode())
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -6,11 +6,10 @@
 import random
 import threading
 import time
-import uuid
 
 from snipelink import settings
-from snipelink.config import poll
 from snipelink.execute import (
+    control,
     endpoint_client,
     entry,
     executor,
@@ -24,7 +23,7 @@
 )
 from snipelink.observe import admin, metrics, traces
 from snipelink.retry import suspects
-from snipelink.session import call, caller, frames
+from snipelink.session import call, caller, frames, memory
 
 logger = logging.getLogger(__name__)
 STOP_POLL_S = 0.02
@@ -41,23 +40,24 @@
 
     def __init__(self, values: settings.Settings) -> None:
         self._values = values
-        self.incarnation = uuid.uuid4().hex
         max_frame_bytes = values.max_body_bytes + frames.MESSAGE_OVERHEAD_BYTES
-        self._reader = poll.PollingReader(
-            values.platform_urls, values.platform_timeout_s
-        )
         self._pauses = pauses.PauseDetector(time.monotonic())
         rng = random.Random()
         self._metrics = metrics.Metrics()
         tracer = traces.Tracer(values.node, rng)
         self._suspects = suspects.SuspectTable()
+        self._control = control.Control(values, self._pauses, self._suspects, rng)
+        self.incarnation = self._control.incarnation
         self._forwarder = forward.Forwarder(
             values.node, self.incarnation, max_frame_bytes
         )
-        own_client = endpoint_client.EndpointClient(values.endpoint, values.node)
+        budget = memory.Budget(values.max_buffered_bytes)
+        own_client = endpoint_client.EndpointClient(
+            values.endpoint, values.node, budget
+        )
         self._runner = local.LocalRunner(
             values.node,
-            self._reader.in_force,
+            self._control.in_force,
             own_client,
             values.endpoint,
             self._pauses,
@@ -84,8 +84,10 @@
             self._forwarder,
             self._metrics,
             self._suspects,
+            self._control.is_leaving,
+            own_client.for_address,
         )
-        self._entry = entry.Entry(self._reader.in_force, calls, tracer, self._metrics)
+        self._entry = entry.Entry(self._control.in_force, calls, tracer, self._metrics)
         self._admin = self._make_admin(tracer) if values.admin_listen else None
         self._call_server = call.CallServer(
             parse_address(values.call_listen),
@@ -100,6 +102,7 @@
             values,
             self._entry.handle,
             entry.failure_response,
+            budget,
         )
 
     def _make_admin(self, tracer: traces.Tracer) -> admin.AdminServer:
@@ -112,8 +115,7 @@
         }
         shown = status.Status(
             identity,
-            self._reader.in_force,
-            self._configuration,
+            self._control,
             self._services,
             self._runner,
             self._metrics,
@@ -123,12 +125,6 @@
         )
         return admin.AdminServer(parse_address(values.admin_listen or ""), providers)
 
-    def _configuration(self) -> dict[str, object]:
-        objects = self._reader.in_force()
-        if objects is None:
-            return {"revision": 0, "digest": ""}
-        return {"revision": objects.revision, "digest": objects.digest}
-
     def start(self) -> None:
         """Start serving."""
         if self._admin is not None:
@@ -136,7 +132,7 @@
         self._pauses.start()
         if self._values.endpoint_health_path:
             self._prober.start()
-        self._reader.start()
+        self._control.start(self._runner, self._services)
         self._call_server.start()
         self._caller_server.start_serving()
         logger.info("node %s started", self._values.node)
@@ -154,20 +150,30 @@
         status : int
             0 if no call was cut off, else 1.
         """
+        self._control.set_leaving()
         self._runner.start_draining()
         self._prober.stop()
         self._call_server.stop()
         self._caller_server.stop_accepting()
         deadline = time.monotonic() + self._values.grace_s
-        while self._busy() and time.monotonic() < deadline and not cut.is_set():
+        while self._open() and time.monotonic() < deadline and not cut.is_set():
             time.sleep(STOP_POLL_S)
         left = self._busy()
+        if self._admin is not None:
+            self._admin.stop()
         if left:
             logger.error("stopped with %d calls in flight", left)
+        self._control.stop()
         logger.info("node %s stopped", self._values.node)
         return 1 if left else 0
 
+    def _open(self) -> int:
+        # An idle connection may still receive a request that crosses the stop.
+        return self._running() + self._caller_server.open_connections()
+
     def _busy(self) -> int:
+        return self._running() + self._caller_server.busy_connections()
+
+    def _running(self) -> int:
         load = self._runner.load()
-        running = load.running + load.queued if load else 0
-        return running + self._caller_server.busy_connections()
+        return load.running + load.queued if load else 0
