--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,6 +10,7 @@
   --settle=S        Time between start and measurement [default: 12].
   --output=FILE     Write the figures as JSON lines.
   --members=N       Additional members in the instance list [default: 0].
+  --used=N          Services that each node uses; 0 for all [default: 0].
 
 ``endpoints`` counts all endpoints of the published set, ``changes`` the sets published
 per minute. Each node is a process with its exchange thread and its platform reader.
@@ -123,8 +124,9 @@
 class Fleet:
     """Processes of one run; a context manager that ends them."""
 
-    def __init__(self, step: Step, extra_members: int) -> None:
+    def __init__(self, step: Step, extra_members: int, used: int) -> None:
         self.step = step
+        self._used = used
         self.platform = stand_in.Platform()
         self.revision = 0
         self.published_at_by_revision: dict[int, float] = {}
@@ -239,10 +241,24 @@
                 model.Operation(f"op-{k}", "GET", f"/op-{k}/*", True) for k in range(6)
             )
             services[name] = model.Service(name, operations, endpoints)
-        rules = tuple(
-            model.Rule(f"to-{name}", name, path_prefix=f"/{name}") for name in services
+        return model.ObjectSet(self.revision, "", self._rules(), services)
+
+    def _rules(self) -> tuple[model.Rule, ...]:
+        """Return rules by which each running node uses the wanted services."""
+        names = [f"service-{number:03d}" for number in range(self.step.services)]
+        if not self._used:
+            return tuple(model.Rule(f"to-{n}", n, path_prefix=f"/{n}") for n in names)
+        callers = names[: self.step.nodes]
+        calls = [
+            (caller, names[(index + offset) % len(names)])
+            for index, caller in enumerate(callers)
+            for offset in range(self._used)
+        ]
+        calls += [(name, name) for name in names[self.step.nodes :]]
+        return tuple(
+            model.Rule(f"{caller}-{name}", name, caller, path_prefix=f"/{name}")
+            for caller, name in calls
         )
-        return model.ObjectSet(self.revision, "", rules, services)
 
     def _endpoint(self, index: int, service: str, slots: int) -> model.Endpoint:
         control = f"127.0.0.1:{self._ports[index]}" if index < len(self._ports) else ""
@@ -262,11 +278,13 @@
     return f"domain-{index % DOMAINS:02d}"
 
 
-def run(step: Step, seconds: float, settle_s: float, extra_members: int) -> Figures:
+def run(
+    step: Step, seconds: float, settle_s: float, extra_members: int, used: int
+) -> Figures:
     """Run one size and return its figures."""
     if step.nodes > MAX_NODES:
         raise ValueError(f"at most {MAX_NODES} nodes")
-    with Fleet(step, extra_members) as fleet:
+    with Fleet(step, extra_members, used) as fleet:
         time.sleep(settle_s)
         usages = _usages(fleet)
         if sum(u.resident_bytes for u in usages.values()) > MAX_MEMORY_BYTES:
@@ -435,6 +453,7 @@
             float(arguments["--seconds"]),
             float(arguments["--settle"]),
             int(arguments["--members"]),
+            int(arguments["--used"]),
         )
         results.append(figures)
         if arguments["--output"]:
