Show that the scenarios notice a missing mechanism

bench/mutants.py runs a node without one of its mechanisms. With 80 ms of service time and 100 calls/s enough calls are in flight for a fault to hit some. Ports are now taken below the range of outgoing connections: a node failed to listen once because its port was taken.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,8 @@
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+LOWEST_PORT = 10000
+HIGHEST_PORT = 32000
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,10 +41,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections, which could take one before its process listens.
+    """
+    rng = random.SystemRandom()
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
+        item = socket.socket()
+        try:
+            item.bind((HOST, rng.randrange(LOWEST_PORT, HIGHEST_PORT)))
+        except OSError:
+            item.close()
+            continue
+        sockets.append(item)
     ports = [item.getsockname()[1] for item in sockets]
     for item in sockets:
         item.close()
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -16,6 +16,7 @@
 
 BACK_TIMEOUT_S = 15.0
 DELAY_S = 0.2
+CRASH_WINDOW_S = 1.8
 
 
 @dataclasses.dataclass(slots=True)
@@ -260,7 +261,11 @@
     def begin(
         self, running: deployment.Deployment, server: str, effects: Effects
     ) -> None:
-        """Do nothing: the marked calls are part of the load."""
+        """Restart endpoints while the marked calls, part of the load, come in."""
+        until = time.monotonic() + CRASH_WINDOW_S
+        while time.monotonic() < until:
+            restart_dead(running)
+            time.sleep(0.05)
 
     def end(
         self, running: deployment.Deployment, server: str, effects: Effects
--- /dev/null
+++ b/bench/mutants.py
@@ -0,0 +1,106 @@
+"""Runs a node that lacks one mechanism, to show that the scenarios notice it.
+
+Usage:
+  mutants MECHANISM SETTINGS
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import typing
+
+import docopt
+from result import Ok
+
+from snipelink import errors
+from snipelink.balance import tracker
+from snipelink.cli import node as program
+from snipelink.execute import control, endpoint_client, executor, node
+from snipelink.retry import policy, suspects
+
+
+def _retry_everything() -> None:
+    """Repeat calls that may have run, whatever the operation."""
+
+    def decide(
+        call: typing.Any, failure: errors.Failure, attempts: int, *_: object
+    ) -> policy.Decision:
+        action = policy.Action.RETRY if attempts < 3 else policy.Action.GIVE_UP
+        return policy.Decision(action, failure)
+
+    policy.decide = decide
+
+
+def _claim_not_run() -> None:
+    """Tell callers that a call did not run when its connection was lost."""
+    entry = errors.Entry(503, errors.Ran.NOT_RUN, errors.Repeat.NO)
+    errors.ENTRIES_BY_KIND[errors.Kind.CONNECTION_LOST] = entry
+
+
+def _stop_at_once() -> None:
+    """End the process on SIGTERM without waiting for calls in flight."""
+    node.Node.stop = lambda self, cut: os._exit(0)
+
+
+def _ignore_leaving() -> None:
+    """Choose endpoints that are leaving."""
+    tracker.Tracker.is_leaving = lambda self, endpoint, now: False
+    control.Control.is_leaving = lambda self, endpoint, now: False
+
+
+def _pass_on_cut_answers() -> None:
+    """Treat an answer that ended early as complete."""
+
+    class Reader(endpoint_client._ResponseReader):
+        @property
+        def done(self) -> bool:
+            return self._done or bool(self.chunks)
+
+        @done.setter
+        def done(self, value: bool) -> None:
+            self._done = value
+
+    endpoint_client._ResponseReader = Reader
+
+
+def _swap_answers() -> None:
+    """Answer every call with the answer to the call before it."""
+    original = executor.Executor.execute
+    kept: list[typing.Any] = []
+
+    def execute(self: executor.Executor, *arguments: typing.Any) -> typing.Any:
+        outcome = original(self, *arguments)
+        if not isinstance(outcome, Ok):
+            return outcome
+        kept.append(outcome)
+        return kept.pop(0) if len(kept) > 1 else outcome
+
+    executor.Executor.execute = execute
+
+
+def _forget_suspects() -> None:
+    """Never contain a call that crashes endpoints."""
+    suspects.SuspectTable.check = lambda self, call, now: None
+
+
+MECHANISMS = {
+    "retry-decision": _retry_everything,
+    "not-run": _claim_not_run,
+    "graceful-stop": _stop_at_once,
+    "leaving": _ignore_leaving,
+    "complete-answers": _pass_on_cut_answers,
+    "own-answer": _swap_answers,
+    "crash-suspects": _forget_suspects,
+}
+
+
+def main() -> int:
+    """Remove the mechanism and run the node."""
+    options = docopt.docopt(__doc__)
+    MECHANISMS[options["MECHANISM"]]()
+    return program.main([options["SETTINGS"]])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -29,7 +29,7 @@
 
 from bench import deployment, deployments, faults, history, load
 
-RATE = 60.0
+RATE = 100.0
 SECONDS = 4.0
 BEGIN_AT = 0.5
 END_AT = 2.5
@@ -40,9 +40,9 @@
 LONG_FAULTS = frozenset({"retire", "drain"})
 SETTLE_S = 0.7
 RECOVERY_TIMEOUT_S = 20.0
-MARKED_CALLS = 6
+MARKED_CALLS = 8
 MAX_CRASHES = 3
-ENDPOINT_OPTIONS = ("--service-ms=20", "--noise")
+ENDPOINT_OPTIONS = ("--service-ms=80", "--noise")
 PLAN = deployments.Plan(
     "scenarios",
     200,
