--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -27,7 +27,7 @@
         call: typing.Any, failure: errors.Failure, attempts: int, *_: object
     ) -> policy.Decision:
         action = policy.Action.RETRY if attempts < 3 else policy.Action.GIVE_UP
-        return policy.Decision(action, failure)
+        return policy.Decision(action, failure, "")
 
     policy.decide = decide
 
