--- a/src/snipelink/execute/entry.py
+++ b/src/snipelink/execute/entry.py
@@ -113,10 +113,8 @@
 def _route(
     objects: model.ObjectSet, request: http.Request
 ) -> Result[routing.Route, errors.Failure]:
-    host = request.header("host").rsplit(":", 1)[0].lower()
-    path = request.target.split("?", 1)[0]
     caller = request.header("snipelink-caller")
-    return routing.route(objects, host, path, request.method, caller)
+    return routing.route(objects, request.host, request.path, request.method, caller)
 
 
 def _build_call(
@@ -127,13 +125,17 @@
     wanted = _parse_count(request.header("snipelink-deadline-ms"))
     if wanted is not None:
         deadline_ms = min(deadline_ms, wanted)
+    passed = headers.end_to_end(request.headers, headers.SET_BY_NODE)
+    passed += headers.forwarding(
+        request.headers, request.peer, request.host, request.secure
+    )
     return model.Call(
         call_id=span.call_id,
         service=route.service.name,
         operation=operation,
         method=request.method,
         target=request.target,
-        headers=headers.end_to_end(request.headers, headers.SET_BY_NODE),
+        headers=passed,
         body=request.body,
         deadline=now + deadline_ms / 1000,
         endpoint_set=route.endpoint_set,
