Run keyed calls through the owner of their idempotency key

A call with an Idempotency-Key goes to the node that owns the key. The owner lets it start once while a majority of the owners confirms, by handshakes on the call port, that no later revision is in force; it adopts other owners when a majority of the earlier ones has left their revision.

--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -10,7 +10,15 @@
 from result import Err, Ok, Result
 
 from snipelink import errors, model
-from snipelink.execute import endpoint_client, forward, local, routing, service
+from snipelink.execute import (
+    endpoint_client,
+    forward,
+    keyed,
+    local,
+    quorum,
+    routing,
+    service,
+)
 from snipelink.observe import metrics, traces
 from snipelink.retry import policy as retries
 from snipelink.retry import suspects
@@ -43,6 +51,8 @@
         Tells whether the node beside an endpoint leaves at a time.
     make_client : callable
         Makes the client of an endpoint without a node from its address and name.
+    asked : Quorum
+        Tells whether this node's knowledge of key owners is current.
     """
 
     def __init__(
@@ -55,6 +65,7 @@
         table: suspects.SuspectTable,
         is_leaving: IsLeaving,
         make_client: MakeClient,
+        asked: quorum.Quorum,
     ) -> None:
         self._node = node
         self._services = services
@@ -64,6 +75,7 @@
         self._suspects = table
         self._is_leaving = is_leaving
         self._make_client = make_client
+        self.keyed = keyed.KeyedCalls(node, forwarder, asked, self._run)
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
 
@@ -81,6 +93,31 @@
         if contained is not None:
             return Err(contained)
         state = self._services.get(objects, route.service, now)
+        if keyed.is_keyed(call):
+            return self.keyed.execute(state, call, span, now, cancelled)
+        return self._run(state, call, span, now, cancelled)
+
+    def run_as_owner(
+        self,
+        call: model.Call,
+        objects: model.ObjectSet,
+        called: model.Service,
+        span: traces.Span,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        """Run a call whose idempotency key this node may own."""
+        state = self._services.get(objects, called, now)
+        return self.keyed.run_as_owner(state, call, span, now, cancelled)
+
+    def _run(
+        self,
+        state: service.ServiceState,
+        call: model.Call,
+        span: traces.Span,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
         failed: list[str] = []
         outcome: Outcome = _no_endpoint()
         while True:
--- a/src/snipelink/execute/forward.py
+++ b/src/snipelink/execute/forward.py
@@ -24,6 +24,7 @@
 
     stream: socket.socket
     incarnation: str
+    revision: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,17 +63,32 @@
             for connection in peer.idle:
                 connection.stream.close()
 
+    def query_revision(self, endpoint: model.Endpoint, deadline: float) -> int | None:
+        """Return the revision in force at a node; None when it is out of reach.
+
+        Only a new connection tells the revision of this moment.
+        """
+        connected = self._connect(endpoint, deadline)
+        if isinstance(connected, Err):
+            return None
+        self._release(endpoint.call_address, connected.ok_value)
+        return connected.ok_value.revision
+
     def forward(
-        self, call: model.Call, endpoint: model.Endpoint
+        self, call: model.Call, endpoint: model.Endpoint, to_owner: bool = False
     ) -> Result[model.Answer, errors.Failure]:
-        """Run `call` on `endpoint` through the node beside it."""
+        """Run `call` on `endpoint` through the node beside it.
+
+        With `to_owner` the node is asked as owner of the call's idempotency key, and
+        chooses the endpoint itself.
+        """
         acquired = self._acquire(endpoint, call.deadline)
         if isinstance(acquired, Err):
             return acquired
         connection = acquired.ok_value
         stream = connection.stream
         now = time.monotonic()
-        payload = messages.encode_request(call, connection.incarnation, now)
+        payload = messages.encode_request(call, connection.incarnation, now, to_owner)
         try:
             stream.settimeout(max(0.001, call.deadline - now))
             frames.send(stream, payload)
@@ -146,7 +162,7 @@
             stream.close()
             detail = f"node {hello.node} answers at {endpoint.call_address}"
             return self._fail(errors.Kind.STALE_INCARNATION, endpoint, detail)
-        return Ok(_Connection(stream, hello.incarnation))
+        return Ok(_Connection(stream, hello.incarnation, hello.revision))
 
     def _release(self, address: str, connection: _Connection) -> None:
         with self._lock:
--- /dev/null
+++ b/src/snipelink/execute/keyed.py
@@ -0,0 +1,172 @@
+"""Runs calls with an idempotency key through the owner of the key."""
+
+from __future__ import annotations
+
+import threading
+import time
+import typing
+
+from result import Err, Ok, Result
+
+from snipelink import errors, model
+from snipelink.execute import forward, quorum, service
+from snipelink.observe import traces
+from snipelink.retry import keys, suspects
+
+RENEW_INTERVAL_S = 0.5
+# The lease is renewed in the background while keyed calls arrive.
+ACTIVE_S = 30.0
+Cancelled = typing.Callable[[], bool]
+Outcome = Result[model.Answer, errors.Failure]
+
+
+class Run(typing.Protocol):
+    """Runs the attempts of a call."""
+
+    def __call__(
+        self,
+        state: service.ServiceState,
+        call: model.Call,
+        span: traces.Span,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        """Return the outcome of the last attempt."""
+
+
+def is_keyed(call: model.Call) -> bool:
+    """Whether the call must go through the owner of its key."""
+    return bool(call.idempotency_key) and not call.operation.idempotent
+
+
+class KeyedCalls:
+    """Sends keyed calls to their owners, and runs those that this node owns.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node.
+    forwarder : Forwarder
+        Connections to the owners.
+    asked : Quorum
+        Confirms that this node's knowledge of the owners is current.
+    run : Run
+        Runs the attempts of a call.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        forwarder: forward.Forwarder,
+        asked: quorum.Quorum,
+        run: Run,
+    ) -> None:
+        self._node = node
+        self._forwarder = forwarder
+        self._quorum = asked
+        self._run = run
+        self._confirm_lock = threading.Lock()
+
+    def execute(
+        self,
+        state: service.ServiceState,
+        call: model.Call,
+        span: traces.Span,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        """Run a keyed call of one of this node's callers."""
+        routed = state.keys.route(call.idempotency_key)
+        if isinstance(routed, Err):
+            return routed
+        owner = routed.ok_value
+        if owner == self._node:
+            return self.run_as_owner(state, call, span, now, cancelled)
+        endpoint = state.endpoint(owner)
+        if endpoint is None or not endpoint.call_address:
+            detail = f"{owner}, the owner of the key, is gone"
+            return Err(errors.Failure(errors.Kind.KEY_UNKNOWN, detail))
+        span.add(traces.Step.FORWARDED, now, owner, "owner of the key")
+        outcome = self._forwarder.forward(call, endpoint, to_owner=True)
+        if isinstance(outcome, Ok) or outcome.err_value.retried:
+            return outcome
+        return Err(keys.owner_failure(outcome.err_value))
+
+    def run_as_owner(
+        self,
+        state: service.ServiceState,
+        call: model.Call,
+        span: traces.Span,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        """Run a keyed call unless its key was used before."""
+        begun = self._begin(state, call, now)
+        if isinstance(begun, Err):
+            return begun
+        claim = begun.ok_value
+        if claim.answer is not None:
+            return Ok(claim.answer)
+        outcome: Outcome = Err(errors.Failure(errors.Kind.INTERNAL))
+        try:
+            outcome = self._run(state, call, span, time.monotonic(), cancelled)
+            return outcome
+        finally:
+            if isinstance(outcome, Ok):
+                state.keys.finish(claim, outcome.ok_value)
+            else:
+                state.keys.abandon(claim, outcome.err_value)
+
+    def _begin(
+        self, state: service.ServiceState, call: model.Call, now: float
+    ) -> Result[keys.Claim, errors.Failure]:
+        state.keyed_at = now
+        fingerprint = suspects.fingerprint(call)
+        if not state.keys.is_confirmed(now):
+            self.renew(state)
+        return state.keys.begin(
+            call.idempotency_key, fingerprint, time.monotonic(), time.time()
+        )
+
+    def renew(self, state: service.ServiceState) -> None:
+        """Adopt a newer revision and renew the lease, as far as a majority agrees."""
+        with self._confirm_lock:
+            now, wall = time.monotonic(), time.time()
+            revision, owners = state.revision, state.owners()
+            if revision > state.keys.revision:
+                # An owner by an earlier revision holds its lease until a majority of
+                # the owners it knows has left that revision.
+                earlier = state.adopted_owners
+                if not self._quorum.has_reached(earlier, revision):
+                    return
+                names = [endpoint.name for endpoint in owners]
+                state.keys.adopt(revision, names, time.time())
+                state.adopted_owners = owners
+            if not state.keys.must_renew(now):
+                return
+            if self._quorum.agrees(owners, revision):
+                state.keys.confirm(revision, now, wall)
+
+
+class LeaseKeeper:
+    """Renews the lease of the own service while keyed calls arrive."""
+
+    def __init__(
+        self, keyed: KeyedCalls, own: typing.Callable[[], service.ServiceState | None]
+    ) -> None:
+        self._keyed = keyed
+        self._own = own
+
+    def start(self) -> None:
+        """Renew in a thread of its own."""
+        threading.Thread(target=self._work, name="key-lease", daemon=True).start()
+
+    def _work(self) -> None:
+        while True:
+            time.sleep(RENEW_INTERVAL_S)
+            state = self._own()
+            if state is None:
+                continue
+            active = time.monotonic() - state.keyed_at < ACTIVE_S
+            if active or state.revision > state.keys.revision:
+                self._keyed.renew(state)
--- a/src/snipelink/execute/local.py
+++ b/src/snipelink/execute/local.py
@@ -12,11 +12,10 @@
 
 from snipelink import addresses, errors, model
 from snipelink.admission import gate as gates
-from snipelink.execute import crashes, endpoint_client, pauses
-from snipelink.generated import messages as generated
+from snipelink.execute import crashes, endpoint_client
 from snipelink.observe import traces
 from snipelink.retry import suspects
-from snipelink.session import http, messages
+from snipelink.session import http
 
 logger = logging.getLogger(__name__)
 DEFAULT_SLOTS = 10
@@ -51,16 +50,12 @@
         objects: Objects,
         client: endpoint_client.EndpointClient,
         endpoint_address: str,
-        pause_detector: pauses.PauseDetector,
-        tracer: traces.Tracer,
         table: suspects.SuspectTable,
     ) -> None:
         self._node = node
         self._objects = objects
         self._client = client
         self._endpoint_address = endpoint_address
-        self._pauses = pause_detector
-        self._tracer = tracer
         self._lock = threading.Lock()
         self._gate: gates.Gate | None = None
         self._draining = False
@@ -80,31 +75,6 @@
         """Return the load of the own endpoint; None before a set is in force."""
         return self._gate.load() if self._gate is not None else None
 
-    def run_forwarded(
-        self,
-        request: generated.CallRequest,
-        received_after: float,
-        now: float,
-        cancelled: Cancelled,
-    ) -> Outcome:
-        """Run a call of another node."""
-        # The age of a call that was read across a pause is unknown: its sender may
-        # have given up on it.
-        if self._pauses.paused_since(received_after, now):
-            return _fail(errors.Kind.NOT_READY, "the node resumed after a pause")
-        operation = self._find_operation(request.service, request.operation)
-        if operation is None:
-            detail = f"{self._node} does not serve {request.service}"
-            return _fail(errors.Kind.NOT_READY, detail)
-        call = messages.to_call(request, operation, now)
-        span = self._tracer.start(call.traceparent, call.call_id, now)
-        span.service, span.operation = call.service, operation.name
-        call.traceparent = span.traceparent
-        outcome = self.run(call, span, now, cancelled)
-        kind = "" if isinstance(outcome, Ok) else outcome.err_value.kind.value
-        self._tracer.finish(span, time.monotonic(), kind)
-        return outcome
-
     def run(
         self, call: model.Call, span: traces.Span, now: float, cancelled: Cancelled
     ) -> Outcome:
@@ -150,13 +120,6 @@
                 self._gate = None
         logger.info("endpoint %s", "drains" if draining else "accepts work again")
 
-    def _find_operation(self, service_name: str, name: str) -> model.Operation | None:
-        objects = self._objects()
-        service = objects.services_by_name.get(service_name) if objects else None
-        if service is None or self._node not in service.endpoints_by_name:
-            return None
-        return next((o for o in service.operations if o.name == name), None)
-
     def _own_gate(self) -> gates.Gate:
         if self._gate is None:
             with self._lock:
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -14,10 +14,13 @@
     entry,
     executor,
     forward,
+    inbound,
+    keyed,
     local,
     pauses,
     policies,
     probe,
+    quorum,
     service,
     status,
 )
@@ -60,8 +63,6 @@
             self._control.in_force,
             own_client,
             values.endpoint,
-            self._pauses,
-            tracer,
             self._suspects,
         )
         self._prober = probe.Prober(
@@ -74,7 +75,7 @@
         )
         self._services = service.Services(
             policies.makers_by_name()[values.balance_policy],
-            (values.failure_domain, values.region),
+            values,
             rng,
         )
         calls = executor.Executor(
@@ -86,6 +87,17 @@
             self._suspects,
             self._control.is_leaving,
             own_client.for_address,
+            quorum.Quorum(values.node, self._forwarder, self._control.store.revision),
+        )
+        self._lease_keeper = keyed.LeaseKeeper(calls.keyed, self._own_state)
+        received = inbound.Inbound(
+            values.node,
+            self._control.in_force,
+            self._runner,
+            calls,
+            self._pauses,
+            tracer,
+            self._control.store.revision,
         )
         self._entry = entry.Entry(self._control.in_force, calls, tracer, self._metrics)
         self._admin = self._make_admin(tracer) if values.admin_listen else None
@@ -93,7 +105,7 @@
             parse_address(values.call_listen),
             values.node,
             self.incarnation,
-            self._runner,
+            received,
             max_frame_bytes,
             values.max_connections,
         )
@@ -125,6 +137,15 @@
         )
         return admin.AdminServer(parse_address(values.admin_listen or ""), providers)
 
+    def _own_state(self) -> service.ServiceState | None:
+        objects = self._control.in_force()
+        if objects is None:
+            return None
+        own = objects.services_by_name.get(self._values.service)
+        if own is None:
+            return None
+        return self._services.get(objects, own, time.monotonic())
+
     def start(self) -> None:
         """Start serving."""
         if self._admin is not None:
@@ -133,6 +154,7 @@
         if self._values.endpoint_health_path:
             self._prober.start()
         self._control.start(self._runner, self._services)
+        self._lease_keeper.start()
         self._call_server.start()
         self._caller_server.start_serving()
         logger.info("node %s started", self._values.node)
--- /dev/null
+++ b/src/snipelink/execute/quorum.py
@@ -0,0 +1,91 @@
+"""Asks the owners of a service's keys which revision they have in force."""
+
+from __future__ import annotations
+
+import threading
+import time
+import typing
+from collections.abc import Iterable
+
+from snipelink import model
+from snipelink.execute import forward
+
+QUERY_TIMEOUT_S = 0.3
+
+
+class Revision(typing.Protocol):
+    """Returns the revision in force on this node, 0 before the first."""
+
+    def __call__(self) -> int:
+        """Return the revision."""
+
+
+def is_majority(agreeing: int, members: int) -> bool:
+    """Whether so many members are more than half of them."""
+    return 2 * agreeing > members
+
+
+class Quorum:
+    """Counts the owners at a revision; each is asked by a handshake.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node, which counts as one owner if it is one.
+    forwarder : Forwarder
+        Opens connections to the owners.
+    revision : callable
+        Returns the revision in force here.
+    """
+
+    def __init__(
+        self, node: str, forwarder: forward.Forwarder, revision: Revision
+    ) -> None:
+        self._node = node
+        self._forwarder = forwarder
+        self._revision = revision
+
+    def agrees(self, owners: Iterable[model.Endpoint], revision: int) -> bool:
+        """Whether a majority has exactly `revision` and nobody asked has a higher one.
+
+        Any two majorities of the same owners share a member, and a member never goes
+        back, so no later revision is in force at a majority when this returns true.
+        """
+        revisions = self._ask(owners)
+        if any(found is not None and found > revision for found in revisions):
+            return False
+        agreeing = sum(found == revision for found in revisions)
+        return is_majority(agreeing, len(revisions))
+
+    def has_reached(self, owners: Iterable[model.Endpoint], revision: int) -> bool:
+        """Whether a majority has `revision` or a higher one."""
+        revisions = self._ask(owners)
+        reached = sum(found is not None and found >= revision for found in revisions)
+        return is_majority(reached, len(revisions))
+
+    def _ask(self, owners: Iterable[model.Endpoint]) -> list[int | None]:
+        members = list(owners)
+        revisions: list[int | None] = [None] * len(members)
+        threads = []
+        for index, endpoint in enumerate(members):
+            if endpoint.name == self._node:
+                continue
+            thread = threading.Thread(
+                target=self._ask_one, args=(endpoint, revisions, index), daemon=True
+            )
+            thread.start()
+            threads.append(thread)
+        deadline = time.monotonic() + QUERY_TIMEOUT_S
+        for thread in threads:
+            thread.join(max(0.0, deadline - time.monotonic()))
+        for index, endpoint in enumerate(members):
+            if endpoint.name == self._node:
+                revisions[index] = self._revision()
+        # Late answers must not change what is being counted.
+        return list(revisions)
+
+    def _ask_one(
+        self, endpoint: model.Endpoint, revisions: list[int | None], index: int
+    ) -> None:
+        deadline = time.monotonic() + QUERY_TIMEOUT_S
+        revisions[index] = self._forwarder.query_revision(endpoint, deadline)
--- a/src/snipelink/execute/service.py
+++ b/src/snipelink/execute/service.py
@@ -4,13 +4,16 @@
 
 import random
 import threading
+import time
 import typing
 
-from snipelink import model
+from snipelink import model, settings
 from snipelink.balance import policy as policies
 from snipelink.balance import tracker as trackers
 from snipelink.execute import routing
-from snipelink.retry import budget
+from snipelink.retry import budget, keys, ownership
+
+KEY_LEASE_S = 2.0
 
 
 class MakePolicy(typing.Protocol):
@@ -28,23 +31,49 @@
     def __init__(
         self,
         service: model.Service,
+        revision: int,
         make_policy: MakePolicy,
-        location: tuple[str, str],
+        values: settings.Settings,
         now: float,
     ) -> None:
+        location = (values.failure_domain, values.region)
         self.location = location
+        self.revision = revision
         self.tracker = trackers.Tracker(now)
         self.policy = make_policy(self.tracker, *location)
         self.retries = budget.Budget(service.budgets.retry_ratio)
         self._service = service
         self._candidates_by_set: dict[str, tuple[model.Endpoint, ...]] = {}
-
-    def update(self, service: model.Service) -> None:
-        """Take over the endpoints of a newer set."""
+        self.keyed_at = float("-inf")
+        wall = time.time()
+        owned = ownership.Ownership(KEY_LEASE_S, values.max_clock_skew_s)
+        self.keys = keys.KeyTable(values.node, wall, ownership=owned)
+        self.adopted_owners = self.owners()
+        self._is_own = values.service == service.name
+        self.keys.adopt(revision, [e.name for e in self.adopted_owners], wall)
+
+    def owners(self) -> list[model.Endpoint]:
+        """Return the endpoints that own idempotency keys.
+
+        A leaving endpoint still owns its keys: its node only decides who runs a call.
+        """
+        endpoints = self._service.endpoints_by_name.values()
+        return [endpoint for endpoint in endpoints if endpoint.call_address]
+
+    def update(self, service: model.Service, revision: int) -> None:
+        """Take over the endpoints of a newer set.
+
+        Owners of keys are adopted later, when a majority has the newer set; a node
+        that owns no keys of the service only routes and adopts them at once.
+        """
+        self.revision = revision
         if service.budgets.retry_ratio != self._service.budgets.retry_ratio:
             self.retries = budget.Budget(service.budgets.retry_ratio)
         self._service = service
         self._candidates_by_set = {}
+        if not self._is_own:
+            names = [endpoint.name for endpoint in self.owners()]
+            self.keys.adopt(revision, names, time.time())
         self.tracker.retain(service.endpoints_by_name)
 
     def endpoint(self, name: str) -> model.Endpoint | None:
@@ -64,11 +93,11 @@
     """States of the services by name, following the set in force."""
 
     def __init__(
-        self, make_policy: MakePolicy, location: tuple[str, str], rng: random.Random
+        self, make_policy: MakePolicy, values: settings.Settings, rng: random.Random
     ) -> None:
         self.rng = rng
         self._make_policy = make_policy
-        self._location = location
+        self._values = values
         self._lock = threading.Lock()
         self._objects: model.ObjectSet | None = None
         self._states_by_name: dict[str, ServiceState] = {}
@@ -85,7 +114,7 @@
                 state = self._states_by_name.get(service.name)
                 if state is None:
                     state = ServiceState(
-                        service, self._make_policy, self._location, now
+                        service, objects.revision, self._make_policy, self._values, now
                     )
                     self._states_by_name[service.name] = state
         return state
@@ -106,4 +135,4 @@
                 if service is None:
                     del self._states_by_name[name]
                 else:
-                    state.update(service)
+                    state.update(service, objects.revision)
--- a/src/snipelink/retry/keys.py
+++ b/src/snipelink/retry/keys.py
@@ -111,6 +111,21 @@
         with self._lock:
             self._ownership.confirm(revision, now, wall)
 
+    @property
+    def revision(self) -> int:
+        """Return the revision whose owners were adopted last."""
+        return self._ownership.revision
+
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the lease on the adopted revision holds."""
+        with self._lock:
+            return self._ownership.is_confirmed(now)
+
+    def must_renew(self, now: float) -> bool:
+        """Return whether less than half of the lease is left."""
+        with self._lock:
+            return self._ownership.must_renew(now)
+
     def route(self, key: str) -> Result[str, errors.Failure]:
         """Return the endpoint that a keyed call is sent to."""
         issued = issue_time(key)
--- a/src/snipelink/retry/ownership.py
+++ b/src/snipelink/retry/ownership.py
@@ -110,6 +110,10 @@
         """Return whether the lease on the adopted revision holds."""
         return now - self._confirmed_at <= self._lease_s
 
+    def must_renew(self, now: float) -> bool:
+        """Return whether less than half of the lease is left."""
+        return now - self._confirmed_at > self._lease_s / 2
+
     def owner(self, key: str, issued: float) -> str | None:
         """Return the owner of a key issued at a time; None when it has none."""
         following: _Period | None = None
--- a/src/snipelink/session/call.py
+++ b/src/snipelink/session/call.py
@@ -35,6 +35,9 @@
     def load(self) -> model.LoadReport | None:
         """Return the load of the own endpoint."""
 
+    def revision(self) -> int:
+        """Return the revision in force on this node."""
+
 
 class CallServer:
     """Listens on the call port.
@@ -62,7 +65,7 @@
         max_frame_bytes: int,
         max_connections: int,
     ) -> None:
-        self._hello = messages.encode_hello(node, incarnation)
+        self._node = node
         self._incarnation = incarnation
         self._handler = handler
         self._max_frame_bytes = max_frame_bytes
@@ -122,7 +125,9 @@
             if hello is None:
                 return
             messages.decode_hello(hello)
-            frames.send(connection, self._hello)
+            revision = self._handler.revision()
+            reply = messages.encode_hello(self._node, self._incarnation, revision)
+            frames.send(connection, reply)
             connection.settimeout(None)
             while self._serve_one(connection):
                 pass
--- a/src/snipelink/session/messages.py
+++ b/src/snipelink/session/messages.py
@@ -15,9 +15,9 @@
 _reply_decoder = msgspec.msgpack.Decoder(messages.CallReply)
 
 
-def encode_hello(node: str, incarnation: str) -> bytes:
+def encode_hello(node: str, incarnation: str, revision: int = 0) -> bytes:
     """Return the first frame of a call connection."""
-    return _encoder.encode(messages.Hello(VERSION, node, incarnation))
+    return _encoder.encode(messages.Hello(VERSION, node, incarnation, revision))
 
 
 def decode_hello(payload: bytes) -> messages.Hello:
@@ -30,8 +30,10 @@
     return _request_decoder.decode(payload)
 
 
-def encode_request(call: model.Call, incarnation: str, now: float) -> bytes:
-    """Return the frame that asks a node to run `call` on its endpoint."""
+def encode_request(
+    call: model.Call, incarnation: str, now: float, to_owner: bool = False
+) -> bytes:
+    """Return the frame that asks a node to run `call`, on its endpoint or as owner."""
     return _encoder.encode(
         messages.CallRequest(
             call_id=call.call_id,
@@ -48,6 +50,8 @@
             depth=call.depth,
             attempt=call.attempt,
             caller=call.caller,
+            endpoint_set=call.endpoint_set,
+            to_owner=to_owner,
         )
     )
 
@@ -66,6 +70,7 @@
         body=request.body,
         deadline=now + request.remaining_ms / 1000,
         caller=request.caller,
+        endpoint_set=request.endpoint_set,
         traceparent=request.traceparent,
         idempotency_key=request.idempotency_key,
         depth=request.depth,
@@ -99,6 +104,7 @@
             error_kind=failure.kind.value,
             error_detail=failure.detail,
             retry_after_ms=int(failure.retry_after_s * 1000),
+            retried=failure.retried,
             crashed=failure.crashed,
             load=report,
         )
@@ -134,7 +140,12 @@
     retry_after_s = reply.retry_after_ms / 1000
     return Err(
         errors.Failure(
-            kind, reply.error_detail, retry_after_s, endpoint, crashed=reply.crashed
+            kind,
+            reply.error_detail,
+            retry_after_s,
+            endpoint,
+            reply.retried,
+            reply.crashed,
         )
     )
 
