End a pause only by answers to later questions

Cause: a node that resumes reads messages that were sent before or during its pause, and counted them as fresh facts; a pause shorter than 2 s went unnoticed by the exchange while the node's own detector sees 0.5 s. Change: rounds are numbered and answered by number; only an answer to a question, or a platform's answer to a read, that came after the pause makes a node fresh. Agent.readiness takes the end of the pause that the caller has noticed.

--- a/src/snipelink/config/watcher.py
+++ b/src/snipelink/config/watcher.py
@@ -22,6 +22,8 @@
 # Also the longest time between two confirmations of a watching node.
 WATCH_S = 2.5
 STEP_S = 0.25
+# A watch that ends later than this was cut by a pause of this process or the platform.
+LATE_ANSWER_S = 0.5
 # Documents that a running node reads itself at once. More of them, and all of a first
 # set, are left to peers first: nodes that start together would exceed the rate limit.
 FEW_DOCUMENTS = 8
@@ -211,6 +213,8 @@
         wait_s = min(WATCH_S, max(STEP_S, self._plan.list_at - now))
         after = self._platform_revision
         answer = self._reader.watch(documents.MANIFEST_KEY, after, wait_s)
+        if time.monotonic() - now > wait_s + LATE_ANSWER_S:
+            self._plan.read_at = time.monotonic()
         if isinstance(answer, result.Err):
             self.counts_by_event[f"watch-{answer.err_value.value}"] += 1
             self._fail(time.monotonic())
--- a/src/snipelink/gossip/agent.py
+++ b/src/snipelink/gossip/agent.py
@@ -123,11 +123,20 @@
         self.table.set_leaving(time.monotonic())
         self._wake()
 
-    def readiness(self, now: float) -> startup.Wait:
-        """Return what the node waits for before it may serve, latched when ready."""
+    def readiness(self, now: float, resumed_at: float = float("-inf")) -> startup.Wait:
+        """Return what the node waits for before it may serve.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        resumed_at : float
+            End of the last pause that the caller has noticed; the exchange thread may
+            notice it later.
+        """
         if not self.exchange.ready:
             return self.exchange.readiness(now)
-        fresh = self.exchange.is_fresh(now)
+        fresh = self.exchange.is_fresh(now, resumed_at)
         return startup.Wait.READY if fresh else startup.Wait.SOURCES
 
     def counts(self) -> dict[str, int]:
--- a/src/snipelink/gossip/exchange.py
+++ b/src/snipelink/gossip/exchange.py
@@ -26,7 +26,8 @@
 REFRESH_S = 10.0
 SHORTEST_REFRESH_S = 1.0
 EXPIRE_S = 5.0
-PAUSE_S = 2.0
+# A gap between two ticks above this is a pause of the process.
+PAUSE_S = 0.5
 # Messages read just after a pause have an unknown age, so their ages are not used.
 BACKLOG_S = 1.0
 ANSWER_TIMEOUT_S = 2.0
@@ -40,6 +41,7 @@
 MAX_CONTACTS = 64
 # More than the nodes that read the platform within ``pacing.CONFIRMATION_LIMIT_S``.
 MAX_STAMPS = 256
+MAX_QUESTIONS = 64
 MAX_CRASH_SUSPECTS = 256
 MAX_CRASH_SUSPECT_BYTES = 256
 CRASH_SUSPECT_S = 120.0
@@ -155,6 +157,10 @@
         self._confirmed_by = ""
         self._confirmed_stamp = 0
         self._stamps_by_node: dict[str, int] = {}
+        self._platform_asked_at = float("-inf")
+        self._answered_asked_at = float("-inf")
+        self._question = 0
+        self._asked_at_by_question: dict[int, float] = {}
         self._pushed_revision = 0
         self._pushed_members_at = now
         self._merged_revision = 0
@@ -194,8 +200,12 @@
         return self._confirmed_at
 
     def confirm(self, revision: int, now: float) -> None:
-        """Note an answer of the platform; may be called from another thread."""
+        """Note an answer of the platform that is as recent as ``now``.
+
+        May be called from another thread.
+        """
         self.platform_reads += 1
+        self._platform_asked_at = max(self._platform_asked_at, now)
         self.platform_revision = max(self.platform_revision, revision)
         if revision >= self._store.revision():
             own = self._table.own
@@ -204,12 +214,23 @@
             self._confirmed_stamp = started_at + self.platform_reads
             self._confirmed_at = max(self._confirmed_at, now)
 
-    def is_fresh(self, now: float) -> bool:
-        """Whether news were received after the last pause of this process."""
-        heard = (contact.heard_at for contact in list(self._contacts_by_name.values()))
-        latest = max(self._confirmed_at, max(heard, default=float("-inf")))
-        waited = now - self.resumed_at >= startup.PEER_WAIT_S
-        return latest > self.resumed_at or waited
+    def is_fresh(self, now: float, resumed_at: float = float("-inf")) -> bool:
+        """Whether something asked after the last pause was answered.
+
+        What arrives after a pause may have been sent before or during it, so only
+        answers to later questions count. With no answer the node waits for
+        ``startup.PEER_WAIT_S`` and goes on with what it has.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        resumed_at : float
+            End of a pause that the caller has noticed.
+        """
+        since = max(self.resumed_at, resumed_at)
+        asked_at = max(self._platform_asked_at, self._answered_asked_at)
+        return asked_at >= since or now - since >= startup.PEER_WAIT_S
 
     def readiness(self, now: float) -> startup.Wait:
         """Return what this node waits for before it may serve."""
@@ -263,6 +284,8 @@
             self.counts_by_event["refused-own-name"] += 1
             return
         self.counts_by_event["received"] += 1
+        asked_at = self._asked_at_by_question.pop(message.answers, float("-inf"))
+        self._answered_asked_at = max(self._answered_asked_at, asked_at)
         self._take_members(message, now)
         self._take_news(message, now)
         self._take_records(message, now)
@@ -276,6 +299,7 @@
         """Forget what was awaited across a pause; ages from before it don't count."""
         self.resumed_at = now
         self.counts_by_event["pauses"] += 1
+        self._round_at = now
         for contact in self._contacts_by_name.values():
             contact.asked_at = None
             contact.misses = 0
@@ -361,7 +385,8 @@
 
     def _round(self, now: float) -> None:
         """Exchange news with a few peers and look for those that don't answer."""
-        count = PEERS_PER_ROUND if self.ready else PEERS_PER_START_ROUND
+        settled = self.ready and self.is_fresh(now)
+        count = PEERS_PER_ROUND if settled else PEERS_PER_START_ROUND
         targets = {m.name: m for m in self._targets(count, now)}
         for name, peer in targets.items():
             contact = self._contacts_by_name.setdefault(
@@ -395,12 +420,21 @@
     def _send_round(self, route: Route, now: float) -> None:
         message = self._message(now)
         message.answer = True
+        message.question = self._note_question(now)
         message.checksum = _root(self._table.checksums())
         message.members += self._rumoured_members(now)
         message.suspicions = self._suspicions(now)
         message.crash_suspects = self._crash_rumours.take(RUMOURS_PER_MESSAGE, now)
         self._send(message, route, now, RESERVE_ROUND)
 
+    def _note_question(self, now: float) -> int:
+        self._question += 1
+        asked_at = self._asked_at_by_question
+        asked_at[self._question] = now
+        while len(asked_at) > MAX_QUESTIONS:
+            del asked_at[next(iter(asked_at))]
+        return self._question
+
     def _count_miss(self, peer: members.Member, contact: _Contact, now: float) -> None:
         if contact.asked_at is None:
             contact.asked_at = now
@@ -613,6 +647,7 @@
         )
         if message.answer or behind:
             answer = self._message(now)
+            answer.answers = message.question
             checksums = self._table.checksums()
             if message.checksum not in (0, _root(checksums)):
                 answer.bucket_checksums = checksums
--- a/tests/gossip/test_fleet.py
+++ b/tests/gossip/test_fleet.py
@@ -207,6 +207,27 @@
     _assert_bounded(fleet)
 
 
+def test_only_answers_to_later_questions_end_a_pause() -> None:
+    """Guards against serving after a pause with facts from before it."""
+    fleet = fleets.Fleet(6, seed=13)
+    fleet.publish()
+    fleet.run(20.0)
+    fleet.published.reachable = False
+    node = fleet.nodes_by_name["n2"]
+    node.paused = True
+    fleet.run(10.0)
+    assert node.inbox
+    assert not node.exchange.is_fresh(fleet.now, resumed_at=fleet.now)
+    waiting, node.inbox = node.inbox, []
+    node.exchange.tick(fleet.now)
+    for frame, route in waiting:
+        node.exchange.receive(frame, route, fleet.now)
+    assert not node.exchange.is_fresh(fleet.now)
+    node.paused = False
+    fleet.run(1.0)
+    assert node.exchange.is_fresh(fleet.now)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
     """Fault or change and the seconds that pass after it."""
