Hand idempotency keys over at a time fixed by the published set

Change: a leaving endpoint keeps the keys issued up to 2.5 s after the publication, the others take over from then. A node takes over no key before the handover time, because a revision that it did not see may have left keys with earlier owners; the property test found that case as two starts of one key.

--- a/bench/load.py
+++ b/bench/load.py
@@ -133,7 +133,9 @@
     planned = []
     for index, at in enumerate(times):
         kind = rng.choices(kinds, shares)[0]
-        key = f"{issued_ms + int(at * 1000)}-{seed:04d}-{index:08d}" if kind.keyed else ""
+        key = (
+            f"{issued_ms + int(at * 1000)}-{seed:04d}-{index:08d}" if kind.keyed else ""
+        )
         first = Planned(
             f"t{seed}-{index}",
             at,
--- a/src/snipelink/execute/keyed.py
+++ b/src/snipelink/execute/keyed.py
@@ -13,7 +13,7 @@
 from snipelink.observe import traces
 from snipelink.retry import keys, suspects
 
-RENEW_INTERVAL_S = 0.5
+RENEW_INTERVAL_S = 0.2
 # The lease is renewed in the background while keyed calls arrive.
 ACTIVE_S = 30.0
 Cancelled = typing.Callable[[], bool]
@@ -140,7 +140,7 @@
                 if not self._quorum.has_reached(earlier, revision):
                     return
                 names = [endpoint.name for endpoint in owners]
-                state.keys.adopt(revision, names, time.time())
+                state.keys.adopt(revision, names, time.time(), state.handover)
                 state.adopted_owners = owners
             if not state.keys.must_renew(now):
                 return
--- a/src/snipelink/execute/service.py
+++ b/src/snipelink/execute/service.py
@@ -13,7 +13,10 @@
 from snipelink.execute import routing
 from snipelink.retry import budget, keys, ownership
 
-KEY_LEASE_S = 2.0
+KEY_LEASE_S = 1.0
+# A set published at P hands keys over at P + 2.5 s. Owners adopt it without a gap when
+# a majority has it by P + 2.5 s - lease - twice the clock skew.
+KEY_HANDOVER_S = 2.5
 
 
 class MakePolicy(typing.Protocol):
@@ -31,14 +34,15 @@
     def __init__(
         self,
         service: model.Service,
-        revision: int,
+        objects: model.ObjectSet,
         make_policy: MakePolicy,
         values: settings.Settings,
         now: float,
     ) -> None:
         location = (values.failure_domain, values.region)
         self.location = location
-        self.revision = revision
+        self.revision = objects.revision
+        self.handover = objects.published_at + KEY_HANDOVER_S
         self.tracker = trackers.Tracker(now)
         self.policy = make_policy(self.tracker, *location)
         self.retries = budget.Budget(service.budgets.retry_ratio)
@@ -50,30 +54,33 @@
         self.keys = keys.KeyTable(values.node, wall, ownership=owned)
         self.adopted_owners = self.owners()
         self._is_own = values.service == service.name
-        self.keys.adopt(revision, [e.name for e in self.adopted_owners], wall)
+        names = [endpoint.name for endpoint in self.adopted_owners]
+        self.keys.adopt(objects.revision, names, wall, self.handover)
 
     def owners(self) -> list[model.Endpoint]:
         """Return the endpoints that own idempotency keys.
 
-        A leaving endpoint still owns its keys: its node only decides who runs a call.
+        A leaving endpoint keeps the keys issued before the handover time of the set
+        in which it leaves.
         """
         endpoints = self._service.endpoints_by_name.values()
-        return [endpoint for endpoint in endpoints if endpoint.call_address]
+        return [each for each in endpoints if each.call_address and not each.leaving]
 
-    def update(self, service: model.Service, revision: int) -> None:
+    def update(self, service: model.Service, objects: model.ObjectSet) -> None:
         """Take over the endpoints of a newer set.
 
         Owners of keys are adopted later, when a majority has the newer set; a node
         that owns no keys of the service only routes and adopts them at once.
         """
-        self.revision = revision
+        self.revision = objects.revision
+        self.handover = objects.published_at + KEY_HANDOVER_S
         if service.budgets.retry_ratio != self._service.budgets.retry_ratio:
             self.retries = budget.Budget(service.budgets.retry_ratio)
         self._service = service
         self._candidates_by_set = {}
         if not self._is_own:
             names = [endpoint.name for endpoint in self.owners()]
-            self.keys.adopt(revision, names, time.time())
+            self.keys.adopt(objects.revision, names, time.time(), self.handover)
         self.tracker.retain(service.endpoints_by_name)
 
     def endpoint(self, name: str) -> model.Endpoint | None:
@@ -114,7 +121,7 @@
                 state = self._states_by_name.get(service.name)
                 if state is None:
                     state = ServiceState(
-                        service, objects.revision, self._make_policy, self._values, now
+                        service, objects, self._make_policy, self._values, now
                     )
                     self._states_by_name[service.name] = state
         return state
@@ -135,4 +142,4 @@
                 if service is None:
                     del self._states_by_name[name]
                 else:
-                    state.update(service, objects.revision)
+                    state.update(service, objects)
--- a/src/snipelink/model.py
+++ b/src/snipelink/model.py
@@ -76,12 +76,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ObjectSet:
-    """A consistent set of published objects."""
+    """A consistent set of published objects; published at a time in Unix seconds."""
 
     revision: int
     digest: str
     rules: tuple[Rule, ...]
     services_by_name: dict[str, Service]
+    published_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/snipelink/objects/documents.py
+++ b/src/snipelink/objects/documents.py
@@ -149,7 +149,11 @@
     }
     _check_endpoint_names(services_by_name)
     return model.ObjectSet(
-        manifest.revision, set_digest(manifest), rules, services_by_name
+        manifest.revision,
+        set_digest(manifest),
+        rules,
+        services_by_name,
+        manifest.published_at_ms / 1000,
     )
 
 
--- a/src/snipelink/retry/keys.py
+++ b/src/snipelink/retry/keys.py
@@ -20,6 +20,7 @@
 import enum
 import hashlib
 import heapq
+import math
 import re
 import threading
 from collections.abc import Collection
@@ -101,10 +102,16 @@
         # process may have accepted keys up to two skews ahead of this clock.
         self._floor = wall + 2 * self._ownership.skew_s
 
-    def adopt(self, revision: int, owners: Collection[str], wall: float) -> None:
+    def adopt(
+        self,
+        revision: int,
+        owners: Collection[str],
+        wall: float,
+        handover: float = -math.inf,
+    ) -> None:
         """Take over the owners of a higher revision, see ``Ownership.adopt``."""
         with self._lock:
-            self._ownership.adopt(revision, owners, wall)
+            self._ownership.adopt(revision, owners, wall, handover)
 
     def confirm(self, revision: int, now: float, wall: float) -> None:
         """Renew the lease on the revision, see ``Ownership.confirm``."""
--- a/src/snipelink/retry/ownership.py
+++ b/src/snipelink/retry/ownership.py
@@ -9,6 +9,9 @@
   lease plus the clock skew.
 - A new owner gains keys issued later than its adoption of the new revision plus the
   lease plus twice the clock skew.
+
+A handover time in the published set closes the gap: the earlier owners keep the keys
+issued up to it, and the later ones take over from it, unless they adopted too late.
 """
 
 from __future__ import annotations
@@ -64,7 +67,13 @@
         """Return the clock skew that is allowed for."""
         return self._skew_s
 
-    def adopt(self, revision: int, owners: Collection[str], wall: float) -> None:
+    def adopt(
+        self,
+        revision: int,
+        owners: Collection[str],
+        wall: float,
+        handover: float = -math.inf,
+    ) -> None:
         """Take over a higher revision; a lower or equal one has no effect.
 
         Parameters
@@ -77,11 +86,18 @@
             Endpoints of the service in that set that are not leaving.
         wall : float
             Wall clock, Unix seconds.
+        handover : float
+            Issue time, in Unix seconds, from which the owners of this revision take
+            over; every node must derive the same time from the published set, and
+            it must not fall from one revision to the next. It closes the gap for nodes
+            that adopt the revision in time and have seen the one before.
         """
         if revision <= self.revision:
             return
         names = frozenset(owners)
-        start = wall + self._lease_s + 2 * self._skew_s
+        # A revision that this node did not see may have left keys with its earlier
+        # owners until its handover time, which is no later than this one's.
+        start = max(wall + self._lease_s + 2 * self._skew_s, handover)
         follows = revision == self.revision + 1
         if self._periods:
             current = self._periods[-1]
@@ -90,6 +106,8 @@
                 return
             known_until = self._confirmed_wall + self._lease_s + self._skew_s
             current.end = max(current.start, known_until)
+            if follows:
+                current.end = max(current.end, handover)
             start = max(start, current.end)
         self._periods.append(_Period(revision, names, start, follows_previous=follows))
         del self._periods[:-MAX_PERIODS]
--- a/tests/retry/test_keys.py
+++ b/tests/retry/test_keys.py
@@ -25,6 +25,7 @@
         self.rng = random.Random(seed)
         self.time = 1_000_000.0
         self.published: list[frozenset[str]] = []
+        self.handovers: list[float] = []
         self.skews = {n: self.rng.uniform(-SKEW_S / 2, SKEW_S / 2) for n in NAMES}
         self.tables = {name: self.start(name) for name in NAMES}
         self.revisions = dict.fromkeys(NAMES, 0)
@@ -43,6 +44,8 @@
     def publish(self) -> None:
         size = self.rng.randint(1, len(NAMES))
         self.published.append(frozenset(self.rng.sample(NAMES, size)))
+        handover = self.time + self.rng.choice([-30.0, 0.0, 2.5, 9.0, 30.0])
+        self.handovers.append(max([*self.handovers[-1:], handover]))
 
     def adopt(self) -> None:
         name = self.rng.choice(NAMES)
@@ -50,7 +53,8 @@
         if known < latest:
             revision = self.rng.choice([known + 1, latest, latest])
             owners = self.published[revision - 1]
-            self.tables[name].adopt(revision, owners, self.wall(name))
+            handover = self.handovers[revision - 1]
+            self.tables[name].adopt(revision, owners, self.wall(name), handover)
             self.revisions[name] = revision
 
     def confirm(self) -> None:
