--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -30,13 +30,8 @@
 from bench import deployment, deployments, faults, history, load
 
 RATE = 100.0
-SECONDS = 4.0
-BEGIN_AT = 0.5
-END_AT = 2.5
 LATER_S = 0.4
 # Retired and draining servers must still be watched after the 3 s that they have.
-LONG_SECONDS = 6.0
-LONG_END_AT = 5.0
 LONG_FAULTS = frozenset({"retire", "drain"})
 SETTLE_S = 0.7
 RECOVERY_TIMEOUT_S = 20.0
@@ -62,6 +57,20 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """When the faults of a scenario begin and end, seconds after its start."""
+
+    begin_at: float
+    end_at: float
+    seconds: float
+
+
+SHORT = Timing(0.3, 1.5, 2.2)
+LONG = Timing(0.5, 2.5, 4.0)
+LEAVING_S = 4.2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
     """Outcome of one scenario."""
@@ -80,39 +89,45 @@
 
 
 def run(
-    names: Sequence[str],
-    seed: int,
-    node_module: str = "snipelink.cli.node",
-    node_arguments: tuple[str, ...] = (),
+    names: Sequence[str], seed: int, without: str = "", timing: Timing = LONG
 ) -> Verdict:
-    """Run the named faults together, each on a server chosen by the seed."""
+    """Run the named faults together, each on a server chosen by the seed.
+
+    Parameters
+    ----------
+    without : str
+        Mechanism of ``mutants`` that the nodes lack; empty for none.
+    """
     running = deployments.start(
         PLAN, (*ENDPOINT_OPTIONS, f"--seed={seed}"), relayed=True
     )
-    running.node_module, running.node_arguments = node_module, node_arguments
+    if without:
+        running.node_module, running.node_arguments = "bench.mutants", (without,)
+    if LONG_FAULTS.intersection(names):
+        end_at = timing.begin_at + LEAVING_S
+        timing = Timing(timing.begin_at, end_at, end_at + timing.seconds / 4)
     with running:
-        return inject(running, names, seed)
+        return _inject(running, names, seed, timing)
 
 
-def inject(running: deployment.Deployment, names: Sequence[str], seed: int) -> Verdict:
-    """Run the named faults against a running deployment and check it."""
+def _inject(
+    running: deployment.Deployment, names: Sequence[str], seed: int, timing: Timing
+) -> Verdict:
     rng = random.Random(f"scenario/{'+'.join(names)}/{seed}")
     effects = faults.Effects()
     chosen = [faults.FAULTS_BY_NAME[name] for name in names]
-    lasts = LONG_FAULTS.intersection(names)
-    seconds, end_at = (LONG_SECONDS, LONG_END_AT) if lasts else (SECONDS, END_AT)
     servers = PLAN.server_names("shop")
     actions = []
     for index, fault in enumerate(chosen):
         server = rng.choice(servers)
-        begin_at = BEGIN_AT + index * LATER_S
+        begin_at = timing.begin_at + index * LATER_S
         arguments = (fault, running, server, effects)
         actions.append((begin_at, lambda a=arguments: _guarded("begin", *a)))
         actions.append(
-            (end_at + index * LATER_S, lambda a=arguments: _guarded("end", *a))
+            (timing.end_at + index * LATER_S, lambda a=arguments: _guarded("end", *a))
         )
     addresses = deployments.addresses_by_entry(running)
-    calls = _calls(rng, names, seed, list(addresses), seconds)
+    calls = _calls(rng, names, seed, list(addresses), timing)
     records = load.Runner(addresses, PLAN.hosts_by_service).run(calls, actions)
     effects.problems += _recover(running)
     time.sleep(SETTLE_S)
@@ -152,17 +167,17 @@
     names: Sequence[str],
     seed: int,
     entries: Sequence[str],
-    seconds: float,
+    timing: Timing,
 ) -> list[load.Planned]:
     number = rng.randrange(1 << 30)
-    times = load.poisson(rng, RATE, seconds)
+    times = load.poisson(rng, RATE, timing.seconds)
     calls = load.plan(number, times, PLAN.kinds, entries, repeat_ratio=0.3)
     if any(faults.FAULTS_BY_NAME[name].marks_calls for name in names):
-        step = (END_AT - BEGIN_AT) / MARKED_CALLS
+        step = (timing.end_at - timing.begin_at) / MARKED_CALLS
         calls += [
             load.Planned(
                 f"t{number}-{index}x",
-                BEGIN_AT + index * step,
+                timing.begin_at + index * step,
                 rng.choice(entries),
                 PLAN.kinds[0],
                 mark="crash",
@@ -208,14 +223,11 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run scenarios; return 0 only if every check held."""
     options = docopt.docopt(__doc__, arguments)
-    module, extra = "snipelink.cli.node", ()
-    if options["--without"]:
-        module, extra = "bench.mutants", (options["--without"],)
     seeds = range(1, int(options["--seeds"]) + 1)
     names = names_to_run(options["--fault"], options["--pairs"])
     with concurrent.futures.ProcessPoolExecutor(int(options["--jobs"])) as pool:
         futures = [
-            pool.submit(run, group, seed, module, extra)
+            pool.submit(run, group, seed, options["--without"] or "")
             for seed in seeds
             for group in names
         ]
--- /dev/null
+++ b/tests/features/mechanisms.feature
@@ -0,0 +1,14 @@
+Feature: The checks notice a missing mechanism
+  Each scenario runs nodes that lack one mechanism. A check that still passes would
+  prove nothing about the product.
+
+  Scenario Outline: without <mechanism>
+    When "<fault>" happens under load without "<mechanism>"
+    Then it is reported that "<rule>"
+
+    Examples:
+      | mechanism        | fault        | rule                                        |
+      | not-run          | kill-node    | refusal does not match the table of error kinds |
+      | complete-answers | cut-answers  | answer is not the complete one to its own call |
+      | own-answer       | lie          | answer is not the complete one to its own call |
+      | leaving          | retire       | new work on a leaving endpoint              |
--- /dev/null
+++ b/tests/features/steps/verdicts.py
@@ -0,0 +1,46 @@
+"""Steps that judge one run under faults."""
+
+from __future__ import annotations
+
+import typing
+
+from behave import then, when
+
+TIMEOUT_S = 120
+
+
+@when('"{faults}" happens under load')
+def run_faults(context: typing.Any, faults: str) -> None:
+    future = context.futures_by_request[(faults, "")]
+    context.verdict = future.result(TIMEOUT_S)
+
+
+@when('"{faults}" happens under load without "{mechanism}"')
+def run_without(context: typing.Any, faults: str, mechanism: str) -> None:
+    future = context.futures_by_request[(faults, mechanism)]
+    context.verdict = future.result(TIMEOUT_S)
+
+
+@then("calls were answered")
+def check_answered(context: typing.Any) -> None:
+    assert context.verdict.answered > 0
+
+
+@then("no invariant was violated")
+def check_violations(context: typing.Any) -> None:
+    found = [
+        f"{violation.rule.value}: {violation.subject} {violation.detail}"
+        for violation in context.verdict.violations
+    ]
+    assert not found, f"{len(found)} violations, first ones: {found[:3]}"
+
+
+@then("every node answers again")
+def check_problems(context: typing.Any) -> None:
+    assert not context.verdict.problems, context.verdict.problems
+
+
+@then('it is reported that "{rule}"')
+def check_reported(context: typing.Any, rule: str) -> None:
+    rules = {violation.rule.value for violation in context.verdict.violations}
+    assert rule in rules, f"only {rules} of {context.verdict}"
