--- a/tests/cli/test_inspect.py
+++ b/tests/cli/test_inspect.py
@@ -2,7 +2,7 @@
 
 import json
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import hypothesis
 import hypothesis.strategies as st
@@ -11,6 +11,7 @@
 from snipelink.cli import inspect, tables
 from snipelink.observe import admin, metrics, traces
 
+Show = Callable[..., str]
 STATE = {
     "node": "rota-1",
     "revision": 7,
@@ -47,12 +48,20 @@
     server.stop()
 
 
-def test_state_is_a_table_without_control_characters(
-    address: str, capsys: pytest.CaptureFixture[str]
-) -> None:
+@pytest.fixture
+def show(address: str, capsys: pytest.CaptureFixture[str]) -> Show:
+    """Return a function that runs the program and returns what it printed."""
+
+    def run(*arguments: str) -> str:
+        assert inspect.main([address, *arguments]) == 0
+        return capsys.readouterr().out
+
+    return run
+
+
+def test_state_is_a_table_without_control_characters(show: Show) -> None:
     """Guards against names that act on the operator's terminal."""
-    assert inspect.main([address, "state"]) == 0
-    assert capsys.readouterr().out.splitlines() == [
+    assert show("state").splitlines() == [
         "node      rota-1",
         "revision  7",
         "leaving   no",
@@ -64,43 +73,30 @@
     ]
 
 
-def test_json_is_the_state_as_the_node_gave_it(
-    address: str, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_json_is_the_state_as_the_node_gave_it(show: Show) -> None:
     """Guards against scripts that read a rounded or renamed value."""
-    assert inspect.main([address, "state", "--json"]) == 0
-    assert json.loads(capsys.readouterr().out) == STATE
+    assert json.loads(show("state", "--json")) == STATE
 
 
-def test_metrics_are_listed_by_series(
-    address: str, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_metrics_are_listed_by_series(show: Show) -> None:
     """Guards against label values with spaces taken for the value."""
-    assert inspect.main([address, "metrics", "--json"]) == 0
-    series = json.loads(capsys.readouterr().out)
+    series = json.loads(show("metrics", "--json"))
     assert series['snipelink_call_duration_seconds_count{service="rota"}'] == 1
-    assert inspect.main([address, "metrics"]) == 0
-    assert "snipelink_call_duration_seconds_count" in capsys.readouterr().out
+    assert "snipelink_call_duration_seconds_count" in show("metrics")
 
 
-def test_spans_are_limited_and_show_their_steps(
-    address: str, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_spans_are_limited_and_show_their_steps(show: Show) -> None:
     """Guards against retries that are not shown with their cause."""
-    assert inspect.main([address, "spans", "--limit", "2"]) == 0
-    head, *rows = capsys.readouterr().out.splitlines()
+    head, *rows = show("spans", "--limit", "2").splitlines()
     assert "steps (ms)" in head
     assert len(rows) == 2
     assert all("0 accepted; 2 retried rota-2 overloaded" in row for row in rows)
 
 
-def test_explain_passes_the_request(
-    address: str, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_explain_passes_the_request(show: Show) -> None:
     """Guards against an explanation of another request."""
     options = ["--method", "POST", "--host", "h", "--caller", "a&b"]
-    assert inspect.main([address, "explain", "/x?y", *options, "--json"]) == 0
-    explained = json.loads(capsys.readouterr().out)
+    explained = json.loads(show("explain", "/x?y", *options, "--json"))
     assert explained == {"request": "POST h/x?y by a&b"}
 
 
@@ -121,9 +117,7 @@
     assert inspect.main(arguments) == 2
 
 
-def test_missing_node_is_reported(
-    address: str, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_missing_node_is_reported(capsys: pytest.CaptureFixture[str]) -> None:
     """Guards against a traceback when a node is down."""
     assert inspect.main(["127.0.0.1:1", "state"]) == 1
     assert "no answer" in capsys.readouterr().err
--- a/tests/observe/test_admin.py
+++ b/tests/observe/test_admin.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import json
 import math
 from collections.abc import Iterator
@@ -15,15 +16,17 @@
     raise RuntimeError("no state")
 
 
+PROVIDERS = admin.Providers(
+    metrics=lambda: "calls_total 3\n",
+    state=lambda: {"node": "rota-1", "ages_s": (1.5, math.inf, math.nan)},
+    spans=lambda limit: [{"limit": limit}],
+    explain=lambda *arguments: {"arguments": arguments},
+)
+
+
 @pytest.fixture
-def server() -> Iterator[admin.AdminServer]:
-    providers = admin.Providers(
-        metrics=lambda: "calls_total 3\n",
-        state=lambda: {"node": "rota-1", "ages_s": (1.5, math.inf, math.nan)},
-        spans=lambda limit: [{"limit": limit}],
-        explain=lambda *arguments: {"arguments": arguments},
-    )
-    running = admin.AdminServer(("127.0.0.1", 0), providers)
+def server(request: pytest.FixtureRequest) -> Iterator[admin.AdminServer]:
+    running = admin.AdminServer(("127.0.0.1", 0), getattr(request, "param", PROVIDERS))
     running.start()
     yield running
     running.stop()
@@ -93,15 +96,10 @@
     assert int(response.headers["content-length"]) > 0
 
 
-def test_failing_provider_does_not_stop_the_server() -> None:
+@pytest.mark.parametrize(
+    "server", [dataclasses.replace(PROVIDERS, state=_fail)], indirect=True
+)
+def test_failing_provider_does_not_stop_the_server(server: admin.AdminServer) -> None:
     """Guards against an inspection that disturbs the node."""
-    providers = admin.Providers(
-        metrics=lambda: "x 1\n", state=_fail, spans=_fail, explain=_fail
-    )
-    running = admin.AdminServer(("127.0.0.1", 0), providers)
-    running.start()
-    try:
-        assert _request(running, "/state").status == 500
-        assert _request(running, "/metrics").status == 200
-    finally:
-        running.stop()
+    assert _request(server, "/state").status == 500
+    assert _request(server, "/metrics").status == 200
