Ramp by the share of draws and let failures fade

Cause: an endpoint with one or two failures cost too much to be chosen and was not ejected either, so it was never tried again. A ramp that scaled capacity made a fresh endpoint lose every comparison until its end. Change: the failure share fades within 10 s; a fresh endpoint takes part in a rising share of the draws.

--- a/src/snipelink/balance/adaptive.py
+++ b/src/snipelink/balance/adaptive.py
@@ -111,6 +111,7 @@
     ) -> _Option | None:
         """Return the better of two usable endpoints, or one that is due for a trial."""
         best: _Option | None = None
+        held_back: _Option | None = None
         seen = 0
         for endpoint in self._draw(tier, rng):
             if endpoint.name in exclude or self._tracker.is_leaving(endpoint, now):
@@ -123,12 +124,16 @@
                     return _Option(endpoint, 0.0, 0.0)
                 continue
             option = self._option(endpoint, subject, now)
+            ramp = subject.ramp(now)
+            if ramp < 1.0 and rng.random() >= ramp:
+                held_back = option
+                continue
             if best is None or option.cost < best.cost:
                 best = option
             seen += 1
             if seen == CHOICES:
                 break
-        return best
+        return best or held_back
 
     def _draw(
         self, tier: list[model.Endpoint], rng: random.Random
@@ -154,7 +159,7 @@
             subject.stall(now, self._tracker.median_s()),
         )
         cost = slowness * (1.0 + utilisation**LOAD_EXPONENT)
-        cost *= 1.0 + FAILURE_COST * subject.failure_share
+        cost *= 1.0 + FAILURE_COST * subject.current_failure_share(now)
         if now < subject.busy_until:
             cost += BUSY_COST
             utilisation = max(utilisation, 1.0)
@@ -217,7 +222,7 @@
             others=subject.others,
             report_age_s=now - subject.reported_at,
             slowness=subject.current_slowness(now),
-            failure_share=subject.failure_share,
+            failure_share=subject.current_failure_share(now),
             ramp=subject.ramp(now),
             state="leaving" if leaving else subject.state.value,
             reason=subject.reason,
--- a/src/snipelink/balance/ejection.py
+++ b/src/snipelink/balance/ejection.py
@@ -30,7 +30,7 @@
 
 def reason_to_eject(subject: facts.Facts, now: float, median_s: float) -> str:
     """Return why an active endpoint should be ejected; empty when it should not."""
-    if subject.failure_share >= FAILURE_SHARE:
+    if subject.current_failure_share(now) >= FAILURE_SHARE:
         return "failing"
     if subject.current_slowness(now) >= SLOWNESS:
         return "slow"
--- a/src/snipelink/balance/facts.py
+++ b/src/snipelink/balance/facts.py
@@ -15,6 +15,10 @@
 FALL = 0.1
 MAX_RATIO = 20.0
 FAILURE_SMOOTHING = 0.2
+# Without fading, an endpoint with two failures would cost too much to be tried again;
+# fading within 2 s sent a call to a failing server every 3 s from each node.
+FAILURE_TAU_S = 10.0
+NEGLIGIBLE_FAILURE_SHARE = 0.05
 RAMP_S = 5.0
 MIN_RAMP = 0.1
 MIN_STALL_S = 0.02
@@ -68,6 +72,7 @@
     slowness_at: float = -math.inf
     answered_at: float = -math.inf
     failure_share: float = 0.0
+    failure_at: float = -math.inf
     busy_until: float = -math.inf
     leaving_since: float = math.inf
     state: State = State.ACTIVE
@@ -82,7 +87,7 @@
         return len(self.attempts)
 
     def ramp(self, now: float) -> float:
-        """Return the part of its capacity a freshly started endpoint may use."""
+        """Return the part of the usual draws that a fresh endpoint takes part in."""
         elapsed = now - self.ramp_from
         return 1.0 if elapsed >= RAMP_S else max(MIN_RAMP, elapsed / RAMP_S)
 
@@ -98,8 +103,7 @@
 
     def utilisation(self, now: float, prior: float) -> float:
         """Return the estimated utilisation with one more call; above 1 it queues."""
-        capacity = (self.limit or self.slots) * self.ramp(now)
-        return (self.load(now, prior) + 1.0) / capacity
+        return (self.load(now, prior) + 1.0) / (self.limit or self.slots)
 
     def record_ratio(self, ratio: float, now: float) -> None:
         """Record a latency relative to the operation's median; rises fast."""
@@ -123,9 +127,18 @@
         weight = math.exp((self.reported_at - now) / REPORTED_SLOWNESS_TAU_S)
         return 1.0 + (self.reported_slowness - 1.0) * weight
 
-    def record_outcome(self, failed: bool) -> None:
+    def record_outcome(self, failed: bool, now: float) -> None:
         """Record whether an attempt failed for a reason other than load."""
-        self.failure_share += (failed - self.failure_share) * FAILURE_SMOOTHING
+        current = self.current_failure_share(now)
+        self.failure_share = current + (failed - current) * FAILURE_SMOOTHING
+        self.failure_at = now
+
+    def current_failure_share(self, now: float) -> float:
+        """Return the failure share, which fades while there are no attempts."""
+        if self.failure_share <= 0.0:
+            return 0.0
+        share = self.failure_share * math.exp((self.failure_at - now) / FAILURE_TAU_S)
+        return share if share >= NEGLIGIBLE_FAILURE_SHARE else 0.0
 
     def stall(self, now: float, median_s: float) -> float:
         """Return how long the oldest attempt exceeds what is ordinary; 1 is ordinary.
--- a/src/snipelink/balance/tracker.py
+++ b/src/snipelink/balance/tracker.py
@@ -117,10 +117,10 @@
                 self._record_refusal(subject, failure.retry_after_s, now)
             elif kind in FAILURES:
                 if failure.crashed:
-                    subject.failure_share = 1.0
+                    subject.failure_share, subject.failure_at = 1.0, now
                 elif kind is errors.Kind.UNREACHABLE:
                     # A refused connection says more than an error of one call.
-                    subject.record_outcome(True)
+                    subject.record_outcome(True, now)
                 self._record_outcome(subject, attempt, True, now)
             elif kind is errors.Kind.DEADLINE_UNKNOWN:
                 self._record_time_out(subject, attempt, now)
@@ -263,7 +263,7 @@
         now: float,
         ratio: float = 1.0,
     ) -> None:
-        subject.record_outcome(failed)
+        subject.record_outcome(failed, now)
         if attempt.trial and subject.state is facts.State.TRIAL:
             good = not failed and ratio <= GOOD_TRIAL_RATIO
             ejection.record_trial(subject, good, now, self._rng)
--- a/tests/balance/test_adaptive.py
+++ b/tests/balance/test_adaptive.py
@@ -188,3 +188,34 @@
     assert rows["e0"].ramp == pytest.approx(0.1)
     assert rows["e3"].ramp == pytest.approx(0.1)
     assert rows["e1"].ramp == 1.0
+
+
+def test_ramp_gives_a_rising_share_of_the_calls() -> None:
+    """Guards against a fresh endpoint that is flooded or gets nothing until the end."""
+    endpoints, subject, chooser = make(4)
+    subject.on_restart(endpoints[0], 20.0)
+    shares = [
+        choose_many(chooser, endpoints, 20.0 + age, 2000)["e0"] / 2000
+        for age in (0.1, 2.5, 5.0)
+    ]
+    assert 0.01 < shares[0] < 0.12 < shares[1] < 0.24
+    assert shares[2] > shares[1]
+
+
+def test_service_that_restarts_as_a_whole_is_still_served() -> None:
+    """Guards against refusing calls while every endpoint ramps up."""
+    endpoints, subject, chooser = make(3)
+    for endpoint in endpoints:
+        subject.on_restart(endpoint, 20.0)
+    counts = choose_many(chooser, endpoints, 20.01, 300)
+    assert sum(counts.values()) == 300
+    assert min(counts.values()) > 30
+
+
+def test_endpoint_with_a_few_failures_is_used_again() -> None:
+    """Guards against an endpoint that is neither ejected nor ever chosen."""
+    endpoints, subject, chooser = make(4)
+    for step in range(2):
+        answer(subject, endpoints[0], 1.0 + step * 0.001, status=500)
+    assert choose_many(chooser, endpoints, 1.01)["e0"] == 0
+    assert choose_many(chooser, endpoints, 30.0)["e0"] > 10
