--- a/src/snipelink/execute/endpoint_client.py
+++ b/src/snipelink/execute/endpoint_client.py
@@ -173,6 +173,10 @@
         """Return a client of another endpoint with the same settings."""
         return EndpointClient(address, endpoint, self._budget)
 
+    def settle(self) -> None:
+        """Return the memory of answers to this thread, if it serves no session."""
+        self._budget.settle()
+
     def close(self) -> None:
         """Close the idle connections."""
         with self._lock:
@@ -230,9 +234,9 @@
     def _exchange(
         self, stream: streams.Stream, payload: bytes, reader: _ResponseReader
     ) -> Result[http.Response, errors.Failure]:
+        sent = False
         try:
-            if not self._send(stream, payload):
-                reader.reusable = False
+            sent = self._send(stream, payload)
             while not reader.done:
                 data = stream.recv(RECEIVE_BYTES)
                 if not data:
@@ -244,6 +248,7 @@
             return self._fail(errors.Kind.DEADLINE_UNKNOWN)
         except OSError as error:
             return self._ended(reader, str(error))
+        reader.reusable = reader.reusable and sent
         return Ok(http.Response(reader.status, reader.headers, reader.body))
 
     def _send(self, stream: streams.Stream, payload: bytes) -> bool:
