Decode only the documents that changed

Cause: with 350 services in use a node decoded every document for each change and searched the list of missing keys once per document. Change: the store reuses unchanged services by the digest of their document; the assembly keeps the needed keys as a set. A departure is pushed six times and no more.

--- a/src/snipelink/config/assembly.py
+++ b/src/snipelink/config/assembly.py
@@ -42,7 +42,8 @@
         self._own_service = own_service
         self._known_by_key = known_by_key
         self._services: frozenset[str] | None = None
-        self.add_known()
+        self._needed: frozenset[str] = frozenset([self.rules_key])
+        self._add_known()
 
     @property
     def revision(self) -> int:
@@ -59,18 +60,19 @@
         """Return the key of the rules document."""
         return documents.rules_key(self.manifest.rules_digest)
 
+    def service_key(self, name: str) -> str:
+        """Return the key of a service's document."""
+        return documents.service_key(name, self.manifest.digests_by_service[name])
+
     def missing(self) -> list[str]:
         """Return the keys to read next; empty when the set is complete."""
-        if self._services is None:
-            return [self.rules_key]
-        needed = documents.keys(self.manifest, self._services)
-        return [key for key in needed if key not in self.documents_by_key]
+        return sorted(self._needed - self.documents_by_key.keys())
 
     def add(self, key: str, content: bytes) -> result.Result[None, str]:
         """Add a document that is named by the manifest and has its digest."""
         if documents.digest_of(content) != key.rpartition("@")[2]:
             return result.Err(f"{key}: content has another digest")
-        if key not in self.missing():
+        if key not in self._needed or key in self.documents_by_key:
             return result.Ok(None)
         if key == self.rules_key:
             error = self._select(content)
@@ -79,12 +81,16 @@
         self.documents_by_key[key] = content
         return result.Ok(None)
 
-    def add_known(self) -> None:
-        """Add every known document that the manifest names unchanged."""
-        for _ in range(2):  # the services are known only after the rules
-            for key in self.missing():
-                if key in self._known_by_key:
-                    self.add(key, self._known_by_key[key])
+    def _add_known(self) -> None:
+        """Add every known document that the manifest names unchanged.
+
+        Their digests were verified when they were first accepted.
+        """
+        known = self._known_by_key
+        if self.rules_key in known and not self._select(known[self.rules_key]):
+            self.documents_by_key[self.rules_key] = known[self.rules_key]
+        for key in self._needed & known.keys():
+            self.documents_by_key[key] = known[key]
 
     def _select(self, rules: bytes) -> str:
         try:
@@ -96,6 +102,7 @@
             self.manifest.digests_by_service.keys(),
             self._own_service,
         )
+        self._needed = frozenset(documents.keys(self.manifest, self._services))
         return ""
 
 
--- a/src/snipelink/config/store.py
+++ b/src/snipelink/config/store.py
@@ -217,9 +217,7 @@
             accepted = self._in_force
             if accepted is not None and accepted.revision == collected.revision:
                 return result.Ok(accepted)
-            decoded = documents.decode(
-                collected.content, collected.documents_by_key, collected.services
-            )
+            decoded = self._decode(collected)
             if isinstance(decoded, result.Err):
                 return self._refuse(Reason.INVALID, decoded.err_value, origin, now)
             return result.Ok(self._put(collected, decoded.ok_value, origin, now))
@@ -245,6 +243,33 @@
             return Refusal(Reason.INCOMPLETE, f"{missing[0]}: missing")
         return None
 
+    def _decode(
+        self, collected: assembly.Assembly
+    ) -> result.Result[model.ObjectSet, str]:
+        """Decode the documents that changed and reuse the other services."""
+        accepted = self._in_force
+        known = accepted.objects.services_by_name if accepted else {}
+        reused = {
+            name: known[name]
+            for name in collected.services & known.keys()
+            if collected.service_key(name) in self._documents_by_key
+        }
+        changed = collected.services - reused.keys()
+        decoded = documents.decode(
+            collected.content, collected.documents_by_key, changed
+        )
+        if isinstance(decoded, result.Err):
+            return decoded
+        services = reused | decoded.ok_value.services_by_name
+        names = [n for s in services.values() for n in s.endpoints_by_name]
+        if len(names) != len(set(names)):
+            return result.Err("two services have an endpoint of one name")
+        return result.Ok(
+            dataclasses.replace(
+                decoded.ok_value, services_by_name=dict(sorted(services.items()))
+            )
+        )
+
     def _put(
         self,
         collected: assembly.Assembly,
--- a/src/snipelink/gossip/agent.py
+++ b/src/snipelink/gossip/agent.py
@@ -19,9 +19,6 @@
 _LOG = logging.getLogger(__name__)
 
 TICK_S = 0.2
-# A departure is pushed this often before the process goes on to stop.
-LEAVE_PUSHES = 4
-FIRST_LIST_BYTES = 1_000
 
 
 def new_table(settings: generated.Settings, rng: random.Random) -> table.Table:
--- a/src/snipelink/gossip/exchange.py
+++ b/src/snipelink/gossip/exchange.py
@@ -23,6 +23,9 @@
 PEERS_PER_ROUND = 2
 PEERS_PER_START_ROUND = 6
 PEERS_PER_PUSH = 6
+# A departure is pushed several times, because the process may end before a round.
+DEPARTURE_PUSHES = 6
+DEPARTURE_PUSH_S = 0.25
 REFRESH_S = 10.0
 SHORTEST_REFRESH_S = 1.0
 EXPIRE_S = 5.0
@@ -162,7 +165,8 @@
         self._question = 0
         self._asked_at_by_question: dict[int, float] = {}
         self._pushed_revision = 0
-        self._pushed_members_at = now
+        self._departure_pushes = 0
+        self._departure_pushed_at = float("-inf")
         self._merged_revision = 0
         self._contacts_by_name: dict[str, _Contact] = {}
         self._peers_by_name: dict[str, members.Member] = {}
@@ -353,11 +357,17 @@
         """Tell some peers at once of a new set in force or of a departure."""
         revision = self._store.revision()
         leaving = self._table.own.state is members.State.LEAVING
-        urgent = leaving and now - self._pushed_members_at >= ROUND_S / 4
+        urgent = (
+            leaving
+            and self._departure_pushes < DEPARTURE_PUSHES
+            and now - self._departure_pushed_at >= DEPARTURE_PUSH_S
+        )
         if revision <= self._pushed_revision and not urgent:
             return
         self._pushed_revision = revision
-        self._pushed_members_at = now
+        if urgent:
+            self._departure_pushes += 1
+            self._departure_pushed_at = now
         for peer in peers.sample(self._peers_by_name, PEERS_PER_PUSH, self._rng):
             message = self._message(now)
             message.members += self._rumoured_members(now)
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -103,6 +103,15 @@
     assert target.offer(manifest, changed, PLATFORM, 0.0).is_ok()
 
 
+def test_reused_services_equal_decoded_ones() -> None:
+    """Guards against a set that mixes services of two revisions."""
+    step_by_step, at_once = store.Store(), store.Store()
+    for revision, servers in ((1, 2), (2, 3), (3, 1)):
+        _offer(step_by_step, revision, servers)
+    _offer(at_once, 3, 1)
+    assert step_by_step.objects() == at_once.objects()
+
+
 def test_only_used_services_are_needed() -> None:
     """Guards against a node that reads the documents of the whole fleet."""
     rules = (
