Bound call connections in time and memory and end them without a race

Cause: a frame had no time limit, garbage was logged once per connection, and a call that crossed the close of an idle connection, at a stop or at the idle limit, was reported as connection-lost although it never ran. Closing the listener did not wake the thread that accepts.

Change: frames are read within the time for a request and charged to the memory budget. Before the receiver ends a connection it sends a reply without call id; a sender that finds it knows that its call did not run. It carries leaving at a stop, overloaded without memory, and unreachable after a broken frame or the idle time. A hello of another version is answered with the own hello, then refused; the next version is accepted. Warnings are limited to one a second. The forwarder reads the new frame.

--- a/src/snipelink/execute/forward.py
+++ b/src/snipelink/execute/forward.py
@@ -104,6 +104,9 @@
         except msgspec.MsgspecError as error:
             stream.close()
             return self._fail(errors.Kind.CONNECTION_LOST, endpoint, str(error))
+        if messages.is_goodbye(reply):
+            stream.close()
+            return messages.to_outcome(reply, endpoint.name)
         if reply.call_id != call.call_id:
             stream.close()
             self.mismatched_replies += 1
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -95,7 +95,8 @@
             self.incarnation,
             self._runner,
             max_frame_bytes,
-            values.max_connections,
+            values,
+            budget,
         )
         self._caller_server = caller.CallerServer(
             parse_address(values.caller_listen),
@@ -167,7 +168,11 @@
 
     def _open(self) -> int:
         # An idle connection may still receive a request that crosses the stop.
-        return self._running() + self._caller_server.open_connections()
+        return (
+            self._running()
+            + self._caller_server.open_connections()
+            + self._call_server.open_connections()
+        )
 
     def _busy(self) -> int:
         return self._running() + self._caller_server.busy_connections()
--- a/src/snipelink/session/call.py
+++ b/src/snipelink/session/call.py
@@ -13,10 +13,17 @@
 
 from snipelink import errors, model
 from snipelink.generated import messages as generated
-from snipelink.session import frames, messages
+from snipelink.session import frames, memory, messages, streams
 
 logger = logging.getLogger(__name__)
 HANDSHAKE_TIMEOUT_S = 5.0
+MAX_HELLO_BYTES = 4096
+# Time in which a call that crosses the stop of the node may still arrive.
+STOP_DRAIN_S = 0.1
+# Time for the peer to read the last frame before the connection is closed.
+LINGER_S = 0.25
+# Shortest time between two log lines about broken connections.
+WARNING_INTERVAL_S = 1.0
 Cancelled = typing.Callable[[], bool]
 
 
@@ -36,6 +43,14 @@
         """Return the load of the own endpoint."""
 
 
+class Limits(typing.Protocol):
+    """Limits of a call connection."""
+
+    max_connections: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
 class CallServer:
     """Listens on the call port.
 
@@ -49,8 +64,11 @@
         Runs the calls.
     max_frame_bytes : int
         Largest frame accepted, bytes.
-    max_connections : int
-        Connections kept at once; further ones are closed at once.
+    limits : Limits
+        Limits of each connection; a frame must arrive within the time for a
+        request.
+    budget : memory.Budget
+        Charged for frames.
     """
 
     def __init__(
@@ -60,39 +78,52 @@
         incarnation: str,
         handler: Handler,
         max_frame_bytes: int,
-        max_connections: int,
+        limits: Limits,
+        budget: memory.Budget,
     ) -> None:
         self._hello = messages.encode_hello(node, incarnation)
         self._incarnation = incarnation
         self._handler = handler
         self._max_frame_bytes = max_frame_bytes
-        self._max_connections = max_connections
+        self._limits = limits
+        self._budget = budget
         self._listener = socket.create_server(address, backlog=256)
         self._lock = threading.Lock()
-        self._idle_connections: set[socket.socket] = set()
         self._connections: set[socket.socket] = set()
+        self._waker = streams.Waker()
         self._stopping = False
+        self._warned_at = float("-inf")
+        self.broken_connections = 0
+        self.refused_connections = 0
+
+    @property
+    def port(self) -> int:
+        """Port of the listener."""
+        return int(self._listener.getsockname()[1])
 
     def start(self) -> None:
         """Accept connections in a thread of its own."""
         threading.Thread(target=self._accept, name="call-accept", daemon=True).start()
 
     def stop(self) -> None:
-        """Stop accepting and close the connections that carry no call."""
-        with self._lock:
-            self._stopping = True
-            idle = list(self._idle_connections)
+        """Stop accepting and end each connection after its last reply.
+
+        A call that arrives within `STOP_DRAIN_S` is answered as `leaving`; one
+        that crosses the end finds the frame that tells so.
+        """
+        self._stopping = True
+        self._waker.wake()
+        try:
+            # Closing alone does not wake a thread that waits for a connection.
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self._listener.close()
-        for connection in idle:
-            _shut_down(connection)
 
-    def close(self) -> int:
-        """Close all connections; return how many there were."""
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
         with self._lock:
-            connections = list(self._connections)
-        for connection in connections:
-            _shut_down(connection)
-        return len(connections)
+            return len(self._connections)
 
     def _accept(self) -> None:
         while True:
@@ -104,10 +135,12 @@
                 time.sleep(0.05)
                 continue
             with self._lock:
-                full = len(self._connections) >= self._max_connections
+                full = len(self._connections) >= self._limits.max_connections
                 if not full:
                     self._connections.add(connection)
             if full:
+                # The peer has no hello yet and knows that nothing ran.
+                self.refused_connections += 1
                 connection.close()
                 continue
             threading.Thread(
@@ -115,65 +148,107 @@
             ).start()
 
     def _serve(self, connection: socket.socket) -> None:
+        stream = streams.Stream(connection, self._waker)
         try:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection.settimeout(HANDSHAKE_TIMEOUT_S)
-            hello = frames.receive(connection, frames.MESSAGE_OVERHEAD_BYTES)
-            if hello is None:
-                return
-            messages.decode_hello(hello)
-            frames.send(connection, self._hello)
-            connection.settimeout(None)
-            while self._serve_one(connection):
-                pass
-        except (frames.FrameError, msgspec.MsgspecError) as error:
-            logger.warning("call connection closed: %s", error)
+            if self._greet(stream):
+                while self._serve_one(stream):
+                    self._budget.settle()
+        except (frames.FrameError, msgspec.MsgspecError, TimeoutError) as error:
+            self._warn(error)
         except OSError:
             pass
+        except Exception:
+            logger.exception("call connection failed")
         finally:
+            self._budget.settle()
+            stream.close()
             with self._lock:
                 self._connections.discard(connection)
-                self._idle_connections.discard(connection)
-            connection.close()
 
-    def _serve_one(self, connection: socket.socket) -> bool:
-        with self._lock:
-            if self._stopping:
-                return False
-            self._idle_connections.add(connection)
+    def _greet(self, stream: streams.Stream) -> bool:
+        stream.deadline = time.monotonic() + HANDSHAKE_TIMEOUT_S
+        stream.handshake()
+        hello = frames.receive(stream, MAX_HELLO_BYTES)
+        if hello is None:
+            return False
+        # Sent first, so a peer with another version learns of this one.
+        frames.send(stream, self._hello)
+        messages.decode_hello(hello)
+        return True
+
+    def _serve_one(self, stream: streams.Stream) -> bool:
         before = time.monotonic()
-        payload = frames.receive(connection, self._max_frame_bytes)
-        with self._lock:
-            self._idle_connections.discard(connection)
-        if payload is None:
+        if not self._wait(stream):
+            kind = errors.Kind.LEAVING if self._stopping else errors.Kind.UNREACHABLE
+            self._end(stream, kind)
             return False
-        request = messages.decode_request(payload)
-        outcome = self._run(connection, request, before)
-        load = self._handler.load()
-        frames.send(connection, messages.encode_reply(request.call_id, outcome, load))
+        stream.deadline = time.monotonic() + self._limits.header_timeout_s
+        request = self._receive(stream)
+        if request is None:
+            return False
+        outcome = self._run(stream, request, before)
+        reply = messages.encode_reply(request.call_id, outcome, self._handler.load())
+        stream.deadline = time.monotonic() + self._limits.header_timeout_s
+        frames.send(stream, reply)
         return True
 
+    def _receive(self, stream: streams.Stream) -> generated.CallRequest | None:
+        """Return the next call, or ``None`` after the connection has ended.
+
+        Only here a broken connection is told that nothing ran; after a part of a
+        reply, the same bytes would become a part of the answer.
+        """
+        try:
+            payload = frames.receive(stream, self._max_frame_bytes, self._budget)
+            return messages.decode_request(payload) if payload is not None else None
+        except frames.NoMemory:
+            self._end(stream, errors.Kind.OVERLOADED)
+        except (frames.FrameError, msgspec.MsgspecError, TimeoutError) as error:
+            self._warn(error)
+            self._end(stream, errors.Kind.UNREACHABLE)
+        return None
+
+    def _wait(self, stream: streams.Stream) -> bool:
+        """Wait for a call; false when the connection shall end."""
+        if not self._stopping and stream.wait_idle(self._limits.idle_timeout_s):
+            return True
+        return self._stopping and stream.wait_readable(STOP_DRAIN_S)
+
+    def _end(self, stream: streams.Stream, kind: errors.Kind) -> None:
+        """End a connection; a call that is on its way learns that it did not run."""
+        self._budget.settle()
+        stream.deadline = time.monotonic() + LINGER_S
+        try:
+            frames.send(stream, messages.encode_goodbye(kind))
+        except OSError:
+            return
+        stream.close_gracefully(LINGER_S, self._max_frame_bytes)
+
+    def _warn(self, error: Exception) -> None:
+        now = time.monotonic()
+        with self._lock:
+            self.broken_connections += 1
+            quiet = now - self._warned_at < WARNING_INTERVAL_S
+            if not quiet:
+                self._warned_at = now
+        if not quiet:
+            logger.warning("call connection closed: %s", error)
+
     def _run(
         self,
-        connection: socket.socket,
+        stream: streams.Stream,
         request: generated.CallRequest,
         before: float,
     ) -> Result[model.Answer, errors.Failure]:
         if request.expected_incarnation != self._incarnation:
             detail = "the call was meant for an earlier process at this address"
             return Err(errors.Failure(errors.Kind.STALE_INCARNATION, detail))
+        if self._stopping:
+            return Err(errors.Failure(errors.Kind.LEAVING, "the node is stopping"))
         now = time.monotonic()
         try:
-            return self._handler.run_forwarded(
-                request, before, now, lambda: frames.is_closed(connection)
-            )
+            return self._handler.run_forwarded(request, before, now, stream.is_closed)
         except Exception:
             logger.exception("call %s failed", request.call_id)
             return Err(errors.Failure(errors.Kind.INTERNAL))
-
-
-def _shut_down(connection: socket.socket) -> None:
-    try:
-        connection.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass
--- a/src/snipelink/session/frames.py
+++ b/src/snipelink/session/frames.py
@@ -4,32 +4,64 @@
 
 import select
 import socket
+import ssl
 import struct
+import typing
+
+from snipelink.session import memory
 
 LENGTH = struct.Struct(">I")
 # Room for the fields of a message beside its body and headers.
 MESSAGE_OVERHEAD_BYTES = 65536
+RECEIVE_BYTES = 65536
+MAX_RECEIVE_BYTES = 262144
 
 
 class FrameError(Exception):
     """The peer broke the framing; the connection is unusable."""
 
 
-def send(connection: socket.socket, payload: bytes) -> None:
+class NoMemory(FrameError):
+    """The memory budget of the node has no room for the frame."""
+
+
+class Connection(typing.Protocol):
+    """A socket, or a stream with a deadline."""
+
+    def recv(self, size: int, /) -> bytes:
+        """Receive some bytes; empty at the end of the stream."""
+
+    def sendall(self, data: bytes, /) -> None:
+        """Send all bytes."""
+
+
+def send(connection: Connection, payload: bytes) -> None:
     """Send one frame."""
     connection.sendall(LENGTH.pack(len(payload)) + payload)
 
 
-def receive(connection: socket.socket, limit: int) -> bytes | None:
-    """Receive one frame of at most `limit` bytes; ``None`` at end of stream."""
-    data = connection.recv(65536)
+def receive(
+    connection: Connection, limit: int, budget: memory.Budget | None = None
+) -> bytes | None:
+    """Receive one frame of at most `limit` bytes; ``None`` at end of stream.
+
+    Raises
+    ------
+    FrameError
+        If the frame is longer, cut off or followed by other bytes.
+    NoMemory
+        If `budget` is given and has no room.
+    """
+    data = connection.recv(RECEIVE_BYTES)
     if not data:
         return None
     while len(data) < LENGTH.size:
-        data += _receive_some(connection, 65536)
+        data += _receive_some(connection, RECEIVE_BYTES)
     (length,) = LENGTH.unpack_from(data)
     if length > limit:
         raise FrameError(f"frame of {length} bytes exceeds {limit}")
+    if budget is not None and not budget.charge(length):
+        raise NoMemory("no memory for the frame")
     end = LENGTH.size + length
     if len(data) < end:
         data = _receive_rest(connection, data, end)
@@ -38,33 +70,40 @@
     return data[LENGTH.size :]
 
 
-def _receive_rest(connection: socket.socket, data: bytes, end: int) -> bytes:
+def _receive_rest(connection: Connection, data: bytes, end: int) -> bytes:
     buffer = bytearray(data)
     while len(buffer) < end:
-        buffer += _receive_some(connection, min(262144, end - len(buffer)))
+        buffer += _receive_some(connection, min(MAX_RECEIVE_BYTES, end - len(buffer)))
     return bytes(buffer)
 
 
-def _receive_some(connection: socket.socket, size: int) -> bytes:
+def _receive_some(connection: Connection, size: int) -> bytes:
     data = connection.recv(size)
     if not data:
         raise FrameError("connection closed inside a frame")
     return data
 
 
-def is_readable(connection: socket.socket) -> bool:
-    """Whether data or the end of the stream waits; does not block.
+def is_closed(connection: socket.socket) -> bool:
+    """Whether the peer closed an idle connection or sent without being asked.
 
     A socket with a timeout would wait in ``recv`` even with ``MSG_DONTWAIT``.
     """
-    poller = select.poll()
-    poller.register(connection, select.POLLIN)
-    return bool(poller.poll(0))
-
-
-def is_closed(connection: socket.socket) -> bool:
-    """Whether the peer closed the connection or broke the one-call protocol."""
     try:
-        return is_readable(connection)
+        if isinstance(connection, ssl.SSLSocket):
+            return _is_tls_closed(connection)
+        poller = select.poll()
+        poller.register(connection, select.POLLIN)
+        return bool(poller.poll(0))
     except (OSError, ValueError):
         return True
+
+
+def _is_tls_closed(connection: ssl.SSLSocket) -> bool:
+    # Session tickets make the socket readable without data for the caller.
+    connection.setblocking(False)
+    try:
+        connection.recv(1)
+    except (ssl.SSLWantReadError, ssl.SSLWantWriteError):
+        return False
+    return True
--- a/src/snipelink/session/messages.py
+++ b/src/snipelink/session/messages.py
@@ -9,6 +9,8 @@
 from snipelink.generated import messages
 
 VERSION = 1
+# Fields are only added, so the next version understands this one as well.
+SUPPORTED_VERSIONS = (VERSION, VERSION + 1)
 _encoder = msgspec.msgpack.Encoder()
 _hello_decoder = msgspec.msgpack.Decoder(messages.Hello)
 _request_decoder = msgspec.msgpack.Decoder(messages.CallRequest)
@@ -21,8 +23,11 @@
 
 
 def decode_hello(payload: bytes) -> messages.Hello:
-    """Decode the first frame; raises ``msgspec.DecodeError``."""
-    return _hello_decoder.decode(payload)
+    """Decode the first frame; raises ``msgspec.MsgspecError``."""
+    hello = _hello_decoder.decode(payload)
+    if hello.version not in SUPPORTED_VERSIONS:
+        raise msgspec.ValidationError(f"version {hello.version} is not supported")
+    return hello
 
 
 def decode_request(payload: bytes) -> messages.CallRequest:
@@ -73,6 +78,16 @@
     )
 
 
+def encode_goodbye(kind: errors.Kind) -> bytes:
+    """Return the frame that ends a connection on which nothing more will run."""
+    return _encoder.encode(messages.CallReply("", b"", error_kind=kind.value))
+
+
+def is_goodbye(reply: messages.CallReply) -> bool:
+    """Whether a reply ends the connection; a call that crossed it did not run."""
+    return not reply.call_id and bool(reply.error_kind)
+
+
 def encode_reply(
     call_id: str,
     outcome: Result[model.Answer, errors.Failure],
--- a/src/snipelink/session/streams.py
+++ b/src/snipelink/session/streams.py
@@ -97,6 +97,15 @@
         except (ssl.SSLZeroReturnError, ssl.SSLEOFError):
             return b""
 
+    def is_closed(self) -> bool:
+        """Whether the peer closed the connection or sent without being asked."""
+        try:
+            if self._tls is None:
+                return bool(self._readable.poll(0))
+            return self.recv_now(1) is not None
+        except (OSError, ValueError):
+            return True
+
     def sendall(self, data: bytes) -> None:
         """Send all bytes."""
         self._send(data, select.POLLOUT)
