--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,12 +17,15 @@
 import urllib3
 import zmq.auth
 
+from bench import relay
 from snipelink import model
 from snipelink.objects import documents
 
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+LOWEST_PORT = 10000
+HIGHEST_PORT = 32000
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,15 +35,27 @@
     endpoint: model.Endpoint
     caller_address: str
     admin_address: str
+    call_listen: str
     endpoint_process: subprocess.Popen[bytes] | None = None
     node_process: subprocess.Popen[bytes] | None = None
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections, which could take one before its process listens.
+    """
+    rng = random.SystemRandom()
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
+        item = socket.socket()
+        try:
+            item.bind((HOST, rng.randrange(LOWEST_PORT, HIGHEST_PORT)))
+        except OSError:
+            item.close()
+            continue
+        sockets.append(item)
     ports = [item.getsockname()[1] for item in sockets]
     for item in sockets:
         item.close()
@@ -71,9 +87,13 @@
         endpoint_options: tuple[str, ...] = (),
         platform_options: tuple[str, ...] = (),
         connections: int = 200,
+        relayed: bool = False,
     ) -> None:
         """Plan servers; ``domains_by_server``: name -> (service, failure domain)."""
         self.platform_options = platform_options
+        self.node_module = "snipelink.cli.node"
+        self.node_arguments: tuple[str, ...] = ()
+        self.relays_by_server: dict[str, relay.Relay] = {}
         self.rules = rules
         self.operations_by_service = operations_by_service
         self.endpoint_options = endpoint_options
@@ -85,10 +105,10 @@
         self.platform_process: subprocess.Popen[bytes] | None = None
         self.servers_by_name: dict[str, Server] = {}
         self.settings_by_server: dict[str, dict[str, object]] = {}
-        ports = iter(free_ports(5 * len(domains_by_server) + 1))
+        ports = iter(free_ports(6 * len(domains_by_server) + 1))
         self.platform_address = f"{HOST}:{next(ports)}"
         for name, (service, domain) in domains_by_server.items():
-            addresses = [f"{HOST}:{next(ports)}" for _ in range(5)]
+            addresses = [f"{HOST}:{next(ports)}" for _ in range(6)]
             endpoint = model.Endpoint(
                 name,
                 service,
@@ -100,7 +120,12 @@
                 slots=slots,
                 connections=connections,
             )
-            self.servers_by_name[name] = Server(endpoint, addresses[3], addresses[4])
+            server = Server(endpoint, addresses[3], addresses[4], addresses[1])
+            if relayed:
+                server.call_listen = addresses[5]
+                found = relay.Relay(addresses[1], addresses[5])
+                self.relays_by_server[name] = found
+            self.servers_by_name[name] = server
 
     def __enter__(self) -> Deployment:
         try:
@@ -111,6 +136,8 @@
         return self
 
     def _start(self) -> None:
+        for item in self.relays_by_server.values():
+            item.start()
         self.start_platform()
         self.publish()
         for server in self.servers_by_name.values():
@@ -133,6 +160,8 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        for item in self.relays_by_server.values():
+            item.stop()
         self.directory.cleanup()
 
     def spawn(self, module: str, *arguments: str) -> subprocess.Popen[bytes]:
@@ -181,7 +210,7 @@
             "failure_domain": endpoint.failure_domain,
             "region": endpoint.region,
             "caller_listen": server.caller_address,
-            "call_listen": endpoint.call_address,
+            "call_listen": server.call_listen,
             "control_listen": endpoint.control_address,
             "admin_listen": server.admin_address,
             "endpoint": endpoint.address,
@@ -191,7 +220,9 @@
         values |= self.settings_by_server.get(endpoint.name, {})
         path = pathlib.Path(self.directory.name) / f"{endpoint.name}.json"
         path.write_text(json.dumps(values))
-        server.node_process = self.spawn("snipelink.cli.node", str(path))
+        server.node_process = self.spawn(
+            self.node_module, *self.node_arguments, str(path)
+        )
 
     def _control_settings(self) -> dict[str, object]:
         directory = pathlib.Path(self.directory.name)
@@ -213,13 +244,30 @@
             services[name] = model.Service(name, operations, endpoints)
         return model.ObjectSet(self.revision, "", self.rules, services)
 
-    def retire(self, name: str) -> float:
-        """Publish a set in which an endpoint leaves; return the time of it."""
+    def set_leaving(self, name: str, leaving: bool) -> float:
+        """Publish whether an endpoint leaves; return the time of it."""
         server = self.servers_by_name[name]
-        server.endpoint = dataclasses.replace(server.endpoint, leaving=True)
+        server.endpoint = dataclasses.replace(server.endpoint, leaving=leaving)
         self.publish()
         return time.monotonic()
 
+    def stop_server(self, name: str) -> list[str]:
+        """Stop the node and then the endpoint of a server; return what went wrong."""
+        server = self.servers_by_name[name]
+        problems = []
+        for process in (server.node_process, server.endpoint_process):
+            if process is None:
+                continue
+            process.terminate()
+            try:
+                status = process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                problems.append(f"{name}: a process did not stop on SIGTERM")
+            else:
+                if status != 0:
+                    problems.append(f"{name}: a process stopped with {status}")
+        return problems
+
     def publish(self) -> int:
         """Publish the planned set under the next revision."""
         self.revision += 1
--- a/bench/load.py
+++ b/bench/load.py
@@ -133,7 +133,9 @@
     planned = []
     for index, at in enumerate(times):
         kind = rng.choices(kinds, shares)[0]
-        key = f"{issued_ms + int(at * 1000)}-{seed}-{index}" if kind.keyed else ""
+        key = (
+            f"{issued_ms + int(at * 1000)}-{seed:04d}-{index:08d}" if kind.keyed else ""
+        )
         first = Planned(
             f"t{seed}-{index}",
             at,
@@ -327,8 +329,8 @@
 
 
 def target(call: Planned) -> str:
-    """Return the request target of a call."""
-    return call.kind.path.replace("{id}", call.token)
+    """Return the request target of a call; repeats of a marked call share one."""
+    return call.kind.path.replace("{id}", call.mark or call.token)
 
 
 def _interpret(call: Planned, connection: _Connection, record: Record) -> None:
--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -10,15 +10,23 @@
 from result import Err, Ok, Result
 
 from snipelink import errors, model
-from snipelink.execute import endpoint_client, forward, local, routing, service
+from snipelink.execute import (
+    endpoint_client,
+    forward,
+    keyed,
+    local,
+    quorum,
+    routing,
+    service,
+)
 from snipelink.observe import metrics, traces
 from snipelink.retry import policy as retries
 from snipelink.retry import suspects
 
 Cancelled = typing.Callable[[], bool]
 Outcome = Result[model.Answer, errors.Failure]
+MakeClient = typing.Callable[[str, str], endpoint_client.EndpointClient]
 IsLeaving = typing.Callable[[str, float], bool]
-Connect = typing.Callable[[str, str], endpoint_client.EndpointClient]
 NO_ENDPOINT_RETRY_AFTER_S = 1.0
 
 
@@ -41,8 +49,10 @@
         Crash suspects; calls that are contained are refused.
     is_leaving : callable
         Tells whether the node beside an endpoint leaves at a time.
-    connect : callable
-        Makes the client of an endpoint without a node, from address and name.
+    make_client : callable
+        Makes the client of an endpoint without a node from its address and name.
+    asked : Quorum
+        Tells whether this node's knowledge of key owners is current.
     """
 
     def __init__(
@@ -54,7 +64,8 @@
         recorded: metrics.Metrics,
         table: suspects.SuspectTable,
         is_leaving: IsLeaving,
-        connect: Connect,
+        make_client: MakeClient,
+        asked: quorum.Quorum,
     ) -> None:
         self._node = node
         self._services = services
@@ -63,7 +74,8 @@
         self._metrics = recorded
         self._suspects = table
         self._is_leaving = is_leaving
-        self._connect = connect
+        self._make_client = make_client
+        self.keyed = keyed.KeyedCalls(node, forwarder, asked, self._run)
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
 
@@ -81,6 +93,31 @@
         if contained is not None:
             return Err(contained)
         state = self._services.get(objects, route.service, now)
+        if keyed.is_keyed(call):
+            return self.keyed.execute(state, call, span, now, cancelled)
+        return self._run(state, call, span, now, cancelled)
+
+    def run_as_owner(
+        self,
+        call: model.Call,
+        objects: model.ObjectSet,
+        called: model.Service,
+        span: traces.Span,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
+        """Run a call whose idempotency key this node may own."""
+        state = self._services.get(objects, called, now)
+        return self.keyed.run_as_owner(state, call, span, now, cancelled)
+
+    def _run(
+        self,
+        state: service.ServiceState,
+        call: model.Call,
+        span: traces.Span,
+        now: float,
+        cancelled: Cancelled,
+    ) -> Outcome:
         failed: list[str] = []
         outcome: Outcome = _no_endpoint()
         while True:
@@ -172,7 +209,7 @@
         with self._lock:
             client = self._clients_by_address.get(endpoint.address)
             if client is None:
-                client = self._connect(endpoint.address, endpoint.name)
+                client = self._make_client(endpoint.address, endpoint.name)
                 self._clients_by_address[endpoint.address] = client
             return client
 
--- a/src/snipelink/session/call.py
+++ b/src/snipelink/session/call.py
@@ -42,6 +42,9 @@
     def load(self) -> model.LoadReport | None:
         """Return the load of the own endpoint."""
 
+    def revision(self) -> int:
+        """Return the revision in force on this node."""
+
 
 class Limits(typing.Protocol):
     """Limits of a call connection."""
@@ -81,7 +84,7 @@
         limits: Limits,
         budget: memory.Budget,
     ) -> None:
-        self._hello = messages.encode_hello(node, incarnation)
+        self._node = node
         self._incarnation = incarnation
         self._handler = handler
         self._max_frame_bytes = max_frame_bytes
@@ -173,7 +176,9 @@
         if hello is None:
             return False
         # Sent first, so a peer with another version learns of this one.
-        frames.send(stream, self._hello)
+        revision = self._handler.revision()
+        own = messages.encode_hello(self._node, self._incarnation, revision)
+        frames.send(stream, own)
         messages.decode_hello(hello)
         return True
 
--- a/tests/session/test_call.py
+++ b/tests/session/test_call.py
@@ -42,6 +42,9 @@
     def load(self) -> None:
         return None
 
+    def revision(self) -> int:
+        return 7
+
 
 @contextlib.contextmanager
 def _serving(
