--- a/src/snipelink/cli/node.py
+++ b/src/snipelink/cli/node.py
@@ -30,6 +30,7 @@
 # The interpreter's default of 5 ms lets one thread hold up a call for longer
 # than a call may take in all.
 SWITCH_INTERVAL_S = 0.0005
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -49,26 +50,25 @@
 
 def _serve(values: settings.Settings) -> int:
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    stop = threading.Event()
-    cut = threading.Event()
-
-    def on_signal(*_: object) -> None:
-        if stop.is_set():
-            cut.set()
-        stop.set()
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
+    # A handler that sets an event can deadlock with the wait it interrupts. The
+    # threads inherit the mask, so only `sigwait` receives these signals.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     running = node.Node(values)
     running.start()
     # Start-up objects live as long as the process; collections need not scan them.
     gc.collect()
     gc.freeze()
-    while not stop.wait(1.0):
-        pass
+    signal.sigwait(STOP_SIGNALS)
+    cut = threading.Event()
+    threading.Thread(target=_cut_on_signal, args=(cut,), daemon=True).start()
     return running.stop(cut)
 
 
+def _cut_on_signal(cut: threading.Event) -> None:
+    signal.sigwait(STOP_SIGNALS)
+    cut.set()
+
+
 def run() -> None:
     """Entry point of the program."""
     sys.exit(main())
