--- a/bench/behaviour.py
+++ b/bench/behaviour.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 import random
@@ -10,7 +11,7 @@
 LONGEST_SHIFT_S = 0.5
 SERVICE_TIME_SIGMA = 0.5
 COLD_FACTOR = 4.0
-# Weight and factor of each level; normalised so that the mean over time is 1.
+# Weight and slowdown of each level; speeds are normalised to a mean of 1 over time.
 NOISE_LEVELS = ((0.75, 1.0), (0.18, 3.0), (0.07, 8.0))
 
 
@@ -53,26 +54,44 @@
 
 
 class Noise:
-    """Factor on service times that shifts every 5 to 500 ms, with mean 1."""
+    """Speed of an endpoint that shifts every 5 to 500 ms, with mean 1.
+
+    A shift also slows the requests that are running: what a request takes is work,
+    and its end depends on the speeds until then.
+    """
 
     def __init__(self, rng: random.Random, enabled: bool, now: float) -> None:
         self._rng = rng
         self._enabled = enabled
-        self._factor = 1.0
-        self._next_shift = now
+        # Ends and speeds of the shifts, the current one first.
+        self._shifts = collections.deque([(now, 1.0)])
 
-    def factor(self, now: float) -> float:
-        """Return the factor at `now`; calls must not go back in time."""
+    def duration_s(self, work_s: float, now: float) -> float:
+        """Return how long work that takes `work_s` at speed 1 takes from `now` on."""
         if not self._enabled:
-            return 1.0
-        mean = sum(weight * level for weight, level in NOISE_LEVELS)
-        while now >= self._next_shift:
-            weights = [weight for weight, _ in NOISE_LEVELS]
-            levels = [level for _, level in NOISE_LEVELS]
-            self._factor = self._rng.choices(levels, weights)[0] / mean
-            low, high = math.log(SHORTEST_SHIFT_S), math.log(LONGEST_SHIFT_S)
-            self._next_shift += math.exp(self._rng.uniform(low, high))
-        return self._factor
+            return work_s
+        while self._shifts[0][0] <= now:
+            if len(self._shifts) == 1:
+                self._extend()
+            self._shifts.popleft()
+        at, index = now, 0
+        while True:
+            ends, speed = self._shifts[index]
+            if work_s <= (ends - at) * speed:
+                return at + work_s / speed - now
+            work_s -= (ends - at) * speed
+            at, index = ends, index + 1
+            if index == len(self._shifts):
+                self._extend()
+
+    def _extend(self) -> None:
+        mean = sum(weight / factor for weight, factor in NOISE_LEVELS)
+        weights = [weight for weight, _ in NOISE_LEVELS]
+        factors = [factor for _, factor in NOISE_LEVELS]
+        speed = 1.0 / (self._rng.choices(factors, weights)[0] * mean)
+        low, high = math.log(SHORTEST_SHIFT_S), math.log(LONGEST_SHIFT_S)
+        lasts_s = math.exp(self._rng.uniform(low, high))
+        self._shifts.append((self._shifts[-1][0] + lasts_s, speed))
 
 
 class ServiceTimes:
@@ -104,7 +123,7 @@
         cold = 1.0
         if age_s < switches.cold_s:
             cold += (COLD_FACTOR - 1.0) * (1.0 - age_s / switches.cold_s)
-        return drawn * self._noise.factor(now) * switches.slow * cold
+        return self._noise.duration_s(drawn * switches.slow * cold, now)
 
 
 class LoadReports:
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -11,13 +11,14 @@
 import typing
 
 import docopt
-from result import Ok
+from result import Ok, Result
 
 from snipelink import errors
 from snipelink.balance import tracker
 from snipelink.cli import node as program
 from snipelink.execute import control, endpoint_client, executor, node
 from snipelink.retry import policy, suspects
+from snipelink.session import http
 
 
 def _retry_everything() -> None:
@@ -51,17 +52,18 @@
 
 def _pass_on_cut_answers() -> None:
     """Treat an answer that ended early as complete."""
-
-    class Reader(endpoint_client._ResponseReader):
-        @property
-        def done(self) -> bool:
-            return self._done or bool(self.chunks)
-
-        @done.setter
-        def done(self, value: bool) -> None:
-            self._done = value
-
-    endpoint_client._ResponseReader = Reader
+    client = endpoint_client.EndpointClient
+    original = client._ended
+
+    def ended(
+        self: typing.Any, reader: typing.Any, detail: str
+    ) -> Result[http.Response, errors.Failure]:
+        if not reader.head_done:
+            return original(self, reader, detail)
+        reader.reusable = False
+        return Ok(http.Response(reader.status, reader.headers, reader.body))
+
+    client._ended = ended
 
 
 def _swap_answers() -> None:
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import enum
+import socket
+import struct
 import threading
 
 RECEIVE_BYTES = 65536
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Mode(enum.Enum):
@@ -71,6 +74,9 @@
 
     def _close_all(self) -> None:
         for writer in self._writers:
+            # Without lingering the peer sees a reset and not an ordinary end.
+            stream = writer.get_extra_info("socket")
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
             writer.transport.abort()
 
     async def _accept(
--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+import socket
+import threading
+import time
+
+import pytest
+
+from bench import deployment, load, relay
+
+KIND = load.Kind("a", "get", "GET", "/items/{id}", True)
+KEYED = load.Kind("a", "order", "POST", "/orders", False, keyed=True)
+STALL_S = 0.5
+
+
+def test_plan_repeats_with_the_same_seed_and_key() -> None:
+    """Guards against runs that differ though their seeds are equal."""
+    times = load.constant(50, 2.0)
+    plans = [load.plan(3, times, [KIND, KEYED], ["x", "y"], 0.5) for _ in range(2)]
+    described = [[(c.token, c.at, c.entry, c.body) for c in p] for p in plans]
+    assert described[0] == described[1]
+    repeated = [call for call in plans[0] if call.token.endswith("r")]
+    assert repeated
+    keys = {call.token: call.key for call in plans[0]}
+    assert all(keys[call.token[:-1]] == call.key for call in repeated)
+
+
+def stalling_server(listener: socket.socket) -> None:
+    """Answer the first request late, and the next ones only after it."""
+    connections = []
+    for _ in range(3):
+        connections.append(listener.accept()[0])
+    time.sleep(STALL_S)
+    for connection in connections:
+        connection.recv(65536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+
+
+def test_latency_counts_from_the_intended_time() -> None:
+    """Guards against a stall that hides because later calls wait to be sent."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    thread = threading.Thread(target=stalling_server, args=(listener,), daemon=True)
+    thread.start()
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    calls = load.plan(1, [0.0, 0.1, 0.2], [KIND], ["x"])
+    records = load.Runner({"x": address}, {"a": "a.test"}).run(calls)
+    thread.join(5)
+    listener.close()
+    intended = sorted(record.intended for record in records)
+    gaps = [later - intended[0] for later in intended]
+    assert gaps == pytest.approx([0.0, 0.1, 0.2])
+    assert all(not record.body_valid for record in records)
+    assert max(record.latency_s for record in records) >= STALL_S
+
+
+def test_refused_connection_is_recorded_as_lost() -> None:
+    """Guards against calls that vanish from the record when their node is down."""
+    address = f"127.0.0.1:{deployment.free_ports(1)[0]}"
+    calls = load.plan(1, [0.0], [KIND], ["x"])
+    (record,) = load.Runner({"x": address}, {"a": "a.test"}).run(calls)
+    assert record.outcome == "lost"
+    assert record.detail
+
+
+@pytest.fixture
+def relayed() -> tuple[relay.Relay, socket.socket, str]:
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{deployment.free_ports(1)[0]}"
+    started = relay.Relay(address, f"127.0.0.1:{listener.getsockname()[1]}")
+    started.start()
+    yield started, listener, address
+    started.stop()
+    listener.close()
+
+
+def connect(address: str) -> socket.socket:
+    host, port = address.rsplit(":", 1)
+    return socket.create_connection((host, int(port)), 5)
+
+
+def test_relay_passes_data_and_drops_connections(
+    relayed: tuple[relay.Relay, socket.socket, str],
+) -> None:
+    """Guards against a cut that leaves the connection open."""
+    switched, listener, address = relayed
+    client = connect(address)
+    server, _ = listener.accept()
+    client.sendall(b"hello")
+    assert server.recv(10) == b"hello"
+    switched.switch(relay.Mode.DROP)
+    with pytest.raises(ConnectionResetError):
+        client.recv(10)
+    server.close()
+
+
+def test_black_hole_swallows_data_without_closing(
+    relayed: tuple[relay.Relay, socket.socket, str],
+) -> None:
+    """Guards against a black hole that its victim can see at once."""
+    switched, listener, address = relayed
+    client = connect(address)
+    server, _ = listener.accept()
+    switched.switch(relay.Mode.BLACK_HOLE)
+    client.sendall(b"lost")
+    client.settimeout(0.3)
+    with pytest.raises(TimeoutError):
+        client.recv(10)
+    switched.switch(relay.Mode.PASS)
+    server.settimeout(5)
+    assert server.recv(10) == b""
+    server.close()
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -30,7 +30,9 @@
         for step in scenario.steps:
             found = STEP.search(step.name)
             if found:
-                repeat_ratio = scenarios.REPEAT_RATIO if found[2] else 0.0
+                repeat_ratio = (
+                    0.0 if found[2] != "with repeats" else scenarios.REPEAT_RATIO
+                )
                 context.futures_by_step[step.name] = context.pool.submit(
                     scenarios.run,
                     found[1].split("+"),
