--- a/src/snipelink/execute/probe.py
+++ b/src/snipelink/execute/probe.py
@@ -85,6 +85,7 @@
             started + PROBE_TIMEOUT_S,
             MAX_ANSWER_BYTES,
         )
+        self._client.settle()
         ended = time.monotonic()
         self._costs.settle(cost, ended - started, ended)
         if isinstance(outcome, Ok):
--- a/src/snipelink/retry/keys.py
+++ b/src/snipelink/retry/keys.py
@@ -20,6 +20,7 @@
 import enum
 import hashlib
 import heapq
+import math
 import re
 import threading
 from collections.abc import Collection
@@ -101,16 +102,37 @@
         # process may have accepted keys up to two skews ahead of this clock.
         self._floor = wall + 2 * self._ownership.skew_s
 
-    def adopt(self, revision: int, owners: Collection[str], wall: float) -> None:
+    def adopt(
+        self,
+        revision: int,
+        owners: Collection[str],
+        wall: float,
+        handover: float = -math.inf,
+    ) -> None:
         """Take over the owners of a higher revision, see ``Ownership.adopt``."""
         with self._lock:
-            self._ownership.adopt(revision, owners, wall)
+            self._ownership.adopt(revision, owners, wall, handover)
 
     def confirm(self, revision: int, now: float, wall: float) -> None:
         """Renew the lease on the revision, see ``Ownership.confirm``."""
         with self._lock:
             self._ownership.confirm(revision, now, wall)
 
+    @property
+    def revision(self) -> int:
+        """Return the revision whose owners were adopted last."""
+        return self._ownership.revision
+
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the lease on the adopted revision holds."""
+        with self._lock:
+            return self._ownership.is_confirmed(now)
+
+    def must_renew(self, now: float) -> bool:
+        """Return whether less than half of the lease is left."""
+        with self._lock:
+            return self._ownership.must_renew(now)
+
     def route(self, key: str) -> Result[str, errors.Failure]:
         """Return the endpoint that a keyed call is sent to."""
         issued = issue_time(key)
