--- a/bench/compare.py
+++ b/bench/compare.py
@@ -2,7 +2,7 @@
 
 Usage:
   compare [--seeds=N] [--seconds=S] [--case=NAME]... [--policy=NAME]...
-          [--deployment=NAME]... [--service-ms=MS]
+          [--deployment=NAME]... [--service-ms=MS] [--slots=N]
 
 Options:
   --seeds=N          Seeds for each figure [default: 5].
@@ -11,6 +11,8 @@
   --policy=NAME      Only this policy.
   --deployment=NAME  Only this deployment.
   --service-ms=MS    Mean time of a request [default: 100].
+  --slots=N          Requests that a server runs at once [default: 10]. With fewer
+                     slots, shorter requests cause the same number of calls.
 
 The policies take turns within each seed, so that they meet the same arrivals, the same
 service times and the same state of the machine. Figures are medians over the seeds,
@@ -46,6 +48,7 @@
     "goodput/s",
     "orders %",
     "refused %",
+    "unknown %",
     "retries %",
     "probes/s",
     "violations",
@@ -98,6 +101,7 @@
     goodput: float
     orders_ratio: float
     refused_ratio: float
+    unknown_ratio: float
     retry_ratio: float
     probes_per_s: float
     violations: int
@@ -162,6 +166,7 @@
         sum(r.weight for r in answered) / (seconds - after),
         answered_orders / len(orders) if orders else 1.0,
         sum(r.ran == "not-run" for r in late) / len(late),
+        sum(r.outcome != "answered" and r.ran != "not-run" for r in late) / len(late),
         len(runs) / max(1, len(started)) - 1.0,
         len(probes) / seconds,
         violations,
@@ -195,6 +200,7 @@
         ("goodput", 1, 0),
         ("orders_ratio", 100, 1),
         ("refused_ratio", 100, 2),
+        ("unknown_ratio", 100, 2),
         ("retry_ratio", 100, 1),
         ("probes_per_s", 1, 1),
         ("violations", 1, 0),
@@ -231,7 +237,7 @@
     names = options["--policy"] or POLICIES
     wanted = options["--case"] or [case.name for case in CASES]
     plans = [
-        plan
+        dataclasses.replace(plan, slots=int(options["--slots"]))
         for plan in deployments.PLANS
         if plan.name in (options["--deployment"] or [p.name for p in deployments.PLANS])
     ]
