Expose the state of a node's parts as gauges

Load of the own endpoint, revision, control events, retries left, dropped answers and suppressed log records are read on each exposition. Series of services and endpoints that left the set are dropped with each new set.

--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import random
 import threading
@@ -14,6 +15,7 @@
     entry,
     executor,
     forward,
+    gauges,
     inbound,
     keyed,
     local,
@@ -77,6 +79,7 @@
             policies.makers_by_name()[values.balance_policy],
             values,
             rng,
+            functools.partial(gauges.retain_series, self._metrics),
         )
         calls = executor.Executor(
             values.node,
@@ -100,6 +103,14 @@
             self._control.store.revision,
         )
         self._entry = entry.Entry(self._control.in_force, calls, tracer, self._metrics)
+        gauges.add(
+            self._metrics,
+            self._control,
+            self._services,
+            self._runner,
+            self._forwarder,
+            own_client,
+        )
         self._admin = self._make_admin(tracer) if values.admin_listen else None
         self._call_server = call.CallServer(
             parse_address(values.call_listen),
--- a/src/snipelink/execute/service.py
+++ b/src/snipelink/execute/service.py
@@ -100,11 +100,16 @@
     """States of the services by name, following the set in force."""
 
     def __init__(
-        self, make_policy: MakePolicy, values: settings.Settings, rng: random.Random
+        self,
+        make_policy: MakePolicy,
+        values: settings.Settings,
+        rng: random.Random,
+        on_update: typing.Callable[[model.ObjectSet], None],
     ) -> None:
         self.rng = rng
         self._make_policy = make_policy
         self._values = values
+        self._on_update = on_update
         self._lock = threading.Lock()
         self._objects: model.ObjectSet | None = None
         self._states_by_name: dict[str, ServiceState] = {}
@@ -131,6 +136,14 @@
         with self._lock:
             return dict(self._states_by_name)
 
+    def retries_left(self) -> dict[tuple[str, ...], float]:
+        """Return the retries that each service's budget allows now, by label."""
+        now = time.monotonic()
+        return {
+            (name,): state.retries.available(now)
+            for name, state in self.states_by_name().items()
+        }
+
     def _update(self, objects: model.ObjectSet) -> None:
         with self._lock:
             known = self._objects
@@ -143,3 +156,4 @@
                     del self._states_by_name[name]
                 else:
                     state.update(service, objects)
+        self._on_update(objects)
