--- a/src/snipelink/cli/node.py
+++ b/src/snipelink/cli/node.py
@@ -53,7 +53,12 @@
     # A handler that sets an event can deadlock with the wait it interrupts. The
     # threads inherit the mask, so only `sigwait` receives these signals.
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
-    running = node.Node(values)
+    try:
+        running = node.Node(values)
+    except OSError as error:
+        # A port in use, or a TLS file that cannot be read.
+        print(f"cannot start: {error}", file=sys.stderr)
+        return 1
     running.start()
     # Start-up objects live as long as the process; collections need not scan them.
     gc.collect()
--- a/src/snipelink/execute/endpoint_client.py
+++ b/src/snipelink/execute/endpoint_client.py
@@ -4,6 +4,7 @@
 
 import collections
 import socket
+import ssl
 import threading
 import time
 import typing
@@ -156,14 +157,27 @@
         Name of the endpoint, for failures.
     budget : memory.Budget
         Charged for bodies of answers.
+    tls_context : SSLContext or None
+        Context of the connections; ``None`` for plain HTTP.
+    tls_name : str
+        Name that the endpoint's certificate must carry.
     """
 
-    def __init__(self, address: str, endpoint: str, budget: memory.Budget) -> None:
+    def __init__(
+        self,
+        address: str,
+        endpoint: str,
+        budget: memory.Budget,
+        tls_context: ssl.SSLContext | None = None,
+        tls_name: str = "",
+    ) -> None:
         host, port = address.rsplit(":", 1)
         self._host = host.strip("[]")
         self._port = int(port)
         self._endpoint = endpoint
         self._budget = budget
+        self._tls_context = tls_context
+        self._tls_name = tls_name
         self._idle: collections.deque[_Idle] = collections.deque()
         self._lock = threading.Lock()
         # Answers, or parts of them, that no request was waiting for.
@@ -171,7 +185,9 @@
 
     def for_address(self, address: str, endpoint: str) -> EndpointClient:
         """Return a client of another endpoint with the same settings."""
-        return EndpointClient(address, endpoint, self._budget)
+        return EndpointClient(
+            address, endpoint, self._budget, self._tls_context, self._tls_name
+        )
 
     def settle(self) -> None:
         """Return the memory of answers to this thread, if it serves no session."""
@@ -286,9 +302,7 @@
 
     def _connect(self, deadline: float) -> Result[streams.Stream, errors.Failure]:
         timeout = min(CONNECT_TIMEOUT_S, max(0.001, deadline - time.monotonic()))
-        opener = urllib3.connection.HTTPConnection(
-            self._host, self._port, timeout=timeout
-        )
+        opener = self._opener(timeout)
         try:
             opener.connect()
         except (OSError, urllib3.exceptions.HTTPError) as error:
@@ -299,6 +313,19 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return Ok(streams.Stream(connection))
 
+    def _opener(self, timeout: float) -> urllib3.connection.HTTPConnection:
+        if self._tls_context is None:
+            return urllib3.connection.HTTPConnection(
+                self._host, self._port, timeout=timeout
+            )
+        return urllib3.connection.HTTPSConnection(
+            self._host,
+            self._port,
+            timeout=timeout,
+            ssl_context=self._tls_context,
+            server_hostname=self._tls_name,
+        )
+
     def _release(self, stream: streams.Stream) -> None:
         with self._lock:
             if len(self._idle) < MAX_IDLE_CONNECTIONS:
--- a/src/snipelink/execute/forward.py
+++ b/src/snipelink/execute/forward.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import socket
+import ssl
 import threading
 import time
 
@@ -45,11 +46,20 @@
         Identity that is sent in the first frame.
     max_frame_bytes : int
         Largest reply accepted, bytes.
+    tls_context : SSLContext or None
+        Context of the connections; ``None`` for plain text.
     """
 
-    def __init__(self, node: str, incarnation: str, max_frame_bytes: int) -> None:
+    def __init__(
+        self,
+        node: str,
+        incarnation: str,
+        max_frame_bytes: int,
+        tls_context: ssl.SSLContext | None = None,
+    ) -> None:
         self._hello = messages.encode_hello(node, incarnation)
         self._max_frame_bytes = max_frame_bytes
+        self._tls_context = tls_context
         self._lock = threading.Lock()
         self._peers_by_address: dict[str, _Peer] = {}
         self.mismatched_replies = 0
@@ -155,6 +165,10 @@
             return self._fail(errors.Kind.UNREACHABLE, endpoint, str(error))
         try:
             stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls_context is not None:
+                stream = self._tls_context.wrap_socket(
+                    stream, server_hostname=endpoint.name
+                )
             frames.send(stream, self._hello)
             payload = frames.receive(stream, frames.MESSAGE_OVERHEAD_BYTES)
             hello = messages.decode_hello(payload or b"")
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -26,7 +26,7 @@
 )
 from snipelink.observe import admin, metrics, traces
 from snipelink.retry import suspects
-from snipelink.session import call, caller, frames, memory
+from snipelink.session import call, caller, frames, memory, tls
 
 logger = logging.getLogger(__name__)
 STOP_POLL_S = 0.02
@@ -43,6 +43,8 @@
 
     def __init__(self, values: settings.Settings) -> None:
         self._values = values
+        contexts = tls.load(values.tls)
+        budget = memory.Budget(values.max_buffered_bytes)
         max_frame_bytes = values.max_body_bytes + frames.MESSAGE_OVERHEAD_BYTES
         self._pauses = pauses.PauseDetector(time.monotonic())
         rng = random.Random()
@@ -52,11 +54,14 @@
         self._control = control.Control(values, self._pauses, self._suspects, rng)
         self.incarnation = self._control.incarnation
         self._forwarder = forward.Forwarder(
-            values.node, self.incarnation, max_frame_bytes
+            values.node, self.incarnation, max_frame_bytes, contexts.calls_out
         )
-        budget = memory.Budget(values.max_buffered_bytes)
         own_client = endpoint_client.EndpointClient(
-            values.endpoint, values.node, budget
+            values.endpoint,
+            values.node,
+            budget,
+            contexts.endpoints,
+            contexts.endpoint_name,
         )
         self._runner = local.LocalRunner(
             values.node,
@@ -109,6 +114,7 @@
             max_frame_bytes,
             values,
             budget,
+            contexts.calls_in,
         )
         self._caller_server = caller.CallerServer(
             parse_address(values.caller_listen),
@@ -116,6 +122,7 @@
             self._entry.handle,
             entry.failure_response,
             budget,
+            contexts.callers,
         )
 
     def _make_admin(self, tracer: traces.Tracer) -> admin.AdminServer:
--- a/src/snipelink/schemas.py
+++ b/src/snipelink/schemas.py
@@ -88,6 +88,11 @@
                     (*path, name),
                     "missing; expected " + _describe_property(known.get(name, {})),
                 )
+    elif error.validator == "anyOf" and isinstance(error.instance, dict):
+        # The alternative to an object is null; its complaint says nothing.
+        for alternative in error.context:
+            if alternative.path or alternative.validator != "type":
+                yield from _explain(alternative)
     else:
         yield path, f"expected {describe(error.schema)}; found {_found(error.instance)}"
 
--- a/src/snipelink/session/call.py
+++ b/src/snipelink/session/call.py
@@ -4,6 +4,7 @@
 
 import logging
 import socket
+import ssl
 import threading
 import time
 import typing
@@ -72,6 +73,8 @@
         request.
     budget : memory.Budget
         Charged for frames.
+    tls_context : SSLContext or None
+        Context of the port; ``None`` for plain text.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         max_frame_bytes: int,
         limits: Limits,
         budget: memory.Budget,
+        tls_context: ssl.SSLContext | None = None,
     ) -> None:
         self._node = node
         self._incarnation = incarnation
@@ -90,6 +94,7 @@
         self._max_frame_bytes = max_frame_bytes
         self._limits = limits
         self._budget = budget
+        self._tls_context = tls_context
         self._listener = socket.create_server(address, backlog=256)
         self._lock = threading.Lock()
         self._connections: set[socket.socket] = set()
@@ -151,9 +156,9 @@
             ).start()
 
     def _serve(self, connection: socket.socket) -> None:
-        stream = streams.Stream(connection, self._waker)
+        stream = None
         try:
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = self._open_stream(connection)
             if self._greet(stream):
                 while self._serve_one(stream):
                     self._budget.settle()
@@ -165,10 +170,20 @@
             logger.exception("call connection failed")
         finally:
             self._budget.settle()
-            stream.close()
+            if stream is not None:
+                stream.close()
+            connection.close()
             with self._lock:
                 self._connections.discard(connection)
 
+    def _open_stream(self, connection: socket.socket) -> streams.Stream:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._tls_context is not None:
+            connection = self._tls_context.wrap_socket(
+                connection, server_side=True, do_handshake_on_connect=False
+            )
+        return streams.Stream(connection, self._waker)
+
     def _greet(self, stream: streams.Stream) -> bool:
         stream.deadline = time.monotonic() + HANDSHAKE_TIMEOUT_S
         stream.handshake()
--- a/src/snipelink/session/caller.py
+++ b/src/snipelink/session/caller.py
@@ -5,6 +5,7 @@
 import logging
 import select
 import socket
+import ssl
 import threading
 import time
 import typing
@@ -12,7 +13,7 @@
 import cheroot.server
 
 from snipelink import errors
-from snipelink.session import http, memory, requests, streams
+from snipelink.session import http, memory, requests, streams, tls
 
 logger = logging.getLogger(__name__)
 RECEIVE_BYTES = 65536
@@ -200,6 +201,8 @@
         Makes the response for a failure found before a call exists.
     budget : memory.Budget
         Charged for bodies of requests.
+    tls_context : SSLContext or None
+        Context of the port; ``None`` for plain HTTP.
     """
 
     ConnectionClass = _Connection
@@ -211,8 +214,11 @@
         handle: Handle,
         refuse: Refuse,
         budget: memory.Budget,
+        tls_context: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(address, gateway=None, minthreads=1, server_name="snipelink")
+        if tls_context is not None:
+            self.ssl_adapter = tls.CherootAdapter(tls_context)
         self.limits = limits
         self.handle = handle
         self.refuse = refuse
--- /dev/null
+++ b/src/snipelink/session/tls.py
@@ -0,0 +1,103 @@
+"""TLS contexts from the files that the settings name."""
+
+from __future__ import annotations
+
+import dataclasses
+import ssl
+import typing
+
+import cheroot.errors
+import cheroot.makefile
+import cheroot.ssl
+
+from snipelink.generated import settings as generated
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contexts:
+    """Contexts of a node; ``None`` where the settings say plain text.
+
+    Attributes
+    ----------
+    callers : SSLContext or None
+        For the caller port.
+    calls_in, calls_out : SSLContext or None
+        For the call port and for calls to other nodes; both sides show a
+        certificate, and the receiver's must carry the name of its node.
+    endpoints : SSLContext or None
+        For requests to endpoints.
+    endpoint_name : str
+        Name that certificates of endpoints must carry.
+    """
+
+    callers: ssl.SSLContext | None = None
+    calls_in: ssl.SSLContext | None = None
+    calls_out: ssl.SSLContext | None = None
+    endpoints: ssl.SSLContext | None = None
+    endpoint_name: str = ""
+
+
+def load(files: generated.Tls | None) -> Contexts:
+    """Return the contexts; raises ``OSError`` if a file cannot be used."""
+    if files is None:
+        return Contexts()
+    callers = calls_in = calls_out = endpoints = None
+    if files.callers is not None:
+        callers = _server(files.callers.certificate, files.callers.key)
+    if files.calls is not None:
+        calls_in = _server(files.calls.certificate, files.calls.key)
+        calls_in.load_verify_locations(files.calls.ca)
+        calls_in.verify_mode = ssl.CERT_REQUIRED
+        calls_out = _client(files.calls.ca)
+        calls_out.load_cert_chain(files.calls.certificate, files.calls.key)
+    if files.endpoints is not None:
+        endpoints = _client(files.endpoints.ca)
+    name = files.endpoints.name if files.endpoints is not None else ""
+    return Contexts(callers, calls_in, calls_out, endpoints, name)
+
+
+def _server(certificate: str, key: str) -> ssl.SSLContext:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(certificate, key)
+    return context
+
+
+def _client(ca: str) -> ssl.SSLContext:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_verify_locations(ca)
+    return context
+
+
+class CherootAdapter(cheroot.ssl.Adapter):
+    """Wraps accepted sockets without a handshake.
+
+    cheroot's own adapter shakes hands in the thread that accepts, where one slow
+    caller would hold up all others; here the connection's thread does it.
+    """
+
+    def __init__(self, context: ssl.SSLContext) -> None:
+        self.context = context
+
+    def bind(self, sock: typing.Any) -> typing.Any:
+        """Return the listener unchanged."""
+        return sock
+
+    def wrap(self, sock: typing.Any) -> tuple[ssl.SSLSocket, dict[str, str]]:
+        """Return the TLS socket of an accepted connection."""
+        try:
+            wrapped = self.context.wrap_socket(
+                sock, server_side=True, do_handshake_on_connect=False
+            )
+        except OSError as error:
+            raise cheroot.errors.FatalSSLAlert(*error.args) from error
+        return wrapped, {}
+
+    def get_environ(self) -> dict[str, str]:
+        """Return no variables; they are for WSGI."""
+        return {}
+
+    def makefile(self, sock: typing.Any, mode: str = "r", bufsize: int = -1) -> object:
+        """Return the file that cheroot keeps for each connection."""
+        return cheroot.makefile.MakeFile(sock, mode, bufsize)
--- a/tests/session/servers.py
+++ b/tests/session/servers.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import ssl
 import types
 import typing
 
@@ -42,7 +43,10 @@
 
 @contextlib.contextmanager
 def serving(
-    handle: caller.Handle, budget_bytes: int = 1 << 20, **changes: object
+    handle: caller.Handle,
+    budget_bytes: int = 1 << 20,
+    tls_context: ssl.SSLContext | None = None,
+    **changes: object,
 ) -> typing.Iterator[tuple[caller.CallerServer, int]]:
     """Serve on a free port; stop at the end."""
     server = caller.CallerServer(
@@ -51,6 +55,7 @@
         handle,
         entry.failure_response,
         memory.Budget(budget_bytes),
+        tls_context,
     )
     server.start_serving()
     try:
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -45,6 +45,9 @@
 
 
 def _wrong_values(field: dict[str, object]) -> list[object]:
+    if "anyOf" in field:
+        # An object with errors of its own; they are reported by their fields.
+        return [1, "x", []]
     wrong: list[object] = [{}, 1 if field["type"] == "string" else "x"]
     if "minimum" in field:
         wrong += [field["minimum"] - 1, field["maximum"] + 1, True]  # type: ignore[operator]
@@ -97,6 +100,21 @@
     assert found == {name for name, _ in changes}
 
 
+def test_errors_inside_an_optional_object_are_reported_by_field(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a message that names a section and not what is wrong in it."""
+    section = {"callers": {"certificate": ""}, "calls": 1, "more": 2}
+    problems = settings.load(_write(tmp_path / "s", {"tls": section})).unwrap_err()
+    assert {problem.field for problem in problems} == {
+        "tls.callers.certificate",
+        "tls.callers.key",
+        "tls.calls",
+        "tls.endpoints",
+        "tls.more",
+    }
+
+
 def test_every_missing_field_is_reported(tmp_path: pathlib.Path) -> None:
     """Guards against a default for a field that has none."""
     (tmp_path / "s").write_text("{}")
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -3,9 +3,11 @@
 import pathlib
 import re
 
+import pytest
+
 from snipelink import errors
 
-DESIGN = pathlib.Path(__file__).parent.parent / "docs" / "design.md"
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
 
 
 def test_every_kind_has_an_entry() -> None:
@@ -13,11 +15,12 @@
     assert set(errors.ENTRIES_BY_KIND) == set(errors.Kind)
 
 
-def test_table_equals_the_documented_one() -> None:
+@pytest.mark.parametrize("page", ["design.md", "operators/errors.md"])
+def test_table_equals_the_documented_one(page: str) -> None:
     """Guards against documentation that promises another status or outcome."""
     rows = re.findall(
-        r"^\| ([a-z-]+) \| (\d{3}) \| ([a-z-]+) \| (\w+) \|$",
-        DESIGN.read_text(),
+        r"^\| `?([a-z-]+)`? \| (\d{3}) \| ([a-z-]+) \| (\w+) \|",
+        (DOCS / page).read_text(),
         re.MULTILINE,
     )
     documented = {name: (int(status), ran, rep) for name, status, ran, rep in rows}
