Send late idempotent calls a second time, within a budget

A forwarded call whose reply is later than the operation's 95th percentile goes to a second node as well, in the same thread; the attempt that is not needed is cancelled by closing its connection. Hedges are charged to their own budget and to the retry budget, and withheld while the service is slow.

--- a/src/snipelink/execute/executor.py
+++ b/src/snipelink/execute/executor.py
@@ -10,9 +10,11 @@
 from result import Err, Ok, Result
 
 from snipelink import errors, model
+from snipelink.balance import facts
 from snipelink.execute import (
     endpoint_client,
     forward,
+    hedged,
     keyed,
     local,
     quorum,
@@ -75,6 +77,7 @@
         self._suspects = table
         self._is_leaving = is_leaving
         self._make_client = make_client
+        self._hedged = hedged.HedgedForwarder(forwarder, self._record)
         self.keyed = keyed.KeyedCalls(node, forwarder, asked, self._run)
         self._lock = threading.Lock()
         self._clients_by_address: dict[str, endpoint_client.EndpointClient] = {}
@@ -128,6 +131,7 @@
             now = time.monotonic()
             if isinstance(outcome, Ok):
                 state.retries.deposit(now)
+                state.hedges.deposit(now)
                 return outcome
             failed.append(endpoint.name)
             failure = outcome.err_value
@@ -171,21 +175,53 @@
             return _fail(errors.Kind.DEADLINE_NOT_RUN)
         if cancelled():
             return _fail(errors.Kind.CANCELLED)
+        if endpoint.name != self._node and endpoint.call_address:
+            delay_s = state.hedges.delay_s(call, now)
+            if delay_s is not None:
+                return self._forward_hedged(state, call, endpoint, span, now, delay_s)
         attempt = state.tracker.on_start(endpoint, call.operation.name, now)
         outcome = self._send(call, endpoint, span, now, cancelled)
-        ended = time.monotonic()
-        kind = None if isinstance(outcome, Ok) else outcome.err_value.kind
-        self._metrics.record_attempt(endpoint.name, ended - now, kind)
-        if isinstance(outcome, Ok):
-            answer = outcome.ok_value
-            retry_after_s = _retry_after_s(answer) if answer.status == 503 else 0.0
-            state.tracker.on_answer(
-                attempt, ended, answer.load, answer.status, retry_after_s
-            )
-        else:
-            state.tracker.on_failure(attempt, outcome.err_value, ended)
+        self._record(state, attempt, outcome, time.monotonic())
         return outcome
 
+    def _forward_hedged(
+        self,
+        state: service.ServiceState,
+        call: model.Call,
+        endpoint: model.Endpoint,
+        span: traces.Span,
+        now: float,
+        delay_s: float,
+    ) -> Outcome:
+        span.add(traces.Step.FORWARDED, now, endpoint.name)
+
+        def choose(then: float) -> model.Endpoint | None:
+            second = self._choose(state, call, [endpoint.name, self._node], then)
+            if second is None or not second.call_address:
+                return None
+            span.add(traces.Step.FORWARDED, then, second.name, "hedge")
+            return second
+
+        return self._hedged.run(state, call, endpoint, delay_s, choose)
+
+    def _record(
+        self,
+        state: service.ServiceState,
+        attempt: facts.Attempt,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        kind = None if isinstance(outcome, Ok) else outcome.err_value.kind
+        latency_s = now - attempt.started_at
+        self._metrics.record_attempt(attempt.endpoint, latency_s, kind)
+        if isinstance(outcome, Err):
+            state.tracker.on_failure(attempt, outcome.err_value, now)
+            return
+        answer = outcome.ok_value
+        retry_after_s = _retry_after_s(answer) if answer.status == 503 else 0.0
+        state.tracker.on_answer(attempt, now, answer.load, answer.status, retry_after_s)
+        state.hedges.record(attempt.operation, attempt.endpoint, latency_s)
+
     def _send(
         self,
         call: model.Call,
--- a/src/snipelink/execute/forward.py
+++ b/src/snipelink/execute/forward.py
@@ -4,10 +4,12 @@
 
 import collections
 import dataclasses
+import select
 import socket
 import ssl
 import threading
 import time
+from collections.abc import Sequence
 
 import msgspec
 from result import Err, Ok, Result
@@ -28,6 +30,15 @@
     revision: int
 
 
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A call that was sent and waits for its reply."""
+
+    connection: _Connection
+    call: model.Call
+    endpoint: model.Endpoint
+
+
 @dataclasses.dataclass(slots=True)
 class _Peer:
     """Idle connections to one node, the last used one first."""
@@ -92,6 +103,15 @@
         With `to_owner` the node is asked as owner of the call's idempotency key, and
         chooses the endpoint itself.
         """
+        begun = self.begin(call, endpoint, to_owner)
+        if isinstance(begun, Err):
+            return begun
+        return self.finish(begun.ok_value)
+
+    def begin(
+        self, call: model.Call, endpoint: model.Endpoint, to_owner: bool = False
+    ) -> Result[Pending, errors.Failure]:
+        """Send `call`; end what is returned by `finish` or `cancel`."""
         acquired = self._acquire(endpoint, call.deadline)
         if isinstance(acquired, Err):
             return acquired
@@ -106,11 +126,27 @@
             # The receiver discards a frame that it could not read to its end.
             stream.close()
             return self._fail(errors.Kind.UNREACHABLE, endpoint, str(error))
-        return self._receive(connection, call, endpoint)
-
-    def _receive(
-        self, connection: _Connection, call: model.Call, endpoint: model.Endpoint
-    ) -> Result[model.Answer, errors.Failure]:
+        return Ok(Pending(connection, call, endpoint))
+
+    def wait(self, pending: Sequence[Pending], timeout_s: float) -> Pending | None:
+        """Return the first call whose reply begins to arrive; None after the time."""
+        poller = select.poll()
+        by_descriptor = {}
+        for each in pending:
+            descriptor = each.connection.stream.fileno()
+            by_descriptor[descriptor] = each
+            poller.register(descriptor, select.POLLIN)
+        ready = poller.poll(max(0.0, timeout_s) * 1000)
+        return by_descriptor[ready[0][0]] if ready else None
+
+    def cancel(self, pending: Pending) -> None:
+        """Close the connection of a call, which cancels it if it has not started."""
+        pending.connection.stream.close()
+
+    def finish(self, pending: Pending) -> Result[model.Answer, errors.Failure]:
+        """Wait for the reply to a call."""
+        connection, call = pending.connection, pending.call
+        endpoint = pending.endpoint
         stream = connection.stream
         try:
             stream.settimeout(max(0.001, call.deadline - time.monotonic()))
--- a/src/snipelink/execute/service.py
+++ b/src/snipelink/execute/service.py
@@ -11,7 +11,7 @@
 from snipelink.balance import policy as policies
 from snipelink.balance import tracker as trackers
 from snipelink.execute import routing
-from snipelink.retry import budget, keys, ownership
+from snipelink.retry import budget, hedge, keys, ownership
 
 KEY_LEASE_S = 1.0
 # A set published at P hands keys over at P + 2.5 s. Owners adopt it without a gap when
@@ -46,6 +46,7 @@
         self.tracker = trackers.Tracker(now)
         self.policy = make_policy(self.tracker, *location)
         self.retries = budget.Budget(service.budgets.retry_ratio)
+        self.hedges = self._make_hedges(service)
         self._service = service
         self._candidates_by_set: dict[str, tuple[model.Endpoint, ...]] = {}
         self.keyed_at = float("-inf")
@@ -74,8 +75,11 @@
         """
         self.revision = objects.revision
         self.handover = objects.published_at + KEY_HANDOVER_S
-        if service.budgets.retry_ratio != self._service.budgets.retry_ratio:
+        if service.budgets != self._service.budgets:
             self.retries = budget.Budget(service.budgets.retry_ratio)
+            self.hedges = self._make_hedges(service)
+        for name in self._service.endpoints_by_name.keys() - service.endpoints_by_name:
+            self.hedges.forget(name)
         self._service = service
         self._candidates_by_set = {}
         if not self._is_own:
@@ -83,6 +87,10 @@
             self.keys.adopt(objects.revision, names, time.time(), self.handover)
         self.tracker.retain(service.endpoints_by_name)
 
+    def _make_hedges(self, service: model.Service) -> hedge.HedgePolicy:
+        hedges = budget.Budget(service.budgets.hedge_ratio)
+        return hedge.HedgePolicy(hedges, self.retries)
+
     def endpoint(self, name: str) -> model.Endpoint | None:
         """Return an endpoint of the service by name."""
         return self._service.endpoints_by_name.get(name)
--- a/src/snipelink/retry/hedge.py
+++ b/src/snipelink/retry/hedge.py
@@ -51,6 +51,10 @@
             if quantile.count > MIN_SAMPLES:
                 self._record_late(endpoint, late)
 
+    def deposit(self, now: float) -> None:
+        """Record a first attempt that was answered."""
+        self._hedges.deposit(now)
+
     def delay_s(self, call: model.Call, now: float) -> float | None:
         """Return the delay before a hedge; None when the call gets none."""
         if not call.operation.idempotent:
--- /dev/null
+++ b/tests/execute/nodes.py
@@ -0,0 +1,91 @@
+"""Call servers with scripted handlers, for tests of the calling side."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import threading
+import time
+import typing
+
+from result import Ok
+
+from snipelink import model
+from snipelink.execute import forward
+from snipelink.generated import messages as generated
+from snipelink.session import call, memory
+
+HOST = "127.0.0.1"
+MAX_FRAME_BYTES = 1 << 20
+
+
+@dataclasses.dataclass
+class Limits:
+    """Limits of the call connections."""
+
+    max_connections: int = 50
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 5.0
+
+
+class ScriptedHandler:
+    """Answers calls with its name after waiting until it is let go."""
+
+    def __init__(self, name: str, revision: int = 1) -> None:
+        self.name = name
+        self.revision_in_force = revision
+        self.go_on = threading.Event()
+        self.go_on.set()
+        self.calls: list[generated.CallRequest] = []
+        self.cancelled: list[str] = []
+
+    def run_forwarded(
+        self,
+        request: generated.CallRequest,
+        received_after: float,
+        now: float,
+        cancelled: typing.Callable[[], bool],
+    ) -> Ok[model.Answer]:
+        self.calls.append(request)
+        while not self.go_on.wait(0.01):
+            if cancelled():
+                self.cancelled.append(request.call_id)
+                break
+        return Ok(model.Answer(200, [], self.name.encode()))
+
+    def load(self) -> model.LoadReport | None:
+        return model.LoadReport(1, 0, 10)
+
+    def revision(self) -> int:
+        return self.revision_in_force
+
+
+@contextlib.contextmanager
+def serving(handler: ScriptedHandler) -> typing.Iterator[model.Endpoint]:
+    """Serve on a free port; the node has the handler's name."""
+    server = call.CallServer(
+        (HOST, 0),
+        handler.name,
+        f"{handler.name}-1",
+        handler,
+        MAX_FRAME_BYTES,
+        Limits(),
+        memory.Budget(MAX_FRAME_BYTES),
+    )
+    server.start()
+    address = f"{HOST}:{server.port}"
+    try:
+        yield model.Endpoint(handler.name, "s", "d-1", "d", "127.0.0.1:1", address)
+    finally:
+        handler.go_on.set()
+        server.stop()
+
+
+def make_call(call_id: str = "c1", timeout_s: float = 5.0) -> model.Call:
+    operation = model.Operation("get", "GET", "/", idempotent=True)
+    deadline = time.monotonic() + timeout_s
+    return model.Call(call_id, "s", operation, "GET", "/", [], b"", deadline)
+
+
+def make_forwarder() -> forward.Forwarder:
+    return forward.Forwarder("caller", "caller-1", MAX_FRAME_BYTES)
