--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import random
 import threading
@@ -14,6 +15,7 @@
     entry,
     executor,
     forward,
+    gauges,
     inbound,
     keyed,
     local,
@@ -26,7 +28,7 @@
 )
 from snipelink.observe import admin, metrics, traces
 from snipelink.retry import suspects
-from snipelink.session import call, caller, frames, memory
+from snipelink.session import call, caller, frames, memory, tls
 
 logger = logging.getLogger(__name__)
 STOP_POLL_S = 0.02
@@ -43,6 +45,8 @@
 
     def __init__(self, values: settings.Settings) -> None:
         self._values = values
+        contexts = tls.load(values.tls)
+        budget = memory.Budget(values.max_buffered_bytes)
         max_frame_bytes = values.max_body_bytes + frames.MESSAGE_OVERHEAD_BYTES
         self._pauses = pauses.PauseDetector(time.monotonic())
         rng = random.Random()
@@ -52,11 +56,14 @@
         self._control = control.Control(values, self._pauses, self._suspects, rng)
         self.incarnation = self._control.incarnation
         self._forwarder = forward.Forwarder(
-            values.node, self.incarnation, max_frame_bytes
+            values.node, self.incarnation, max_frame_bytes, contexts.calls_out
         )
-        budget = memory.Budget(values.max_buffered_bytes)
         own_client = endpoint_client.EndpointClient(
-            values.endpoint, values.node, budget
+            values.endpoint,
+            values.node,
+            budget,
+            contexts.endpoints,
+            contexts.endpoint_name,
         )
         self._runner = local.LocalRunner(
             values.node,
@@ -77,6 +84,7 @@
             policies.makers_by_name()[values.balance_policy],
             values,
             rng,
+            functools.partial(gauges.retain_series, self._metrics),
         )
         calls = executor.Executor(
             values.node,
@@ -100,6 +108,14 @@
             self._control.store.revision,
         )
         self._entry = entry.Entry(self._control.in_force, calls, tracer, self._metrics)
+        gauges.add(
+            self._metrics,
+            self._control,
+            self._services,
+            self._runner,
+            self._forwarder,
+            own_client,
+        )
         self._admin = self._make_admin(tracer) if values.admin_listen else None
         self._call_server = call.CallServer(
             parse_address(values.call_listen),
@@ -107,7 +123,9 @@
             self.incarnation,
             received,
             max_frame_bytes,
-            values.max_connections,
+            values,
+            budget,
+            contexts.calls_in,
         )
         self._caller_server = caller.CallerServer(
             parse_address(values.caller_listen),
@@ -115,6 +133,7 @@
             self._entry.handle,
             entry.failure_response,
             budget,
+            contexts.callers,
         )
 
     def _make_admin(self, tracer: traces.Tracer) -> admin.AdminServer:
@@ -191,7 +210,11 @@
 
     def _open(self) -> int:
         # An idle connection may still receive a request that crosses the stop.
-        return self._running() + self._caller_server.open_connections()
+        return (
+            self._running()
+            + self._caller_server.open_connections()
+            + self._call_server.open_connections()
+        )
 
     def _busy(self) -> int:
         return self._running() + self._caller_server.busy_connections()
