Charge answers of other nodes to the memory budget

Cause: the calling node held answers of other nodes without charging them, so the budget covered two of the three ways in which bodies arrive. One test closed its connection before the handler had first asked whether the caller was there, and failed once in seven runs of its file.

The test signals after the first question; what it asserts is unchanged.

Conclusion: the budget covers bodies in both directions on every node.

--- a/src/snipelink/execute/forward.py
+++ b/src/snipelink/execute/forward.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from snipelink import errors, model
-from snipelink.session import frames, messages
+from snipelink.session import frames, memory, messages
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 16
@@ -48,6 +48,8 @@
         Largest reply accepted, bytes.
     tls_context : SSLContext or None
         Context of the connections; ``None`` for plain text.
+    budget : memory.Budget or None
+        Charged for replies, which a session's thread returns; ``None`` without one.
     """
 
     def __init__(
@@ -56,10 +58,12 @@
         incarnation: str,
         max_frame_bytes: int,
         tls_context: ssl.SSLContext | None = None,
+        budget: memory.Budget | None = None,
     ) -> None:
         self._hello = messages.encode_hello(node, incarnation)
         self._max_frame_bytes = max_frame_bytes
         self._tls_context = tls_context
+        self._budget = budget
         self._lock = threading.Lock()
         self._peers_by_address: dict[str, _Peer] = {}
         self.mismatched_replies = 0
@@ -114,10 +118,14 @@
         stream = connection.stream
         try:
             stream.settimeout(max(0.001, call.deadline - time.monotonic()))
-            payload = frames.receive(stream, self._max_frame_bytes)
+            payload = frames.receive(stream, self._max_frame_bytes, self._budget)
         except TimeoutError:
             stream.close()
             return self._fail(errors.Kind.DEADLINE_UNKNOWN, endpoint)
+        except frames.NoMemory:
+            stream.close()
+            detail = "no memory for the answer"
+            return self._fail(errors.Kind.ANSWER_TOO_LARGE, endpoint, detail)
         except (OSError, frames.FrameError) as error:
             stream.close()
             return self._fail(errors.Kind.CONNECTION_LOST, endpoint, str(error))
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -56,7 +56,11 @@
         self._control = control.Control(values, self._pauses, self._suspects, rng)
         self.incarnation = self._control.incarnation
         self._forwarder = forward.Forwarder(
-            values.node, self.incarnation, max_frame_bytes, contexts.calls_out
+            values.node,
+            self.incarnation,
+            max_frame_bytes,
+            contexts.calls_out,
+            budget,
         )
         own_client = endpoint_client.EndpointClient(
             values.endpoint,
--- a/tests/session/test_call.py
+++ b/tests/session/test_call.py
@@ -284,10 +284,12 @@
             for payload in self.payloads:
                 connection.sendall(payload)
 
-    def forward(self):
+    def forward(self, budget_bytes: int = LIMIT):
         address = f"{servers.HOST}:{self.listener.getsockname()[1]}"
         endpoint = model.Endpoint("own", "s", "d-1", "d", "", address)
-        forwarder = forward.Forwarder("other", "i-2", LIMIT)
+        forwarder = forward.Forwarder(
+            "other", "i-2", LIMIT, None, memory.Budget(budget_bytes)
+        )
         try:
             return forwarder, forwarder.forward(_call(), endpoint)
         finally:
@@ -328,6 +330,13 @@
     assert forwarder.mismatched_replies == (name in ("another call", "no call"))
 
 
+def test_reply_beyond_the_memory_budget_is_too_large() -> None:
+    """Guards against memory that many answers of other nodes exhaust."""
+    assert Peer(_framed(REPLY)).forward(len(REPLY))[1].ok_value.body == b"abc"
+    outcome = Peer(_framed(REPLY)).forward(len(REPLY) - 1)[1]
+    assert outcome.err_value.kind is errors.Kind.ANSWER_TOO_LARGE
+
+
 def test_own_reply_is_returned() -> None:
     """Guards against tests above that pass because nothing works."""
     assert Peer(_framed(REPLY)).forward()[1].ok_value.body == b"abc"
--- a/tests/session/test_tls.py
+++ b/tests/session/test_tls.py
@@ -140,8 +140,8 @@
     entered, seen = threading.Event(), []
 
     def wait(request, cancelled):
-        entered.set()
         seen.append(cancelled())
+        entered.set()
         while request.target == "/gone" and not cancelled():
             time.sleep(0.01)
         return servers.Recorder().response
