Connect to the address of the node in the test of planned stops

The test assumed 127.0.0.1; deployments now have a loopback address of their own, and its three cases failed to connect.

--- a/tests/execute/test_node_stop.py
+++ b/tests/execute/test_node_stop.py
@@ -49,7 +49,8 @@
 
 
 def _connect(server: deployment.Server) -> socket.socket:
-    return servers.connect(int(server.caller_address.rsplit(":", 1)[1]))
+    host, port = server.caller_address.rsplit(":", 1)
+    return socket.create_connection((host, int(port)), 10)
 
 
 @pytest.mark.parametrize("running", [(15, SLOW_MS)], indirect=True)
