--- a/bench/compare.py
+++ b/bench/compare.py
@@ -234,6 +234,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the comparison and print its table."""
     options = docopt.docopt(__doc__, arguments)
+    deployment.exit_on_sigterm()
     seconds, service_ms = float(options["--seconds"]), float(options["--service-ms"])
     names = options["--policy"] or POLICIES
     wanted = options["--case"] or [case.name for case in CASES]
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -22,7 +22,7 @@
 
 import docopt
 
-from bench import deployments, history, load
+from bench import deployment, deployments, history, load
 
 ENDPOINT_OPTIONS = ("--service-ms=15", "--noise")
 RETIRE_AT = 0.2
@@ -101,6 +101,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the demonstration; return 0 only if every check held."""
     options = docopt.docopt(__doc__, arguments)
+    deployment.exit_on_sigterm()
     seed, rate = int(options["--seed"]), float(options["--rate"])
     outcomes = [
         run(plan, seed, rate, float(options["--seconds"])) for plan in deployments.PLANS
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -40,6 +40,11 @@
     node_process: subprocess.Popen[bytes] | None = None
 
 
+def exit_on_sigterm() -> None:
+    """Let a terminated program end the processes that it started."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+
+
 def loopback_host() -> str:
     """Return an address of the loopback range that hardly any other run uses.
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -236,6 +236,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run scenarios; return 0 only if every check held."""
     options = docopt.docopt(__doc__, arguments)
+    deployment.exit_on_sigterm()
     seeds = range(1, int(options["--seeds"]) + 1)
     names = names_to_run(options["--fault"], options["--pairs"])
     with concurrent.futures.ProcessPoolExecutor(int(options["--jobs"])) as pool:
