Honour slots, departures and slowness at the own endpoint

Findings of the review of the parts: a newly published number of slots did not reach the gate, an endpoint that the set or the platform's list marks as leaving was refused only by its callers' nodes, slowness was not sent, a fast 500 counted as an ordinary answer for the limit, and readiness was latched in the moment before the exchange noticed a pause. All five are wired now. A manifest whose time falls is not written, because two owners of a key could overlap; snipelink-check stamps the present time.

--- a/src/snipelink/cli/check.py
+++ b/src/snipelink/cli/check.py
@@ -7,7 +7,8 @@
 Options:
   --against OLD      Judge the change from the directory OLD to DIR.
   --out OUT          Write the documents to the directory OUT if there is no error.
-  --published-at MS  Time written to the manifest, Unix milliseconds [default: 0].
+  --published-at MS  Time written to the manifest, Unix milliseconds; the present
+                     time by default.
   -h --help          Show this text.
 
 Exit codes: 0 without errors, 1 with errors, 2 for wrong usage.
@@ -17,6 +18,7 @@
 
 import pathlib
 import sys
+import time
 
 import docopt
 import result
@@ -43,7 +45,7 @@
     failed = _report(problems)
     if not failed and arguments["--out"]:
         rendered = documents.render(
-            reading.to_set(objects), int(arguments["--published-at"])
+            reading.to_set(objects), _published_at_ms(arguments["--published-at"])
         )
         written = output.write(rendered, pathlib.Path(arguments["--out"]))
         if isinstance(written, result.Err):
@@ -62,12 +64,20 @@
         value = arguments[name]
         if value is not None and not pathlib.Path(value).is_dir():
             return f"{name}: expected a directory; found {value!r}"
-    published_at = arguments["--published-at"] or ""
+    published_at = arguments["--published-at"]
+    if published_at is None:
+        return ""
     if not (published_at.isascii() and published_at.isdecimal()):
         return f"--published-at: expected an integer; found {published_at!r}"
     return ""
 
 
+def _published_at_ms(option: str | None) -> int:
+    # Keys are handed over at a time that follows from this one, so a default in the
+    # past would leave them without an owner for a moment.
+    return int(time.time() * 1000) if option is None else int(option)
+
+
 def _check_change(old_name: str, objects: reading.Objects) -> list[jsonc.Problem]:
     old = reading.read(pathlib.Path(old_name))
     return [*old.problems, *changes.check_change(old, objects)]
--- a/src/snipelink/execute/control.py
+++ b/src/snipelink/execute/control.py
@@ -133,7 +133,8 @@
             return False
         if self._ready_at > self._pauses.resumed_at():
             return True
-        ready = self._agent.readiness(now) is startup.Wait.READY
+        resumed_at = self._pauses.resumed_at()
+        ready = self._agent.readiness(now, resumed_at) is startup.Wait.READY
         if ready:
             self._ready_at = now
         return ready
--- a/src/snipelink/execute/local.py
+++ b/src/snipelink/execute/local.py
@@ -12,17 +12,15 @@
 
 from snipelink import addresses, errors, model
 from snipelink.admission import gate as gates
-from snipelink.execute import crashes, endpoint_client
+from snipelink.execute import crashes, endpoint_client, own
 from snipelink.observe import traces
 from snipelink.retry import suspects
 from snipelink.session import http
 
 logger = logging.getLogger(__name__)
-DEFAULT_SLOTS = 10
 CRASH_CHECK_TIMEOUT_S = 0.2
 Cancelled = typing.Callable[[], bool]
 Outcome = Result[model.Answer, errors.Failure]
-Objects = typing.Callable[[], model.ObjectSet | None]
 
 
 class LocalRunner:
@@ -32,10 +30,8 @@
 
     Parameters
     ----------
-    node : str
-        Name of this node and of its endpoint.
-    objects : callable
-        Returns the set in force.
+    own_endpoint : OwnEndpoint
+        What the set in force says about the own endpoint.
     client : EndpointClient
         Connections to the own endpoint.
     endpoint_address : str
@@ -46,21 +42,21 @@
 
     def __init__(
         self,
-        node: str,
-        objects: Objects,
+        own_endpoint: own.OwnEndpoint,
         client: endpoint_client.EndpointClient,
         endpoint_address: str,
         table: suspects.SuspectTable,
     ) -> None:
-        self._node = node
-        self._objects = objects
+        self._own = own_endpoint
+        self._node = own_endpoint.name
         self._client = client
         self._endpoint_address = endpoint_address
         self._lock = threading.Lock()
         self._gate: gates.Gate | None = None
         self._draining = False
         self._endpoint_draining = False
-        self._crashes = crashes.CrashRecorder(node, table)
+        self._slots = own.DEFAULT_SLOTS
+        self._crashes = crashes.CrashRecorder(self._node, table)
         self._suspects = table
         self.answered_at = float("-inf")
 
@@ -82,7 +78,9 @@
         contained = self._suspects.check(call, now)
         if contained is not None:
             return Err(contained)
-        gate = self._own_gate()
+        if self._own.is_leaving(now):
+            return _fail(errors.Kind.LEAVING, "the endpoint is leaving")
+        gate = self._own_gate(now)
         entered = gate.enter(call, now, cancelled)
         if isinstance(entered, Err):
             return entered
@@ -120,32 +118,21 @@
                 self._gate = None
         logger.info("endpoint %s", "drains" if draining else "accepts work again")
 
-    def _own_gate(self) -> gates.Gate:
-        if self._gate is None:
+    def _own_gate(self, now: float) -> gates.Gate:
+        slots = self._own.slots()
+        gate = self._gate
+        if gate is None or slots != self._slots:
             with self._lock:
-                if self._gate is None:
-                    self._gate = gates.Gate(self._slots())
-                    if self._draining or self._endpoint_draining:
-                        self._gate.start_draining()
-        return self._gate
-
-    def budgets(self) -> model.Budgets:
-        """Return the budgets of the own service."""
-        service = self._own_service()
-        return service.budgets if service else model.Budgets()
-
-    def _slots(self) -> int:
-        service = self._own_service()
-        if service is None:
-            return DEFAULT_SLOTS
-        return service.endpoints_by_name[self._node].slots
-
-    def _own_service(self) -> model.Service | None:
-        objects = self._objects()
-        for service in objects.services_by_name.values() if objects else ():
-            if self._node in service.endpoints_by_name:
-                return service
-        return None
+                gate = self._gate or self._open_gate(slots)
+                gate.set_slots(slots, now)
+                self._gate, self._slots = gate, slots
+        return gate
+
+    def _open_gate(self, slots: int) -> gates.Gate:
+        gate = gates.Gate(slots)
+        if self._draining or self._endpoint_draining:
+            gate.start_draining()
+        return gate
 
     def _check_crash(
         self, outcome: Err[errors.Failure], call: model.Call
@@ -191,9 +178,13 @@
 
 def _classify(outcome: Outcome) -> gates.Outcome:
     if isinstance(outcome, Ok):
-        if outcome.ok_value.status == 503:
+        answer = outcome.ok_value
+        if answer.status < 500:
+            return gates.Outcome.ANSWERED
+        shed = any(name == "retry-after" for name, _ in answer.headers)
+        if answer.status == 503 and shed:
             return gates.Outcome.OVERLOADED
-        return gates.Outcome.ANSWERED
+        return gates.Outcome.FAILED
     if outcome.err_value.kind is errors.Kind.DEADLINE_UNKNOWN:
         return gates.Outcome.TIMED_OUT
     return gates.Outcome.FAILED
--- a/src/snipelink/execute/node.py
+++ b/src/snipelink/execute/node.py
@@ -19,6 +19,7 @@
     inbound,
     keyed,
     local,
+    own,
     pauses,
     policies,
     probe,
@@ -69,9 +70,11 @@
             contexts.endpoints,
             contexts.endpoint_name,
         )
+        own_endpoint = own.OwnEndpoint(
+            values.node, self._control.in_force, self._control.is_leaving
+        )
         self._runner = local.LocalRunner(
-            values.node,
-            self._control.in_force,
+            own_endpoint,
             own_client,
             values.endpoint,
             self._suspects,
@@ -79,7 +82,7 @@
         self._prober = probe.Prober(
             values.node,
             values.endpoint_health_path,
-            self._runner.budgets,
+            own_endpoint.budgets,
             own_client,
             self._runner,
             time.monotonic(),
--- a/src/snipelink/gossip/exchange.py
+++ b/src/snipelink/gossip/exchange.py
@@ -602,8 +602,9 @@
             )
             self._table.suspect(suspicion, now)
         for load in message.loads[:1]:
+            told = load.load
             report = model.LoadReport(
-                load.load.running, load.load.queued, load.load.limit, load.load.leaving
+                told.running, told.queued, told.limit, told.leaving, told.slowness
             )
             self._hooks.on_load(load.node, report, load.age_ms / 1000)
         sends = rumours.sends_for(len(self._table))
@@ -724,4 +725,6 @@
 
 
 def _load(load: model.LoadReport) -> messages.Load:
-    return messages.Load(load.running, load.queued, load.limit, load.leaving)
+    return messages.Load(
+        load.running, load.queued, load.limit, load.leaving, load.slowness
+    )
--- a/src/snipelink/objects/output.py
+++ b/src/snipelink/objects/output.py
@@ -16,8 +16,9 @@
     """Write each document under its key; other files stay.
 
     The manifest is written last, so that a reader that has it finds every document
-    it names. A manifest of a later revision, or of another set under the same
-    revision, is not replaced: nodes would refuse the set.
+    it names. A manifest of a later revision or time, or of another set under the same
+    revision, is not replaced: nodes would refuse the set, and owners of idempotency
+    keys rely on times that do not fall.
     """
     manifest = documents.decode_manifest(documents_by_key[documents.MANIFEST_KEY])
     conflict = _find_conflict(directory, manifest.unwrap())
@@ -47,6 +48,8 @@
     same = documents.set_digest(published) == documents.set_digest(manifest)
     if published.revision == manifest.revision and not same:
         return f"{path}: holds another set under revision {published.revision}"
+    if published.published_at_ms > manifest.published_at_ms:
+        return f"{path}: published at {published.published_at_ms}, a later time"
     return ""
 
 
--- a/src/snipelink/session/messages.py
+++ b/src/snipelink/session/messages.py
@@ -101,7 +101,9 @@
     """Return the frame that answers a call."""
     report = None
     if load is not None:
-        report = messages.Load(load.running, load.queued, load.limit, load.leaving)
+        report = messages.Load(
+            load.running, load.queued, load.limit, load.leaving, load.slowness
+        )
     if isinstance(outcome, Ok):
         answer = outcome.ok_value
         reply = messages.CallReply(
@@ -136,7 +138,9 @@
     load = reply.load
     if load is None:
         return None
-    return model.LoadReport(load.running, load.queued, load.limit, load.leaving)
+    return model.LoadReport(
+        load.running, load.queued, load.limit, load.leaving, load.slowness
+    )
 
 
 def to_outcome(
--- a/tests/objects/test_changes.py
+++ b/tests/objects/test_changes.py
@@ -132,7 +132,8 @@
     assert output.write(render(7, published_at_ms=5), out).is_ok()
     assert "revision 7" in output.write(render(7, slots=4), out).unwrap_err()
     assert "revision 7" in output.write(render(6), out).unwrap_err()
-    assert output.write(render(8, slots=4), out).is_ok()
+    assert "later time" in output.write(render(8, slots=4), out).unwrap_err()
+    assert output.write(render(8, slots=4, published_at_ms=5), out).is_ok()
     published = {
         path.relative_to(out).as_posix(): path.read_bytes()
         for path in out.rglob("*")
