--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -16,7 +16,7 @@
 from snipelink import errors
 from snipelink.balance import tracker
 from snipelink.cli import node as program
-from snipelink.execute import control, endpoint_client, executor, keyed, node
+from snipelink.execute import control, endpoint_client, executor, keyed, node, own
 from snipelink.retry import policy, suspects
 from snipelink.session import http
 
@@ -45,7 +45,8 @@
 
 
 def _ignore_leaving() -> None:
-    """Choose endpoints that are leaving."""
+    """Choose endpoints that are leaving, and let them take new work."""
+    own.OwnEndpoint.is_leaving = lambda self, now: False
     tracker.Tracker.is_leaving = lambda self, endpoint, now: False
     control.Control.is_leaving = lambda self, endpoint, now: False
 
