Adopt key owners with the handover time of their own set

Cause, found on reading: the revision, the owners and the handover time of a service were read one after the other, the last one after the owners had been asked. A set accepted in between gave the earlier owners a later handover time than other nodes derive, so a key issued between the two times could have had two owners.

Change: the three are one value that is replaced as a whole.

--- a/src/snipelink/execute/keyed.py
+++ b/src/snipelink/execute/keyed.py
@@ -132,15 +132,16 @@
         """Adopt a newer revision and renew the lease, as far as a majority agrees."""
         with self._confirm_lock:
             now, wall = time.monotonic(), time.time()
-            revision, owners = state.revision, state.owners()
+            # A newer set may be accepted while the owners are asked.
+            known = state.key_owners
+            revision, owners = known.revision, known.endpoints
             if revision > state.keys.revision:
                 # An owner by an earlier revision holds its lease until a majority of
                 # the owners it knows has left that revision.
                 earlier = state.adopted_owners
                 if not self._quorum.has_reached(earlier, revision):
                     return
-                names = [endpoint.name for endpoint in owners]
-                state.keys.adopt(revision, names, time.time(), state.handover)
+                state.keys.adopt(revision, known.names, time.time(), known.handover)
                 state.adopted_owners = owners
             if not state.keys.must_renew(now):
                 return
@@ -168,5 +169,5 @@
             if state is None:
                 continue
             active = time.monotonic() - state.keyed_at < ACTIVE_S
-            if active or state.revision > state.keys.revision:
+            if active or state.key_owners.revision > state.keys.revision:
                 self._keyed.renew(state)
--- a/src/snipelink/execute/service.py
+++ b/src/snipelink/execute/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import threading
 import time
@@ -28,6 +29,34 @@
         """Return a policy that reads the facts in `tracker`."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyOwners:
+    """Owners of a service's idempotency keys by one revision, replaced as a whole.
+
+    A leaving endpoint keeps the keys issued before the handover time of the set in
+    which it leaves; ``handover`` is in Unix seconds.
+    """
+
+    revision: int
+    endpoints: tuple[model.Endpoint, ...]
+    handover: float
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the owners."""
+        return [endpoint.name for endpoint in self.endpoints]
+
+
+def find_key_owners(service: model.Service, objects: model.ObjectSet) -> KeyOwners:
+    """Return the owners of a service's keys by a set."""
+    endpoints = service.endpoints_by_name.values()
+    return KeyOwners(
+        objects.revision,
+        tuple(each for each in endpoints if each.call_address and not each.leaving),
+        objects.published_at + KEY_HANDOVER_S,
+    )
+
+
 class ServiceState:
     """Facts, policy and retry budget of one service."""
 
@@ -41,8 +70,6 @@
     ) -> None:
         location = (values.failure_domain, values.region)
         self.location = location
-        self.revision = objects.revision
-        self.handover = objects.published_at + KEY_HANDOVER_S
         self.tracker = trackers.Tracker(now)
         self.policy = make_policy(self.tracker, *location)
         self.retries = budget.Budget(service.budgets.retry_ratio)
@@ -53,19 +80,10 @@
         wall = time.time()
         owned = ownership.Ownership(KEY_LEASE_S, values.max_clock_skew_s)
         self.keys = keys.KeyTable(values.node, wall, ownership=owned)
-        self.adopted_owners = self.owners()
+        self.key_owners = find_key_owners(service, objects)
+        self.adopted_owners = self.key_owners.endpoints
         self._is_own = values.service == service.name
-        names = [endpoint.name for endpoint in self.adopted_owners]
-        self.keys.adopt(objects.revision, names, wall, self.handover)
-
-    def owners(self) -> list[model.Endpoint]:
-        """Return the endpoints that own idempotency keys.
-
-        A leaving endpoint keeps the keys issued before the handover time of the set
-        in which it leaves.
-        """
-        endpoints = self._service.endpoints_by_name.values()
-        return [each for each in endpoints if each.call_address and not each.leaving]
+        self._adopt_at_once(wall)
 
     def update(self, service: model.Service, objects: model.ObjectSet) -> None:
         """Take over the endpoints of a newer set.
@@ -73,8 +91,6 @@
         Owners of keys are adopted later, when a majority has the newer set; a node
         that owns no keys of the service only routes and adopts them at once.
         """
-        self.revision = objects.revision
-        self.handover = objects.published_at + KEY_HANDOVER_S
         if service.budgets != self._service.budgets:
             self.retries = budget.Budget(service.budgets.retry_ratio)
             self.hedges = self._make_hedges(service)
@@ -82,11 +98,15 @@
             self.hedges.forget(name)
         self._service = service
         self._candidates_by_set = {}
+        self.key_owners = find_key_owners(service, objects)
         if not self._is_own:
-            names = [endpoint.name for endpoint in self.owners()]
-            self.keys.adopt(objects.revision, names, time.time(), self.handover)
+            self._adopt_at_once(time.time())
         self.tracker.retain(service.endpoints_by_name)
 
+    def _adopt_at_once(self, wall: float) -> None:
+        known = self.key_owners
+        self.keys.adopt(known.revision, known.names, wall, known.handover)
+
     def _make_hedges(self, service: model.Service) -> hedge.HedgePolicy:
         hedges = budget.Budget(service.budgets.hedge_ratio)
         return hedge.HedgePolicy(hedges, self.retries)
