--- a/src/snipelink/addresses.py
+++ b/src/snipelink/addresses.py
@@ -29,3 +29,17 @@
     if port > MAX_PORT:
         return result.Err(f"expected a port of at most {MAX_PORT}")
     return result.Ok((host, port))
+
+
+def parse_or_raise(text: str) -> tuple[str, int]:
+    """Return the IP address and the port of ``text``.
+
+    Raises
+    ------
+    ValueError
+        If it is no address.
+    """
+    parsed = parse(text)
+    if isinstance(parsed, result.Err):
+        raise ValueError(f"{text!r}: {parsed.err_value}")
+    return parsed.ok_value
--- /dev/null
+++ b/src/snipelink/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about work under load; no input, output, threads or clocks."""
--- /dev/null
+++ b/src/snipelink/decide/placement.py
@@ -0,0 +1,117 @@
+"""Where a call runs.
+
+Load pattern: a quarter of the endpoints is several times slower at any moment, each
+for about half a second, while the others have free slots. A choice by outstanding
+calls alone fills the slow ones; this one compares the time until the call would end,
+from facts that are milliseconds old.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Sequence
+
+# Calls beyond this share of the slots make many servers slower.
+COMFORTABLE_SHARE = 0.7
+# Time that a call takes longer on a server whose slots are all in use, as a share.
+CROWDING = 0.3
+# Cost of another failure domain as a share of the call's time: its bytes are paid
+# for, and the path is longer.
+FAR_COST = 0.15
+# Age at which nothing is known about an endpoint but its mean slowness, seconds.
+STALE_S = 0.8
+# Age at which a node that reports several times a second is taken as out of reach.
+SILENT_S = 1.5
+# Mean slowness of servers on shared hosts, used when the present one is unknown.
+MEAN_SLOWNESS = 2.0
+# How strongly failures count: at a share of one half a call seems to take thrice as
+# long, which is what a failed and a repeated attempt cost.
+FAILURE_COST = 4.0
+# Endpoints whose expected times differ by less than this share are equally good.
+SIMILAR_SHARE = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """What a node knows of an endpoint that may run a call.
+
+    Attributes
+    ----------
+    instance : str
+        Identity of the endpoint's process.
+    near : bool
+        Whether it is in the failure domain of the choosing node.
+    running, waiting, slots : int
+        Calls on the endpoint, calls held back beside it, and its capacity.
+    slowness : float
+        Time of work now relative to the ordinary time.
+    failing : float
+        Recent share of failed calls.
+    age_s : float
+        Age of these facts in seconds.
+    """
+
+    instance: str
+    near: bool
+    running: int
+    waiting: int
+    slots: int
+    slowness: float
+    failing: float = 0.0
+    age_s: float = 0.0
+
+    @property
+    def silent(self) -> bool:
+        """Whether the endpoint's node has not been heard for too long."""
+        return self.age_s > SILENT_S
+
+
+def expected_s(candidate: Candidate, work_s: float, mean_work_s: float) -> float:
+    """Return the seconds until a call would end on an endpoint.
+
+    Parameters
+    ----------
+    work_s : float
+        Expected work of the call, in undisturbed seconds.
+    mean_work_s : float
+        Mean work of the calls that are ahead of it.
+    """
+    slots = max(1, candidate.slots)
+    ahead = candidate.running + candidate.waiting
+    slowness = _slowness(candidate)
+    crowding = max(0.0, min(1.0, (ahead + 1) / slots) - COMFORTABLE_SHARE)
+    run_s = work_s * (1.0 + CROWDING * crowding / (1.0 - COMFORTABLE_SHARE))
+    wait_s = max(0, ahead + 1 - slots) / slots * mean_work_s
+    return (run_s + wait_s) * slowness
+
+
+def choose(
+    candidates: Sequence[Candidate],
+    work_s: float,
+    mean_work_s: float,
+    rng: random.Random,
+) -> Candidate | None:
+    """Return the endpoint on which a call costs least; None without candidates.
+
+    Endpoints of silent nodes are used only if there are no others.
+    """
+    heard = [c for c in candidates if not c.silent] or list(candidates)
+    if not heard:
+        return None
+    costs = [cost_s(c, work_s, mean_work_s) for c in heard]
+    limit = min(costs) * (1.0 + SIMILAR_SHARE)
+    similar = [c for c, cost in zip(heard, costs, strict=True) if cost <= limit]
+    return rng.choice(similar)
+
+
+def cost_s(candidate: Candidate, work_s: float, mean_work_s: float) -> float:
+    """Return the expected time with the cost of distance and failures, seconds."""
+    cost = expected_s(candidate, work_s, mean_work_s)
+    cost *= 1.0 + FAILURE_COST * candidate.failing
+    return cost if candidate.near else cost * (1.0 + FAR_COST)
+
+
+def _slowness(candidate: Candidate) -> float:
+    trust = max(0.0, 1.0 - candidate.age_s / STALE_S)
+    return candidate.slowness * trust + MEAN_SLOWNESS * (1.0 - trust)
--- /dev/null
+++ b/src/snipelink/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Node of a mesh: serves the callers of one machine and its endpoint."""
--- /dev/null
+++ b/src/snipelink/mesh/callers.py
@@ -0,0 +1,247 @@
+"""Port of the callers on this machine: reads requests and writes answers in order."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import time
+from collections.abc import Callable
+
+from snipelink import errors
+from snipelink.mesh import channel, dispatch, objects, settings
+from snipelink.session import http, memory, requests
+
+logger = logging.getLogger(__name__)
+
+ACCEPT_BACKLOG = 1024
+# Idempotent requests of one connection that run at once; further ones wait unread.
+MAX_PIPELINED = 16
+# Time for which a caller may go on reading the last answer of a connection.
+LINGER_S = 1.0
+# Bytes of request bodies held at once, a share of the smallest machine's memory.
+MAX_BODY_BYTES = 1 << 26
+# Request that has been read only in part is looked at again after this time.
+LOOK_S = 0.25
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Pending:
+    """A request that has been read, and the task that answers it once started."""
+
+    request: http.Request | None
+    arrived: float
+    refused: errors.Failure | None = None
+    task: asyncio.Task[http.Response] | None = None
+
+
+class CallerPort:
+    """Accepts the connections of callers.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Answers requests.
+    names : HeaderNames
+        Names of the mesh's own headers.
+    limits : callable
+        Returns the limits in force.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        names: settings.HeaderNames,
+        limits: Callable[[], objects.CallerLimits],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.names = names
+        self.limits = limits
+        self.pool = memory.Pool(MAX_BODY_BYTES)
+        self.is_leaving = False
+        self.last_request_at = 0.0
+        self.requests_in_flight = 0
+        self._listener: channel.Listener | None = None
+
+    async def start(self, address: channel.Address) -> None:
+        """Accept connections."""
+        self._listener = await channel.listen(address, self._serve, ACCEPT_BACKLOG)
+
+    def stop_accepting(self) -> None:
+        """Refuse further connections."""
+        if self._listener is not None:
+            self._listener.stop_accepting()
+
+    async def _serve(self, stream: channel.Channel) -> None:
+        connection = _Connection(self, stream)
+        try:
+            await channel.run_while_open(stream, connection.run())
+        except ConnectionError:
+            # The caller reset the connection; its calls were given up.
+            pass
+        finally:
+            connection.give_up()
+
+
+class _Connection:
+    """One connection of a caller."""
+
+    def __init__(self, port: CallerPort, stream: channel.Channel) -> None:
+        self._port = port
+        self._stream = stream
+        self._limits = port.limits()
+        self._charge = memory.PoolCharge(port.pool)
+        names = port.names
+        single = frozenset({names.call_id, names.remaining_ms})
+        self._reader = requests.RequestReader(self._limits, self._charge, single)
+        self._pending: collections.deque[_Pending] = collections.deque()
+        self._changed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Answer requests until one of them ends the connection."""
+        pump = asyncio.ensure_future(self._pump())
+        try:
+            while await self._answer_next():
+                pass
+        finally:
+            pump.cancel()
+        await self._stream.close_gracefully(LINGER_S)
+
+    def give_up(self) -> None:
+        """Cancel what the caller no longer waits for."""
+        self._charge.settle()
+        for entry in self._pending:
+            if entry.task is not None:
+                entry.task.cancel()
+                self._port.requests_in_flight -= 1
+            if entry.request is not None:
+                logger.info(
+                    "caller closed the connection before its answer",
+                    extra={
+                        "fields": {
+                            "id": entry.request.header(self._port.names.call_id),
+                            "waited_s": round(time.monotonic() - entry.arrived, 4),
+                            "started": entry.task is not None,
+                        }
+                    },
+                )
+        self._pending.clear()
+
+    async def _pump(self) -> None:
+        """Read requests; the end of the stream ends the whole connection elsewhere."""
+        while True:
+            while len(self._pending) >= MAX_PIPELINED:
+                await self._wait_for_change()
+            data = await self._stream.receive()
+            if not data:
+                return
+            self._reader.feed(data)
+            if not self._take_requests():
+                return
+
+    def _take_requests(self) -> bool:
+        """Queue what has been read; false after a request that is refused."""
+        now = time.monotonic()
+        try:
+            while (request := self._reader.next_request()) is not None:
+                request.peer = self._stream.peer_host
+                self._add(_Pending(request, now))
+            if self._reader.take_wants_continue():
+                self._stream.write(requests.CONTINUE)
+        except requests.Refused as refused:
+            self._add(_Pending(None, now, refused.failure))
+            return False
+        self._changed.set()
+        return True
+
+    def _add(self, entry: _Pending) -> None:
+        self._port.last_request_at = entry.arrived
+        self._pending.append(entry)
+        self._start_due()
+        self._changed.set()
+
+    def _start_due(self) -> None:
+        """Start the first request, and the idempotent ones right behind it.
+
+        One that may run only once waits for its turn: if an answer before it closes
+        the connection, the caller takes it as not read and sends it again.
+        """
+        for index, entry in enumerate(self._pending):
+            if entry.request is None:
+                return
+            if index and not self._port.dispatcher.is_idempotent(entry.request):
+                return
+            if entry.task is None:
+                answer = self._port.dispatcher.answer(entry.request, entry.arrived)
+                entry.task = asyncio.ensure_future(answer)
+                self._port.requests_in_flight += 1
+
+    async def _answer_next(self) -> bool:
+        """Write the next answer; false if the connection ends."""
+        if not self._pending and not await self._wait_for_request():
+            return False
+        entry = self._pending[0]
+        keep = False
+        if entry.refused is not None:
+            self._refuse(entry.refused)
+        else:
+            keep = await self._answer(entry)
+        self._pending.popleft()
+        await self._stream.drain()
+        self._start_due()
+        self._changed.set()
+        if not self._pending:
+            self._charge.settle()
+        return keep
+
+    async def _answer(self, entry: _Pending) -> bool:
+        request, task = entry.request, entry.task
+        assert request is not None
+        assert task is not None
+        response = await task
+        entry.task = None
+        self._port.requests_in_flight -= 1
+        keep = request.keep_alive and not self._port.is_leaving
+        self._stream.write(http.encode_response(response, request.method, keep))
+        return keep
+
+    def _refuse(self, failure: errors.Failure) -> None:
+        logger.info(
+            "request is refused",
+            extra={"fields": {"failure": failure.kind.value, "detail": failure.detail}},
+        )
+        response = dispatch.failure_response(failure, self._port.names, "")
+        self._stream.write(http.encode_response(response, "GET", keep_alive=False))
+
+    async def _wait_for_request(self) -> bool:
+        """Wait for a request; false when the caller is idle or slow for too long."""
+        idle_since = time.monotonic()
+        partial_since: float | None = None
+        idle_s = self._limits.idle_timeout_s
+        while not self._pending:
+            left_s = idle_since + idle_s - time.monotonic()
+            wait_s = LOOK_S if self._reader.in_request() else max(0.01, left_s)
+            await self._wait_for_change(wait_s)
+            now = time.monotonic()
+            if not self._reader.in_request():
+                partial_since = None
+                if now - idle_since >= idle_s:
+                    return False
+                continue
+            partial_since = partial_since or now
+            if now - partial_since > self._limits.header_timeout_s:
+                detail = "the request did not arrive in time"
+                kind = errors.Kind.REQUEST_TIMEOUT
+                self._refuse(errors.Failure(kind, detail))
+                return False
+        return True
+
+    async def _wait_for_change(self, timeout_s: float | None = None) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            # The time itself is what was waited for.
+            pass
--- /dev/null
+++ b/src/snipelink/mesh/catalog.py
@@ -0,0 +1,171 @@
+"""Published state in force at this node; it never goes back."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+
+from snipelink.mesh import objects
+
+logger = logging.getLogger(__name__)
+
+# A removed endpoint is used for so long, and only if there is no other, seconds: some
+# are removed without notice while they still serve, and entries that lapsed while
+# the platform's store was away come back.
+LAST_RESORT_S = 1.2
+# The same after the store was away: entries are back within about two seconds.
+LAPSED_S = 2.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes of the published state up to a revision.
+
+    Attributes
+    ----------
+    configurations : tuple of Configuration
+        New ones, in the order of publication.
+    instances : tuple of Instance
+        Added or changed endpoints.
+    removed : tuple of str
+        Identities of endpoints that are gone or no longer readable.
+    """
+
+    revision: int
+    configurations: tuple[objects.Configuration, ...] = ()
+    instances: tuple[objects.Instance, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class Catalog:
+    """Routes and endpoints, merged from the platform and from other nodes."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.table: objects.RouteTable | None = None
+        self.instances_by_id: dict[str, objects.Instance] = {}
+        self._last_resort_until_by_id: dict[str, tuple[objects.Instance, float]] = {}
+        self._lapses_until = 0.0
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return self.table.configuration.version if self.table else 0
+
+    def published(self) -> objects.Published:
+        """Return all that is known, for another node."""
+        configuration = self.table.configuration if self.table else None
+        instances = tuple(self.instances_by_id.values())
+        return objects.Published(self.revision, configuration, instances)
+
+    def sync(self, published: objects.Published, now: float) -> bool:
+        """Take over a whole state; false if it is older than the known one."""
+        if published.revision < self.revision:
+            return False
+        if published.configuration is not None:
+            self._set_configuration(published.configuration)
+        present = {instance.id: instance for instance in published.instances}
+        for name in [n for n in self.instances_by_id if n not in present]:
+            self._remove(name, now)
+        for instance in present.values():
+            self._set_instance(instance, now)
+        self.revision = published.revision
+        return True
+
+    def apply(self, changes: Changes, now: float) -> None:
+        """Take over changes; those up to the known revision have no effect."""
+        if changes.revision <= self.revision:
+            return
+        for configuration in changes.configurations:
+            self._set_configuration(configuration)
+        for name in changes.removed:
+            self._remove(name, now)
+        for instance in changes.instances:
+            self._set_instance(instance, now)
+        self.revision = changes.revision
+
+    def on_source_returned(self, now: float) -> None:
+        """Note that the platform's store is back after it was away."""
+        self._lapses_until = now + LAPSED_S
+
+    def usable(self, service: str, now: float) -> list[objects.Instance]:
+        """Return the endpoints of a service that may receive calls.
+
+        Those that leave or were just removed are returned only if there is no other.
+        """
+        ready = [
+            i
+            for i in self.instances_by_id.values()
+            if i.service == service and not i.leaving
+        ]
+        if ready:
+            return ready
+        last_resort = []
+        for name, (instance, until) in list(self._last_resort_until_by_id.items()):
+            if now >= until:
+                del self._last_resort_until_by_id[name]
+            elif instance.service == service:
+                last_resort.append(instance)
+        return last_resort
+
+    def is_usable(self, instance: str, now: float) -> bool:
+        """Whether an endpoint may still receive calls, as a last resort or not."""
+        known = self.instances_by_id.get(instance)
+        if known is not None and not known.leaving:
+            return True
+        _, until = self._last_resort_until_by_id.get(instance, (None, 0.0))
+        return now < until
+
+    def _set_configuration(self, configuration: objects.Configuration) -> None:
+        if configuration.version <= self.version:
+            return
+        logger.info(
+            "configuration is in force",
+            extra={
+                "fields": {
+                    "version": configuration.version,
+                    "replaces": self.version,
+                    "routes": len(configuration.routes),
+                }
+            },
+        )
+        self.table = objects.RouteTable(configuration)
+
+    def _set_instance(self, instance: objects.Instance, now: float) -> None:
+        known = self.instances_by_id.get(instance.id)
+        if known == instance:
+            return
+        if known is not None and instance.born_ms < known.born_ms:
+            _log("entry of a former process is ignored", instance, leaving=False)
+            return
+        self.instances_by_id[instance.id] = instance
+        self._last_resort_until_by_id.pop(instance.id, None)
+        if instance.leaving:
+            self._keep_as_last_resort(instance, now)
+        _log("endpoint is published", instance, leaving=instance.leaving)
+
+    def _remove(self, name: str, now: float) -> None:
+        instance = self.instances_by_id.pop(name, None)
+        if instance is None:
+            return
+        if not instance.leaving:
+            self._keep_as_last_resort(instance, now)
+        _log("endpoint is no longer published", instance, leaving=instance.leaving)
+
+    def _keep_as_last_resort(self, instance: objects.Instance, now: float) -> None:
+        until = max(now + LAST_RESORT_S, self._lapses_until)
+        self._last_resort_until_by_id[instance.id] = (instance, until)
+
+
+def _log(message: str, instance: objects.Instance, *, leaving: bool) -> None:
+    logger.info(
+        message,
+        extra={
+            "fields": {
+                "instance": instance.id,
+                "service": instance.service,
+                "host": instance.host,
+                "leaving": leaving,
+            }
+        },
+    )
--- /dev/null
+++ b/src/snipelink/mesh/channel.py
@@ -0,0 +1,267 @@
+"""A TCP connection as one task reads and writes it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import typing
+from collections.abc import Callable
+
+# A silent peer is noticed by the kernel after about three seconds; connections may
+# go silent without a reset while new ones work.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+USER_TIMEOUT_MS = 3000
+# Bytes received and not yet taken above which the peer is made to wait.
+MAX_UNREAD_BYTES = 262144
+
+Address = tuple[str, int]
+T = typing.TypeVar("T")
+
+
+class Channel(asyncio.Protocol):
+    """Bytes received and sent on one connection.
+
+    `receive` is for one task at a time. The end of the stream is an empty result; a
+    reset raises ``ConnectionError``.
+
+    Attributes
+    ----------
+    ended : asyncio.Event
+        Set once the peer sends no more.
+    """
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._waiter: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._error: Exception | None = None
+        self._ended = False
+        self._lost = False
+        self._paused = False
+        self.ended = asyncio.Event()
+        self.peer_host = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over an open connection; called by the event loop."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            _tune(connection)
+        peer = transport.get_extra_info("peername")
+        self.peer_host = peer[0] if peer else ""
+
+    def data_received(self, data: bytes) -> None:
+        """Keep received bytes; called by the event loop."""
+        self._buffer += data
+        if len(self._buffer) > MAX_UNREAD_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+            self._paused = True
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note the end of the peer's bytes; called by the event loop."""
+        self._ended = True
+        self.ended.set()
+        self._wake()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end of the connection; called by the event loop."""
+        self._lost = True
+        self._ended = True
+        self.ended.set()
+        self._error = exc
+        self._wake()
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+
+    def pause_writing(self) -> None:
+        """Hold back `drain`; called by the event loop."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let `drain` go on; called by the event loop."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection is open and holds no unread bytes."""
+        return not self._ended and not self._buffer
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection is gone in both directions."""
+        return self._lost
+
+    async def receive(self) -> bytes:
+        """Return the next bytes; empty at the end of the stream."""
+        while not self._buffer:
+            if self._ended:
+                if self._error is not None:
+                    raise ConnectionResetError(str(self._error))
+                return b""
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        if self._paused and self._transport is not None:
+            self._transport.resume_reading()
+            self._paused = False
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Send bytes without waiting.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection is gone.
+        """
+        if self._lost or self._transport is None or self._transport.is_closing():
+            raise ConnectionResetError("the connection is closed")
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until most of what was written has been sent."""
+        if self._writable is not None:
+            await self._writable
+        if self._lost:
+            raise ConnectionResetError("the connection is closed")
+
+    async def close_gracefully(self, timeout_s: float) -> None:
+        """Close after the peer has read what was written.
+
+        Closing with unread bytes resets the connection, and the reset may destroy an
+        answer that the peer has not read yet.
+        """
+        if self._transport is None or self._lost:
+            return
+        try:
+            self._transport.write_eof()
+            async with asyncio.timeout(timeout_s):
+                while await self.receive():
+                    pass
+        except (OSError, RuntimeError):
+            # The peer closed first, or keeps its side open; both end here.
+            pass
+        self.close()
+
+    def close(self) -> None:
+        """Close after all that was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once; what was written and not sent is dropped."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def connect(address: Address, timeout_s: float) -> Channel:
+    """Open a connection.
+
+    Raises
+    ------
+    OSError
+        If it cannot be opened in time.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_s):
+        _, channel = await loop.create_connection(Channel, *address)
+    return channel
+
+
+async def run_while_open(
+    stream: Channel, work: typing.Coroutine[typing.Any, typing.Any, T]
+) -> T | None:
+    """Run `work` and return its result; cancel it, and return None, at a close.
+
+    The peer's close counts from the end of its bytes on.
+    """
+    task = asyncio.ensure_future(work)
+    ended = asyncio.ensure_future(stream.ended.wait())
+    try:
+        await asyncio.wait((task, ended), return_when=asyncio.FIRST_COMPLETED)
+        return task.result() if task.done() else None
+    finally:
+        ended.cancel()
+        if not task.done():
+            task.cancel()
+            await asyncio.wait((task,))
+
+
+async def listen(
+    address: Address, serve: Callable[[Channel], typing.Awaitable[None]], backlog: int
+) -> Listener:
+    """Accept connections and run `serve` on each in a task of its own."""
+    listener = Listener(serve)
+    loop = asyncio.get_running_loop()
+    listener.server = await loop.create_server(
+        listener.make, *address, backlog=backlog, reuse_address=True
+    )
+    return listener
+
+
+class Listener:
+    """Tasks of the connections that were accepted on one port."""
+
+    def __init__(self, serve: Callable[[Channel], typing.Awaitable[None]]) -> None:
+        self._serve = serve
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.server: asyncio.Server | None = None
+
+    def make(self) -> Channel:
+        """Return the channel of a connection that is being accepted."""
+        return _Accepted(self)
+
+    def start(self, channel: Channel) -> None:
+        """Serve an accepted connection."""
+        task = asyncio.ensure_future(self._run(channel))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def stop_accepting(self) -> None:
+        """Refuse further connections."""
+        if self.server is not None:
+            self.server.close()
+
+    async def _run(self, channel: Channel) -> None:
+        try:
+            await self._serve(channel)
+        finally:
+            channel.close()
+
+
+class _Accepted(Channel):
+    def __init__(self, listener: Listener) -> None:
+        super().__init__()
+        self._listener = listener
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._listener.start(self)
+
+
+def _tune(connection: socket.socket) -> None:
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    options = (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for option, value in options:
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
--- /dev/null
+++ b/src/snipelink/mesh/endpoint.py
@@ -0,0 +1,208 @@
+"""HTTP client of the endpoint on this machine, over kept connections."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import time
+
+from result import Err, Ok, Result
+
+from snipelink import errors, model
+from snipelink.mesh import channel, settings
+from snipelink.session import answers, http
+from snipelink.session import headers as header_rules
+
+# An endpoint on the same machine accepts in about a millisecond; a full one drops
+# the opening packet, which is sent again after a second.
+CONNECT_TIMEOUT_S = 0.5
+# Idle time after which a connection is not used again when the endpoint names none.
+MAX_IDLE_S = 4.0
+# Some servers forget idle connections without notice, and a request sent on one has
+# perhaps run. A call that may run only once uses connections that were just in use.
+MAX_IDLE_ONCE_S = 1.0
+# Share of the idle time named by an endpoint for which a connection is kept.
+IDLE_SHARE = 0.5
+MAX_ANSWER_BYTES = 1 << 26
+MAX_IDLE_CONNECTIONS = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _Kept:
+    """An idle connection, since a monotonic time, usable for some seconds."""
+
+    stream: channel.Channel
+    since: float
+    limit_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """One request for the endpoint.
+
+    Attributes
+    ----------
+    call_id : str
+        Identity that the answer must echo; empty if it need not.
+    deadline : float
+        Monotonic time in seconds by which the answer must be complete.
+    idempotent : bool
+        Whether the request may run twice.
+    """
+
+    call_id: str
+    method: str
+    payload: bytes
+    deadline: float
+    idempotent: bool
+
+
+class EndpointClient:
+    """Sends requests to one endpoint, one at a time on a connection.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Where the endpoint listens.
+    names : HeaderNames
+        Names of the mesh's own headers.
+    """
+
+    def __init__(self, address: channel.Address, names: settings.HeaderNames) -> None:
+        self.address = address
+        self._names = names
+        self._kept: collections.deque[_Kept] = collections.deque()
+        self.connections_opened = 0
+        self.unexpected_answers = 0
+
+    async def send(self, exchange: Exchange) -> Result[http.Response, errors.Failure]:
+        """Return the complete answer to a request.
+
+        A failure's kind tells whether the request may have run. Cancelling closes the
+        connection, which makes most servers drop the request.
+        """
+        opened = await self._acquire(exchange)
+        if isinstance(opened, Err):
+            return opened
+        stream = opened.ok_value
+        reader = answers.AnswerReader(exchange.method, MAX_ANSWER_BYTES)
+        kept = False
+        try:
+            async with asyncio.timeout(exchange.deadline - time.monotonic()):
+                stream.write(exchange.payload)
+                outcome = await self._read(stream, reader, exchange)
+            if isinstance(outcome, Ok) and reader.reusable and reader.is_clean():
+                kept = stream.is_idle
+                if kept:
+                    self._keep(stream, outcome.ok_value)
+            return outcome
+        except TimeoutError:
+            return _fail(errors.Kind.DEADLINE_UNKNOWN, "no answer in time")
+        except OSError as error:
+            return self._lost(reader, str(error))
+        finally:
+            if not kept:
+                stream.abort()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._kept:
+            self._kept.pop().stream.close()
+
+    async def _read(
+        self,
+        stream: channel.Channel,
+        reader: answers.AnswerReader,
+        exchange: Exchange,
+    ) -> Result[http.Response, errors.Failure]:
+        ended = False
+        while True:
+            response = reader.take()
+            if response is not None:
+                if self._belongs(response, exchange.call_id):
+                    return Ok(response)
+                self.unexpected_answers += 1
+                continue
+            if ended:
+                return self._lost(reader, "the endpoint closed the connection")
+            data = await stream.receive()
+            try:
+                if data:
+                    reader.feed(data)
+                else:
+                    ended = True
+                    reader.feed_end()
+            except answers.InvalidAnswer as error:
+                response = reader.take()
+                if response is not None and self._belongs(response, exchange.call_id):
+                    return Ok(response)
+                return _fail(errors.Kind.ANSWER_INVALID, str(error))
+
+    def _belongs(self, response: http.Response, call_id: str) -> bool:
+        """Whether an answer is for this request; a late one of another is not."""
+        if not call_id:
+            return True
+        echoed = header_rules.first(response.headers, self._names.call_id)
+        if echoed:
+            return echoed == call_id
+        # Servers that refuse a request need not know whose it was.
+        return response.status >= 400
+
+    def _lost(self, reader: answers.AnswerReader, detail: str) -> Err[errors.Failure]:
+        if reader.started:
+            return _fail(errors.Kind.ANSWER_INCOMPLETE, detail)
+        return _fail(errors.Kind.CONNECTION_LOST, detail)
+
+    async def _acquire(
+        self, exchange: Exchange
+    ) -> Result[channel.Channel, errors.Failure]:
+        now = time.monotonic()
+        while self._kept:
+            kept = self._kept.pop()
+            limit_s = kept.limit_s
+            if not exchange.idempotent:
+                limit_s = min(limit_s, MAX_IDLE_ONCE_S)
+            if kept.stream.is_idle and now - kept.since < limit_s:
+                return Ok(kept.stream)
+            if not kept.stream.is_idle:
+                self.unexpected_answers += not kept.stream.is_lost
+            kept.stream.close()
+        timeout_s = min(CONNECT_TIMEOUT_S, exchange.deadline - now)
+        if timeout_s <= 0.0:
+            return _fail(errors.Kind.DEADLINE_NOT_RUN, "no time left to connect")
+        try:
+            stream = await channel.connect(self.address, timeout_s)
+        except OSError as error:
+            return _fail(errors.Kind.UNREACHABLE, f"endpoint: {error}")
+        self.connections_opened += 1
+        return Ok(stream)
+
+    def _keep(self, stream: channel.Channel, response: http.Response) -> None:
+        limit_s = MAX_IDLE_S
+        stated = header_rules.keep_alive_s(response.headers)
+        if stated is not None:
+            limit_s = min(limit_s, stated * IDLE_SHARE)
+        if limit_s <= 0.0 or len(self._kept) >= MAX_IDLE_CONNECTIONS:
+            stream.close()
+            return
+        self._kept.append(_Kept(stream, time.monotonic(), limit_s))
+
+
+def encode(method: str, target: str, headers: model.Headers, body: bytes) -> bytes:
+    """Return the bytes of a request with its framing header.
+
+    Raises
+    ------
+    ValueError
+        If a header cannot be written in one line.
+    """
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"content-length: {len(body)}")
+    return http.encode_head(lines) + body
+
+
+def _fail(kind: errors.Kind, detail: str) -> Err[errors.Failure]:
+    return Err(errors.Failure(kind, detail))
--- /dev/null
+++ b/src/snipelink/mesh/frames.py
@@ -0,0 +1,81 @@
+"""Frames on the connections between nodes."""
+
+from __future__ import annotations
+
+import enum
+
+from snipelink.mesh import channel
+from snipelink.session import frames
+
+MAX_FRAME_BYTES = 1 << 27
+
+
+class Kind(enum.Enum):
+    """First byte of a frame: what the rest is."""
+
+    CALL = b"C"
+    REPLY = b"R"
+    PUBLISHED_REQUEST = b"Q"
+    PUBLISHED = b"P"
+
+
+class FrameChannel:
+    """Frames of one connection.
+
+    Parameters
+    ----------
+    stream : Channel
+        The connection.
+    """
+
+    def __init__(self, stream: channel.Channel) -> None:
+        self.stream = stream
+        self._buffer = bytearray()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection is open and nothing has been received."""
+        return self.stream.is_idle and not self._buffer
+
+    def send(self, kind: Kind, payload: bytes) -> None:
+        """Send one frame; raises ``ConnectionError``."""
+        head = frames.LENGTH.pack(len(payload) + 1) + kind.value
+        self.stream.write(head + payload)
+
+    async def receive(self) -> tuple[Kind, bytes] | None:
+        """Return the next frame; None at the end of the stream.
+
+        Raises
+        ------
+        FrameError
+            If the stream ends inside a frame, or a frame is unknown or too long.
+        ConnectionError
+            If the connection is lost.
+        """
+        while True:
+            frame = self._take()
+            if frame is not None:
+                return frame
+            data = await self.stream.receive()
+            if not data:
+                if self._buffer:
+                    raise frames.FrameError("connection closed inside a frame")
+                return None
+            self._buffer += data
+
+    def _take(self) -> tuple[Kind, bytes] | None:
+        if len(self._buffer) < frames.LENGTH.size:
+            return None
+        (length,) = frames.LENGTH.unpack_from(self._buffer)
+        if not 1 <= length <= MAX_FRAME_BYTES:
+            raise frames.FrameError(f"frame of {length} bytes")
+        start, end = frames.LENGTH.size, frames.LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        payload = bytes(self._buffer[start:end])
+        del self._buffer[:end]
+        try:
+            kind = Kind(payload[:1])
+        except ValueError:
+            raise frames.FrameError(f"frame of kind {payload[:1]!r}") from None
+        return kind, payload[1:]
--- /dev/null
+++ b/src/snipelink/mesh/node.py
@@ -0,0 +1,277 @@
+"""A mesh node: its parts, its start and its graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import random
+import time
+
+from snipelink.generated import mesh
+from snipelink.mesh import (
+    admission,
+    callers,
+    catalog,
+    dispatch,
+    endpoint,
+    health,
+    loads,
+    objects,
+    peers,
+    settings,
+    status,
+    watcher,
+)
+from snipelink.observe import metrics
+from snipelink.session import http
+
+logger = logging.getLogger(__name__)
+
+# Callers are sent elsewhere after two questions for readiness, one a second.
+MIN_LEAVE_S = 2.5
+# A node without requests for so long after that has been left, seconds.
+QUIET_S = 0.4
+# Time before the end of the grace period at which the node stops anyway, seconds.
+STOP_MARGIN_S = 0.4
+STOP_POLL_S = 0.05
+# Time between two looks at what has grown old.
+EXPIRY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Paths:
+    """Paths of the status ports."""
+
+    ready: str
+    metrics: str
+
+
+class Node:
+    """Serves the callers of one machine and its endpoint.
+
+    Parameters
+    ----------
+    own : Settings
+        Identity and addresses.
+    names : HeaderNames
+        Names of the mesh's own headers.
+    paths : Paths
+        Paths of the status ports.
+    source : Source
+        Reads the published state.
+    """
+
+    def __init__(
+        self,
+        own: settings.Settings,
+        names: settings.HeaderNames,
+        paths: Paths,
+        source: watcher.Source,
+    ) -> None:
+        now = time.monotonic()
+        rng = random.Random()
+        self._own = own
+        # Tells the processes of one machine apart; never compared as a time.
+        self._started_ms = int(time.time() * 1000)
+        self._started_by_host: dict[str, int] = {}
+        self._is_leaving = False
+        self._metrics = metrics.Metrics()
+        self._catalog = catalog.Catalog()
+        self._loads = loads.LoadTable()
+        self._endpoint = endpoint.EndpointClient(own.endpoint_address, names)
+        self._runner = admission.Runner(
+            self._endpoint, names, rng, now, self._publish_load
+        )
+        self._peers = peers.PeerClient(own.peer_port)
+        self._peer_port = peers.PeerPort(self._runner, self._catalog)
+        self._exchange = loads.LoadExchange(
+            own.host, own.load_port, self._loads, self._load, self._on_report
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            own,
+            names,
+            self._catalog,
+            self._loads,
+            self._runner,
+            self._peers,
+            self._metrics,
+            rng,
+        )
+        self._callers = callers.CallerPort(self._dispatcher, names, self._limits)
+        self._poller = health.Poller(
+            self._endpoint,
+            self._runner,
+            self._catalog,
+            own,
+            names,
+            self._on_poll,
+        )
+        self._watcher = watcher.Watcher(source, self._catalog, self._on_catalog, rng)
+        self._ready_port = status.StatusPort({paths.ready: self._ready})
+        self._metrics_port = status.StatusPort({paths.metrics: self._exposition})
+        self._add_gauges()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent to this node."""
+        return self._catalog.table is not None and not self._is_leaving
+
+    async def run(self, stop: asyncio.Event) -> int:
+        """Serve until `stop` is set, then finish what runs.
+
+        Returns
+        -------
+        status : int
+            0 if no call was cut off, else 1.
+        """
+        own = self._own
+        await self._exchange.start((own.host, own.load_port))
+        await self._peer_port.start(own.peer_listen)
+        await self._callers.start(own.caller_listen)
+        await self._ready_port.start(own.ready_listen)
+        await self._metrics_port.start(own.metrics_listen)
+        tasks = [
+            asyncio.ensure_future(self._watcher.run()),
+            asyncio.ensure_future(
+                self._watcher.follow_nodes(self._newest, self._peers.fetch_published)
+            ),
+            asyncio.ensure_future(self._poller.run()),
+            asyncio.ensure_future(self._expire()),
+        ]
+        stopped = asyncio.ensure_future(stop.wait())
+        logger.info(
+            "node has started",
+            extra={"fields": {"node": own.node, "service": own.service}},
+        )
+        done, _ = await asyncio.wait(
+            [stopped, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done - {stopped}:
+            # None of these ends by itself; the exception names the fault.
+            task.result()
+        cut = await self._leave()
+        for task in tasks:
+            task.cancel()
+        logger.info("node has stopped", extra={"fields": {"calls_cut_off": cut}})
+        return 1 if cut else 0
+
+    def reload(self, new: settings.Settings) -> None:
+        """Take over changed settings."""
+        changed, ignored = self._own.take_over(new)
+        self._endpoint.address = self._own.endpoint_address
+        logger.info(
+            "settings are reloaded",
+            extra={"fields": {"changed": changed, "needs_restart": ignored}},
+        )
+
+    async def _leave(self) -> int:
+        """Stop gracefully; return the number of calls that were cut off."""
+        started = time.monotonic()
+        self._is_leaving = True
+        self._callers.is_leaving = True
+        self._runner.state.is_leaving = True
+        self._publish_load(started)
+        logger.info(
+            "node is leaving", extra={"fields": {"calls": self._calls_in_flight()}}
+        )
+        while True:
+            await asyncio.sleep(STOP_POLL_S)
+            now = time.monotonic()
+            if now - started >= self._own.bounds.grace_s - STOP_MARGIN_S:
+                break
+            quiet = now - self._callers.last_request_at >= QUIET_S
+            if now - started >= MIN_LEAVE_S and quiet and not self._calls_in_flight():
+                break
+        cut = self._calls_in_flight()
+        self._callers.stop_accepting()
+        self._peer_port.stop_accepting()
+        self._peers.close()
+        self._endpoint.close()
+        self._exchange.close()
+        return cut
+
+    def _calls_in_flight(self) -> int:
+        return self._callers.requests_in_flight + self._peer_port.calls_in_flight
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_S)
+            self._loads.expire(set(self._catalog.instances_by_id), time.monotonic())
+
+    def _on_poll(self, now: float) -> None:
+        state = self._runner.state
+        usable = self._catalog.is_usable(state.instance, now)
+        state.is_leaving = self._is_leaving or not usable
+        self._publish_load(now)
+
+    def _on_catalog(self) -> None:
+        self._dispatcher.on_catalog_change()
+        self._publish_load(time.monotonic())
+
+    def _on_report(self, host: str, load: mesh.Load) -> None:
+        if self._started_by_host.get(host) != load.started_ms:
+            self._started_by_host[host] = load.started_ms
+            self._peers.forget(host)
+
+    def _publish_load(self, now: float) -> None:
+        near_by_host = {
+            instance.host: instance.failure_domain == self._own.failure_domain
+            for instance in self._catalog.instances_by_id.values()
+        }
+        for host in self._loads.facts_by_host:
+            near_by_host.setdefault(host, False)
+        self._exchange.publish(near_by_host.items(), now)
+
+    def _load(self, now: float) -> mesh.Load:
+        state = self._runner.state
+        return mesh.Load(
+            state.instance,
+            self._started_ms,
+            0,
+            self._runner.running,
+            self._runner.waiting,
+            state.slots,
+            int(state.progress.slowness * 100),
+            int(self._runner.failing(now) * 100),
+            state.is_accepting,
+            self._catalog.revision,
+            self._catalog.version,
+        )
+
+    def _newest(self) -> tuple[int, str]:
+        """Return the highest revision that a node reports, and its host."""
+        facts = self._loads.facts_by_host.values()
+        return max(((f.load.revision, f.host) for f in facts), default=(0, ""))
+
+    def _limits(self) -> objects.CallerLimits:
+        table = self._catalog.table
+        return table.configuration.limits if table else objects.CallerLimits()
+
+    def _ready(self) -> http.Response:
+        if self.is_ready:
+            return http.Response(200, [], b"ready\n")
+        return http.Response(503, [], b"not ready\n")
+
+    def _exposition(self) -> http.Response:
+        text = self._metrics.exposition()
+        return http.Response(
+            200, [("content-type", metrics.CONTENT_TYPE)], text.encode()
+        )
+
+    def _add_gauges(self) -> None:
+        values = {
+            "catalog_revision": lambda: self._catalog.revision,
+            "configuration_version": lambda: self._catalog.version,
+            "calls_running": lambda: self._runner.running,
+            "calls_waiting": lambda: self._runner.waiting,
+            "endpoint_slowness": lambda: self._runner.state.progress.slowness,
+            "endpoint_connections_opened": lambda: self._endpoint.connections_opened,
+            "unexpected_answers": lambda: self._endpoint.unexpected_answers,
+            "endpoint_polls": lambda: self._poller.polls,
+            "platform_reads": lambda: self._watcher.reads,
+            "platform_reads_failed": lambda: self._watcher.failed_reads,
+            "load_datagrams_sent": lambda: self._exchange.sent_datagrams,
+        }
+        for name, read in values.items():
+            self._metrics.gauge(f"snipelink_mesh_{name}", name.replace("_", " "), read)
--- /dev/null
+++ b/src/snipelink/mesh/status.py
@@ -0,0 +1,66 @@
+"""Small read-only HTTP port: readiness, metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from snipelink.mesh import channel
+from snipelink.session import http, memory, requests
+
+logger = logging.getLogger(__name__)
+
+ACCEPT_BACKLOG = 16
+MAX_BODY_BYTES = 4096
+IDLE_TIMEOUT_S = 30.0
+
+Answer = Callable[[], http.Response]
+
+
+class _Limits:
+    max_header_bytes = 8192
+    max_body_bytes = MAX_BODY_BYTES
+
+
+class StatusPort:
+    """Answers GET requests by path.
+
+    Parameters
+    ----------
+    answers_by_path : dict
+        Functions that make the responses.
+    """
+
+    def __init__(self, answers_by_path: dict[str, Answer]) -> None:
+        self._answers_by_path = answers_by_path
+
+    async def start(self, address: channel.Address) -> None:
+        """Accept connections."""
+        await channel.listen(address, self._serve, ACCEPT_BACKLOG)
+
+    async def _serve(self, stream: channel.Channel) -> None:
+        pool = memory.Pool(MAX_BODY_BYTES)
+        reader = requests.RequestReader(_Limits(), memory.PoolCharge(pool))
+        try:
+            async with asyncio.timeout(None) as idle:
+                while True:
+                    idle.reschedule(asyncio.get_running_loop().time() + IDLE_TIMEOUT_S)
+                    data = await stream.receive()
+                    if not data:
+                        return
+                    reader.feed(data)
+                    while (request := reader.next_request()) is not None:
+                        stream.write(self._answer(request))
+                        if not request.keep_alive:
+                            return
+        except (OSError, requests.Refused) as error:
+            logger.info(
+                "status connection is closed",
+                extra={"fields": {"peer": stream.peer_host, "error": str(error)}},
+            )
+
+    def _answer(self, request: http.Request) -> bytes:
+        make = self._answers_by_path.get(request.path)
+        response = make() if make else http.Response(404, [], b"not found\n")
+        return http.encode_response(response, request.method, request.keep_alive)
--- /dev/null
+++ b/src/snipelink/mesh/watcher.py
@@ -0,0 +1,172 @@
+"""Keeps the catalogue up to date from the platform, and from other nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+import typing
+from collections.abc import Callable
+
+from result import Err, Result
+
+from snipelink.mesh import catalog, objects
+
+logger = logging.getLogger(__name__)
+
+# A watch is renewed after this time, seconds: an answer that was lost delays changes
+# by no more, and callers are in touch again three seconds after a disruption.
+WATCH_S = 3.0
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.0
+# Time for which another node must know more before it is asked, seconds: usually the
+# own watch brings the change within milliseconds.
+BEHIND_S = 0.25
+BEHIND_POLL_S = 0.1
+# A store that was out of reach for longer may have dropped entries of living servers.
+AWAY_S = 1.0
+
+
+class SourceError(Exception):
+    """The platform's store did not answer as it should."""
+
+
+class HistoryLost(Exception):
+    """The store no longer has the changes after the given revision."""
+
+
+class Source(typing.Protocol):
+    """Reads the published state."""
+
+    async def read(self) -> objects.Published:
+        """Return the whole state; raises ``SourceError``."""
+
+    async def watch(self, after: int, wait_s: float) -> catalog.Changes:
+        """Return the changes after a revision, once there are some.
+
+        Raises ``SourceError`` or ``HistoryLost``; without changes for `wait_s`
+        seconds, the result has the given revision or a newer one.
+        """
+
+
+FetchFromNode = Callable[[str], typing.Awaitable[Result[objects.Published, str]]]
+
+
+class Watcher:
+    """Follows the published state.
+
+    Parameters
+    ----------
+    source : Source
+        The platform's store.
+    known : Catalog
+        Receives what is published.
+    on_change : callable
+        Called after each change of the catalogue.
+    rng : random.Random
+        Spreads repeated reads of many nodes.
+    """
+
+    def __init__(
+        self,
+        source: Source,
+        known: catalog.Catalog,
+        on_change: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self._source = source
+        self._catalog = known
+        self._on_change = on_change
+        self._rng = rng
+        self._failed_since: float | None = None
+        self._behind_since: float | None = None
+        self.reads = 0
+        self.failed_reads = 0
+
+    async def run(self) -> None:
+        """Read and watch until cancelled."""
+        backoff_s = MIN_BACKOFF_S
+        must_read = True
+        while True:
+            try:
+                if must_read:
+                    self.reads += 1
+                    published = await self._source.read()
+                    self._succeeded()
+                    self._catalog.sync(published, time.monotonic())
+                    must_read = False
+                else:
+                    self.reads += 1
+                    changes = await self._source.watch(self._catalog.revision, WATCH_S)
+                    self._succeeded()
+                    self._catalog.apply(changes, time.monotonic())
+                self._on_change()
+                backoff_s = MIN_BACKOFF_S
+            except HistoryLost:
+                logger.info(
+                    "history of the platform is lost",
+                    extra={"fields": {"after": self._catalog.revision}},
+                )
+                must_read = True
+            except SourceError as error:
+                self._failed(error)
+                await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2.0)
+
+    async def follow_nodes(
+        self, newest: Callable[[], tuple[int, str]], fetch: FetchFromNode
+    ) -> None:
+        """Take the state from other nodes while they know more than this one.
+
+        Parameters
+        ----------
+        newest : callable
+            Returns the highest revision that a node reports, and its host.
+        fetch : callable
+            Returns the published state that the node on a host knows.
+        """
+        while True:
+            await asyncio.sleep(BEHIND_POLL_S)
+            revision, host = newest()
+            now = time.monotonic()
+            if revision <= self._catalog.revision:
+                self._behind_since = None
+                continue
+            if self._behind_since is None:
+                self._behind_since = now
+            if now - self._behind_since < BEHIND_S:
+                continue
+            self._behind_since = now
+            fetched = await fetch(host)
+            fields: dict[str, object] = {
+                "host": host,
+                "known": self._catalog.revision,
+                "reported": revision,
+            }
+            if isinstance(fetched, Err):
+                fields["error"] = fetched.err_value
+            else:
+                fields["taken"] = self._catalog.sync(fetched.ok_value, time.monotonic())
+                self._on_change()
+            logger.info("asked a node that knows more", extra={"fields": fields})
+
+    def _succeeded(self) -> None:
+        if self._failed_since is None:
+            return
+        now = time.monotonic()
+        away_s = now - self._failed_since
+        self._failed_since = None
+        if away_s > AWAY_S:
+            self._catalog.on_source_returned(now)
+        logger.info("platform is back", extra={"fields": {"away_s": round(away_s, 3)}})
+
+    def _failed(self, error: SourceError) -> None:
+        self.failed_reads += 1
+        if self._failed_since is not None:
+            return
+        self._failed_since = time.monotonic()
+        logger.warning(
+            "platform does not answer",
+            extra={"fields": {"error": str(error), "revision": self._catalog.revision}},
+        )
--- a/src/snipelink/observe/logs.py
+++ b/src/snipelink/observe/logs.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import collections
+import io
 import json
 import logging
+import os
 import time
 from collections.abc import Callable
 from typing import TextIO
@@ -45,14 +47,14 @@
 
 
 class _MessageState:
-    def __init__(self) -> None:
-        self.bucket = buckets.TokenBucket(LINES_PER_S, BURST)
+    def __init__(self, lines_per_s: float, burst: float) -> None:
+        self.bucket = buckets.TokenBucket(lines_per_s, burst)
         self.suppressed = 0
         self.last_suppressed_at = 0.0
 
 
 class RateLimitedHandler(logging.StreamHandler[TextIO]):
-    """Writes at most ``LINES_PER_S`` lines for each message id, after a burst.
+    """Writes a limited number of lines for each message id, after a burst.
 
     The id of a message is ``extra={"message_id": ...}``, by default its logger and
     its text before arguments are put in.
@@ -62,9 +64,13 @@
         self,
         stream: TextIO | None = None,
         clock: Callable[[], float] = time.monotonic,
+        lines_per_s: float = LINES_PER_S,
+        burst: float = BURST,
     ) -> None:
         super().__init__(stream)
         self._clock = clock
+        self._lines_per_s = lines_per_s
+        self._burst = burst
         self._states_by_id: collections.OrderedDict[str, _MessageState] = (
             collections.OrderedDict()
         )
@@ -96,7 +102,9 @@
     def _admit(self, message_id: str, record: logging.LogRecord, now: float) -> bool:
         state = self._states_by_id.get(message_id)
         if state is None:
-            state = self._states_by_id[message_id] = _MessageState()
+            state = self._states_by_id[message_id] = _MessageState(
+                self._lines_per_s, self._burst
+            )
         self._states_by_id.move_to_end(message_id)
         if not state.bucket.try_take(now):
             state.suppressed += 1
@@ -123,9 +131,44 @@
             super().emit(summary)
 
 
-def configure(level: str, stream: TextIO | None = None) -> RateLimitedHandler:
-    """Write records of at least ``level``, by default to standard error."""
-    handler = RateLimitedHandler(stream)
+class DroppingStream(io.TextIOBase):
+    """Text stream on a file descriptor that drops what would block.
+
+    Parameters
+    ----------
+    descriptor : int
+        File descriptor; it is set to not block.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self.dropped = 0
+
+    def write(self, text: str, /) -> int:
+        """Write a line, or count it as dropped."""
+        try:
+            os.write(self._descriptor, text.encode(errors="replace"))
+        except BlockingIOError:
+            self.dropped += 1
+        return len(text)
+
+
+def configure(
+    level: str,
+    stream: TextIO | None = None,
+    lines_per_s: float = LINES_PER_S,
+    burst: float = BURST,
+) -> RateLimitedHandler:
+    """Write records of at least ``level``, by default to standard error.
+
+    Parameters
+    ----------
+    lines_per_s, burst : float
+        Lines of each message id per second, and at once.
+    """
+    handler = RateLimitedHandler(stream, lines_per_s=lines_per_s, burst=burst)
     handler.setFormatter(JsonFormatter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     return handler
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -21,10 +21,19 @@
 
     Only answered calls deposit: under overload the answers are limited by capacity,
     so the budget does not grow with the load that causes the refusals.
+
+    Parameters
+    ----------
+    ratio : float
+        Attempts earned by a deposit.
+    allowance : float
+        Attempts that may be spent in any 10 s without deposits.
     """
 
-    def __init__(self, ratio: float) -> None:
+    def __init__(self, ratio: float, allowance: float = 0.0) -> None:
         self._ratio = ratio
+        self._allowance = allowance
+        self._allowed_at: collections.deque[float] = collections.deque()
         self._lock = threading.Lock()
         self._reserve = RESERVE if ratio > 0 else 0.0
         self._batches: collections.deque[list[float]] = collections.deque()
@@ -45,18 +54,29 @@
         """Take one attempt; return whether the budget allows it."""
         with self._lock:
             self._expire(now)
-            if self._sum + self._reserve < 1.0 - ROUNDING:
+            if self._sum + self._reserve >= 1.0 - ROUNDING:
+                self._take(1.0)
+                return True
+            if len(self._allowed_at) + 1 > self._allowance + ROUNDING:
                 return False
-            self._take(1.0)
+            self._allowed_at.append(now)
             return True
 
+    def set_allowance(self, allowance: float) -> None:
+        """Change the attempts that may be spent in any 10 s without deposits."""
+        with self._lock:
+            self._allowance = allowance
+
     def available(self, now: float) -> float:
         """Return the attempts that could be spent now."""
         with self._lock:
             self._expire(now)
-            return self._sum + self._reserve
+            allowed = max(0.0, self._allowance - len(self._allowed_at))
+            return self._sum + self._reserve + allowed
 
     def _expire(self, now: float) -> None:
+        while self._allowed_at and now - self._allowed_at[0] >= LIFETIME_S:
+            self._allowed_at.popleft()
         batches = self._batches
         while batches and now - batches[0][0] >= LIFETIME_S:
             tokens = batches.popleft()[1]
--- a/src/snipelink/session/headers.py
+++ b/src/snipelink/session/headers.py
@@ -53,6 +53,7 @@
 _PAIR = rf"{_TOKEN}=(?:{_TOKEN}|{_QUOTED})"
 _ELEMENT = rf"{_PAIR}(?:[ \t]*;[ \t]*{_PAIR})*+"
 _FORWARDED = re.compile(rf"{_ELEMENT}(?:[ \t]*,[ \t]*{_ELEMENT})*+")
+_KEEP_ALIVE = re.compile(r"(?:^|[,;\s])timeout=(\d{1,9})")
 _VIA = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~/:,\[\] \t-]+")
 
 
@@ -80,6 +81,20 @@
     return options
 
 
+def first(headers: model.Headers, name: str) -> str:
+    """Return the first value of a header, by lower-case name, or ''."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return ""
+
+
+def keep_alive_s(headers: model.Headers) -> float | None:
+    """Return the idle time that a Keep-Alive header names, seconds; else None."""
+    match = _KEEP_ALIVE.search(first(headers, "keep-alive"))
+    return float(match[1]) if match else None
+
+
 def forwarding(
     headers: model.Headers, peer: str, host: str, secure: bool
 ) -> model.Headers:
--- a/src/snipelink/session/http.py
+++ b/src/snipelink/session/http.py
@@ -6,6 +6,7 @@
 import http
 
 from snipelink import model
+from snipelink.session import headers as header_rules
 
 REASONS_BY_STATUS = {status.value: status.phrase for status in http.HTTPStatus} | {
     499: "Client Closed Request"
@@ -28,6 +29,8 @@
         IP address of the caller.
     secure : bool
         Whether the request arrived over TLS.
+    raw_target : str
+        Target as the caller sent it.
     """
 
     method: str
@@ -39,13 +42,11 @@
     host: str = ""
     path: str = ""
     secure: bool = False
+    raw_target: str = ""
 
     def header(self, name: str) -> str:
         """Return the first value of a header, by lower-case name, or ''."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return ""
+        return header_rules.first(self.headers, name)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/snipelink/session/memory.py
+++ b/src/snipelink/session/memory.py
@@ -3,6 +3,14 @@
 from __future__ import annotations
 
 import threading
+import typing
+
+
+class Charged(typing.Protocol):
+    """What bodies are charged to."""
+
+    def charge(self, size: int) -> bool:
+        """Charge bytes; false if they do not fit."""
 
 
 class Budget:
@@ -49,3 +57,34 @@
 
 class _Charges(threading.local):
     size = 0
+
+
+class Pool:
+    """Bytes of bodies that all connections of one event loop may hold at once."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.used = 0
+        self.refused = 0
+
+
+class PoolCharge:
+    """Bytes that one connection holds of a pool."""
+
+    def __init__(self, pool: Pool) -> None:
+        self._pool = pool
+        self._size = 0
+
+    def charge(self, size: int) -> bool:
+        """Charge bytes; false if they do not fit."""
+        if self._pool.used + size > self._pool.limit:
+            self._pool.refused += 1
+            return False
+        self._pool.used += size
+        self._size += size
+        return True
+
+    def settle(self) -> None:
+        """Return all bytes of this connection."""
+        self._pool.used -= self._size
+        self._size = 0
--- a/src/snipelink/session/requests.py
+++ b/src/snipelink/session/requests.py
@@ -64,8 +64,13 @@
 class Limits(typing.Protocol):
     """Limits of one request."""
 
-    max_header_bytes: int
-    max_body_bytes: int
+    @property
+    def max_header_bytes(self) -> int:
+        """Largest head, bytes."""
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body, bytes."""
 
 
 class Refused(Exception):
@@ -83,12 +88,20 @@
     ----------
     limits : Limits
         Limits of each request.
-    budget : memory.Budget
+    budget : memory.Charged
         Charged for bodies.
+    single : frozenset of str
+        Further headers that may be given once, in lower case.
     """
 
-    def __init__(self, limits: Limits, budget: memory.Budget) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        budget: memory.Charged,
+        single: frozenset[str] = frozenset(),
+    ) -> None:
         self._limits = limits
+        self._single_names = _SINGLE | single
         self._budget = budget
         self._parser = httptools.HttpRequestParser(self)
         self._buffer = bytearray()
@@ -146,7 +159,7 @@
             return
         key = _COMMON_NAMES.get(name) or name.decode("latin-1").lower()
         text = value.strip().decode("latin-1")
-        if key in _SINGLE:
+        if key in self._single_names:
             if key in self._single:
                 self._duplicate = key
             self._single[key] = text
@@ -239,6 +252,7 @@
             keep_alive=self._keep_alive and not old,
             host=target.host,
             path=target.path,
+            raw_target=line[2].decode("latin-1"),
         )
 
     def _check_framing(self, method: str, old: bool, upgrade: bool) -> None:
