--- a/src/snipelink/decide/placement.py
+++ b/src/snipelink/decide/placement.py
@@ -12,6 +12,8 @@
 import random
 from collections.abc import Sequence
 
+from snipelink.decide import work
+
 # Calls beyond this share of the slots make many servers slower.
 COMFORTABLE_SHARE = 0.7
 # Time that a call takes longer on a server whose slots are all in use, as a share.
@@ -22,9 +24,7 @@
 # Age at which nothing is known about an endpoint but its mean slowness, seconds.
 STALE_S = 0.8
 # Age at which a node that reports several times a second is taken as out of reach.
-SILENT_S = 1.5
-# Mean slowness of servers on shared hosts, used when the present one is unknown.
-MEAN_SLOWNESS = 2.0
+SILENT_S = 1.0
 # How strongly failures count: at a share of one half a call seems to take thrice as
 # long, which is what a failed and a repeated attempt cost.
 FAILURE_COST = 4.0
@@ -44,8 +44,8 @@
         Whether it is in the failure domain of the choosing node.
     running, waiting, slots : int
         Calls on the endpoint, calls held back beside it, and its capacity.
-    slowness : float
-        Time of work now relative to the ordinary time.
+    slowness, mean_slowness : float
+        Time of work relative to the ordinary time, now and over some seconds.
     failing : float
         Recent share of failed calls.
     age_s : float
@@ -58,6 +58,7 @@
     waiting: int
     slots: int
     slowness: float
+    mean_slowness: float = 1.0 / work.USUAL_SPEED
     failing: float = 0.0
     age_s: float = 0.0
 
@@ -79,11 +80,11 @@
     """
     slots = max(1, candidate.slots)
     ahead = candidate.running + candidate.waiting
-    slowness = _slowness(candidate)
     crowding = max(0.0, min(1.0, (ahead + 1) / slots) - COMFORTABLE_SHARE)
     run_s = work_s * (1.0 + CROWDING * crowding / (1.0 - COMFORTABLE_SHARE))
     wait_s = max(0, ahead + 1 - slots) / slots * mean_work_s
-    return (run_s + wait_s) * slowness
+    mean = candidate.mean_slowness
+    return work.time_s(run_s + wait_s, _slowness(candidate), mean)
 
 
 def choose(
@@ -92,11 +93,11 @@
     mean_work_s: float,
     rng: random.Random,
 ) -> Candidate | None:
-    """Return the endpoint on which a call costs least; None without candidates.
+    """Return the endpoint on which a call costs least; None if no node is heard.
 
-    Endpoints of silent nodes are used only if there are no others.
+    A call sent to a silent node would only wait until its deadline.
     """
-    heard = [c for c in candidates if not c.silent] or list(candidates)
+    heard = [c for c in candidates if not c.silent]
     if not heard:
         return None
     costs = [cost_s(c, work_s, mean_work_s) for c in heard]
@@ -114,4 +115,4 @@
 
 def _slowness(candidate: Candidate) -> float:
     trust = max(0.0, 1.0 - candidate.age_s / STALE_S)
-    return candidate.slowness * trust + MEAN_SLOWNESS * (1.0 - trust)
+    return candidate.slowness * trust + candidate.mean_slowness * (1.0 - trust)
--- a/src/snipelink/decide/second.py
+++ b/src/snipelink/decide/second.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-# A call that has outlived its expected work is taken to need this share of it still.
+# A call near the end of its expected work is taken to need this share of it still.
 OVERDUE_SHARE = 0.3
 # The second endpoint must be this much quicker, as a share of the time left, for
 # moving work costs capacity that others could use.
@@ -15,18 +15,17 @@
 MIN_GAIN_S = 0.05
 
 
-def remaining_s(work_s: float, done_s: float, slowness: float) -> float:
-    """Return the seconds that a running call still takes.
+def remaining_work_s(work_s: float, done_s: float) -> float:
+    """Return the undisturbed seconds that a running call still needs.
 
     Parameters
     ----------
     work_s, done_s : float
         Expected and done work in undisturbed seconds.
-    slowness : float
-        Present slowness of its endpoint.
     """
-    left_s = max(work_s - done_s, work_s * OVERDUE_SHARE)
-    return left_s * slowness
+    # What a call has taken beyond its expected work is the best guess of what it will
+    # take on top; an endpoint that never answers soon seems far from the end.
+    return max(work_s - done_s, work_s * OVERDUE_SHARE, done_s - work_s)
 
 
 def is_worthwhile(
--- a/src/snipelink/decide/waiting.py
+++ b/src/snipelink/decide/waiting.py
@@ -1,18 +1,35 @@
-"""In which order calls wait for an endpoint, and which wait in vain.
+"""In which order calls wait for an endpoint, and which are refused.
 
 Load pattern: a burst of up to three times the capacity, or servers that lose most of
-their speed, for some seconds. First come first served then answers everybody late;
-here calls that can still meet their latency objective go before those that cannot,
-and calls that cannot be answered at all are given back at once.
+their speed, for some seconds. First come first served then answers everybody late.
+Here urgent calls go first, then those that can still meet their latency objective. A
+call waits only if it is likely to be served: its caller does better to come back soon
+than to be refused after a long wait.
+
+The same happens when running calls make calls of their own to a full service: their
+slots are lost until those are answered. Operators rank such calls as more urgent, and
+one slot is kept for what is more urgent than the rest.
 """
 
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+import math
+from collections.abc import Sequence
 
-# Calls that running calls wait for go before all others: their parents hold slots.
-INTERNAL_RANK = -1
+# Share of the time to its latency objective, less its work, for which a call may be
+# expected to wait; the rest covers what the endpoint may lose of its speed.
+TIMELY_SHARE = 0.6
+# The same for a call that misses its objective, of the time to its deadline.
+LATE_SHARE = 0.2
+# Time after which a waiting call is refused, as a multiple of what was allowed.
+PATIENCE = 1.5
+# Slots that are kept for calls that are more urgent than others.
+RESERVED_SLOTS = 1
+# Share of an endpoint's work above which a rank is worth a slot of its own.
+RESERVED_SHARE = 0.05
+# Time constant of these shares, seconds.
+RESERVED_WINDOW_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,8 +46,6 @@
         Monotonic time after which an answer has none.
     priority : int
         Rank that operators gave to the operation; 0 is the highest.
-    internal : bool
-        Whether a running call waits for this one.
     arrived : float
         Monotonic time of arrival.
     """
@@ -39,43 +54,85 @@
     target: float
     deadline: float
     priority: int
-    internal: bool
     arrived: float
 
 
-def rank(demand: Demand, slowness: float, now: float) -> tuple[bool, int, float]:
-    """Return the sort key of a waiting call; the smallest one starts next."""
-    ends = now + demand.work_s * slowness
-    priority = INTERNAL_RANK if demand.internal else demand.priority
-    return (ends > demand.target, priority, demand.arrived)
+def rank(demand: Demand, run_s: float, now: float) -> tuple[int, bool, float]:
+    """Return the sort key of a waiting call; the smallest one starts next.
+
+    Parameters
+    ----------
+    run_s : float
+        Seconds that the call would take if it started now.
+    """
+    return (demand.priority, now + run_s > demand.target, demand.arrived)
+
+
+def allowed_wait_s(demand: Demand, run_s: float, now: float) -> float:
+    """Return the seconds that a call may be expected to wait.
+
+    Parameters
+    ----------
+    run_s : float
+        Seconds that the call would take if it started now.
+    """
+    to_target_s = demand.target - now - run_s
+    if to_target_s > 0.0:
+        return TIMELY_SHARE * to_target_s
+    return LATE_SHARE * max(0.0, demand.deadline - now - run_s)
 
 
-def is_hopeless(demand: Demand, slowness: float, now: float) -> bool:
+def is_hopeless(demand: Demand, run_s: float, now: float) -> bool:
     """Whether a call that started now would not be answered by its deadline."""
-    return now + demand.work_s * slowness > demand.deadline
+    return now + run_s > demand.deadline
 
 
-def wait_s(
-    demand: Demand,
-    waiting: Iterable[Demand],
-    remaining_s: Iterable[float],
-    slots: int,
-    slowness: float,
-    now: float,
+def work_ahead_s(
+    demand: Demand, waiting: Sequence[Demand], remaining_s: Sequence[float], slots: int
 ) -> float:
-    """Return the seconds until a new call would start.
+    """Return the undisturbed seconds of work of each slot until a call starts.
 
     Parameters
     ----------
-    waiting : iterable of Demand
-        The calls that wait already; those of a smaller rank start first.
-    remaining_s : iterable of float
+    waiting : sequence of Demand
+        The calls that wait already; those of the same rank or a smaller one go first.
+    remaining_s : sequence of float
         Undisturbed seconds of work left of each running call.
+    slots : int
+        Calls that run at once.
     """
-    running = list(remaining_s)
-    own = rank(demand, slowness, now)
-    ahead = [d for d in waiting if rank(d, slowness, now) <= own]
-    if len(running) + len(ahead) < slots:
+    ahead = [d for d in waiting if d.priority <= demand.priority]
+    if len(remaining_s) + len(ahead) < slots:
         return 0.0
-    work_s = sum(d.work_s for d in ahead) + sum(running)
-    return work_s / max(1, slots) * slowness
+    # The first slot that gets free serves the first waiting call, and so on.
+    work_s = sum(d.work_s for d in ahead) + sum(remaining_s)
+    shortest_s = min(remaining_s, default=0.0)
+    return max(shortest_s, (work_s - sum(remaining_s) / 2) / max(1, slots))
+
+
+class Ranks:
+    """Work that an endpoint received lately, by the priority of its calls."""
+
+    def __init__(self, now: float) -> None:
+        self._work_s_by_priority: dict[int, float] = {}
+        self._at = now
+
+    def add(self, priority: int, work_s: float, now: float) -> None:
+        """Count the work of a call."""
+        left = math.exp(-max(0.0, now - self._at) / RESERVED_WINDOW_S)
+        self._at = now
+        for known in self._work_s_by_priority:
+            self._work_s_by_priority[known] *= left
+        known_s = self._work_s_by_priority.get(priority, 0.0)
+        self._work_s_by_priority[priority] = known_s + work_s
+
+    def slots(self, priority: int, slots: int) -> int:
+        """Return how many of an endpoint's slots calls of a priority may take."""
+        total_s = sum(self._work_s_by_priority.values())
+        has_urgent = any(
+            known < priority and work_s >= RESERVED_SHARE * total_s
+            for known, work_s in self._work_s_by_priority.items()
+        )
+        if not has_urgent or slots <= RESERVED_SLOTS + 1:
+            return slots
+        return slots - RESERVED_SLOTS
--- a/src/snipelink/decide/work.py
+++ b/src/snipelink/decide/work.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 # Weight of a new sample: the mean follows a changed operation within about 20 calls.
 SAMPLE_WEIGHT = 0.1
@@ -15,6 +16,29 @@
 UNKNOWN_WORK_S = 0.2
 # An endpoint that reports less is not believed; its work would never seem to end.
 MIN_SLOWNESS = 0.25
+# Time for which the present slowness of an endpoint is taken to last, seconds: half of
+# the time between two changes of a shared host's load.
+PHASE_S = 0.25
+# Time constant of the mean speed, seconds: some changes of the host's load.
+MEAN_WINDOW_S = 3.0
+# Mean speed of a server on a shared host, used until it has been observed.
+USUAL_SPEED = 0.8
+
+
+def time_s(work_s: float, slowness: float, mean_slowness: float) -> float:
+    """Return the seconds that work takes on an endpoint from now on.
+
+    Parameters
+    ----------
+    work_s : float
+        Work in undisturbed seconds.
+    slowness, mean_slowness : float
+        Time of work relative to the ordinary time, now and over some seconds.
+    """
+    soon_s = PHASE_S / slowness
+    if work_s <= soon_s:
+        return work_s * slowness
+    return PHASE_S + (work_s - soon_s) * mean_slowness
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,6 +51,8 @@
         Present time of work relative to the ordinary time.
     done_s : float
         Undisturbed seconds of work until `at`.
+    mean_speed : float
+        Work done per second over the last seconds, until `at`.
     at : float
         Monotonic time in seconds.
     """
@@ -34,9 +60,17 @@
     at: float
     slowness: float = 1.0
     done_s: float = 0.0
+    mean_speed: float = USUAL_SPEED
+
+    @property
+    def mean_slowness(self) -> float:
+        """Time of work relative to the ordinary time, over the last seconds."""
+        return 1.0 / self.mean_speed
 
     def set_slowness(self, slowness: float, now: float) -> None:
         """Take over a new slowness that holds from `now` on."""
+        share = 1.0 - math.exp(-max(0.0, now - self.at) / MEAN_WINDOW_S)
+        self.mean_speed += share * (1.0 / self.slowness - self.mean_speed)
         self.done_s = self.work_until(now)
         self.at = now
         self.slowness = max(MIN_SLOWNESS, slowness)
@@ -45,6 +79,10 @@
         """Return the undisturbed seconds of work done until `now`."""
         return self.done_s + max(0.0, now - self.at) / self.slowness
 
+    def time_s(self, work_s: float) -> float:
+        """Return the seconds that work takes from now on."""
+        return time_s(work_s, self.slowness, self.mean_slowness)
+
 
 class Estimates:
     """Expected work of calls by service and operation, in undisturbed seconds."""
@@ -67,6 +105,10 @@
         known = self._work_s_by_operation.get((service, operation))
         if known is not None:
             return known
+        return self.mean_work_s(service)
+
+    def mean_work_s(self, service: str) -> float:
+        """Return the mean work of a service's calls."""
         return self._work_s_by_service.get(service, UNKNOWN_WORK_S)
 
     def retain(self, operations: set[tuple[str, str]]) -> None:
--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -46,11 +46,14 @@
 
     Attributes
     ----------
+    refused_at : float
+        Monotonic time after which it is refused.
     admitted : Future
         Done with None once the call may start, or with its outcome if given up.
     """
 
     demand: waiting.Demand
+    refused_at: float
     admitted: asyncio.Future[calls.Outcome | None]
 
 
@@ -122,6 +125,7 @@
         # Calls that were given a slot and whose tasks have not gone on yet.
         self._starting = 0
         self._reported_foreign = 0
+        self._ranks = waiting.Ranks(now)
         self._failing = 0.0
         self._failing_at = now
         self.state = EndpointState(work.Progress(now))
@@ -151,8 +155,9 @@
         refused = self._refuse(call, instance, now)
         if refused is not None:
             return refused
-        if self._free_slots() <= 0:
-            given_up = await self._wait(call)
+        self._ranks.add(call.priority, call.work_s, now)
+        if self._free_slots(call.priority) <= 0:
+            given_up = await self._wait(call, now)
             if given_up is not None:
                 return given_up
         key = id(call)
@@ -169,22 +174,27 @@
             self._on_change(ended)
 
     def admit(self, now: float) -> None:
-        """Start the calls that have a slot, and give up those that wait in vain."""
-        slowness = self.state.progress.slowness
+        """Start the calls that have a slot, and refuse those that wait in vain."""
         for entry in list(self._waiting):
+            run_s = self.state.progress.time_s(entry.demand.work_s)
             if not self.state.is_accepting:
                 self._give_up(entry, errors.Kind.LEAVING, "the endpoint is leaving")
-            elif waiting.is_hopeless(entry.demand, slowness, now):
+            elif waiting.is_hopeless(entry.demand, run_s, now):
                 self._give_up(entry, errors.Kind.OVERLOADED, "cannot be done in time")
-        while self._waiting and self._free_slots() > 0:
-            entry = min(
-                self._waiting, key=lambda e: waiting.rank(e.demand, slowness, now)
-            )
+            elif now > entry.refused_at:
+                self._give_up(entry, errors.Kind.OVERLOADED, "has waited too long")
+        for entry in sorted(self._waiting, key=lambda e: self._rank(e, now)):
+            if self._free_slots(entry.demand.priority) <= 0:
+                continue
             self._waiting.remove(entry)
             if not entry.admitted.done():
                 entry.admitted.set_result(None)
                 self._starting += 1
 
+    def _rank(self, entry: _Waiting, now: float) -> tuple[int, bool, float]:
+        run_s = self.state.progress.time_s(entry.demand.work_s)
+        return waiting.rank(entry.demand, run_s, now)
+
     def on_new_process(self, instance: str, now: float) -> None:
         """Forget what was known of the endpoint's former process."""
         self.state.instance = instance
@@ -227,19 +237,23 @@
             return calls.fail(errors.Kind.LEAVING, "the node or endpoint is leaving")
         if not state.is_up:
             return calls.fail(errors.Kind.UNREACHABLE, "the endpoint is down")
-        slowness = state.progress.slowness
         demand = call.demand()
-        wait_s = waiting.wait_s(
+        run_s = state.progress.time_s(demand.work_s)
+        if waiting.is_hopeless(demand, run_s, now):
+            detail = f"takes {run_s:.2f} s, too long for its deadline"
+            return calls.fail(errors.Kind.OVERLOADED, detail, run_s)
+        if self._free_slots(call.priority) > 0:
+            return None
+        work_s = waiting.work_ahead_s(
             demand,
             [entry.demand for entry in self._waiting],
             self._remaining_s(now),
-            state.slots,
-            slowness,
-            now,
+            self._slots(call.priority),
         )
-        if wait_s and waiting.is_hopeless(demand, slowness, now + wait_s):
+        wait_s = state.progress.time_s(work_s)
+        if wait_s > waiting.allowed_wait_s(demand, run_s, now):
             after_s = refusal.retry_after_s(wait_s, self._rng)
-            detail = f"starts in {wait_s:.2f} s, too late"
+            detail = f"would start in {wait_s:.2f} s"
             return calls.fail(errors.Kind.OVERLOADED, detail, after_s)
         return None
 
@@ -250,21 +264,29 @@
             for each in self._running_by_id.values()
         ]
 
-    def _free_slots(self) -> int:
+    def _free_slots(self, priority: int) -> int:
         taken = len(self._running_by_id) + self._starting + self.state.foreign
-        return max(1, self.state.slots) - taken
+        return self._slots(priority) - taken
 
-    async def _wait(self, call: calls.Call) -> calls.Outcome | None:
-        entry = _Waiting(call.demand(), asyncio.get_running_loop().create_future())
+    def _slots(self, priority: int) -> int:
+        return self._ranks.slots(priority, max(1, self.state.slots))
+
+    async def _wait(self, call: calls.Call, now: float) -> calls.Outcome | None:
+        """Wait for a slot; return the outcome of a call that is given up."""
+        demand = call.demand()
+        run_s = self.state.progress.time_s(demand.work_s)
+        allowed_s = waiting.allowed_wait_s(demand, run_s, now) * waiting.PATIENCE
+        admitted = asyncio.get_running_loop().create_future()
+        entry = _Waiting(demand, now + allowed_s, admitted)
         self._waiting.append(entry)
-        self._on_change(time.monotonic())
+        self._on_change(now)
         try:
-            given_up = await entry.admitted
+            given_up = await admitted
         except asyncio.CancelledError:
             if entry in self._waiting:
                 self._waiting.remove(entry)
-            elif entry.admitted.done() and not entry.admitted.cancelled():
-                self._starting -= entry.admitted.result() is None
+            elif admitted.done() and not admitted.cancelled():
+                self._starting -= admitted.result() is None
             raise
         if given_up is None:
             self._starting -= 1
--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -68,10 +68,10 @@
         """Accept connections."""
         self._listener = await channel.listen(address, self._serve, ACCEPT_BACKLOG)
 
-    def stop_accepting(self) -> None:
-        """Refuse further connections."""
+    def close(self) -> None:
+        """Refuse further connections and end the open ones."""
         if self._listener is not None:
-            self._listener.stop_accepting()
+            self._listener.close()
 
     async def _serve(self, stream: channel.Channel) -> None:
         connection = _Connection(self, stream)
--- a/src/snipelink/mesh/calls.py
+++ b/src/snipelink/mesh/calls.py
@@ -27,8 +27,6 @@
         Service on whose machine the call began.
     work_s : float
         Expected work in undisturbed seconds.
-    internal : bool
-        Whether an endpoint made the call while it ran another one.
     """
 
     call_id: str
@@ -45,7 +43,6 @@
     idempotent: bool
     work_s: float
     caller_service: str = ""
-    internal: bool = False
     max_attempts: int = 1
 
     def demand(self) -> waiting.Demand:
@@ -55,7 +52,6 @@
             self.target_at,
             self.deadline,
             self.priority,
-            self.internal,
             self.arrived,
         )
 
--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -237,6 +237,12 @@
         if self.server is not None:
             self.server.close()
 
+    def close(self) -> None:
+        """Refuse further connections and end the open ones."""
+        self.stop_accepting()
+        for task in self.tasks:
+            task.cancel()
+
     async def _run(self, channel: Channel) -> None:
         try:
             await self._serve(channel)
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -96,6 +96,8 @@
         self._metrics = recorded
         self._rng = rng
         self._estimates = work.Estimates()
+        # Monotonic time at which this node stops, once that is known.
+        self.stops_at: float | None = None
         self._budgets_by_service: dict[str, budget.Budget] = {}
         self._splitters_by_route: dict[objects.Route, split.Splitter] = {}
 
@@ -118,7 +120,13 @@
             outcome = calls.fail(errors.Kind.BAD_REQUEST, "the request has no identity")
             return self._finish(request, call_id, route.name, outcome, arrived)
         call = self._build(request, call_id, route, arrived)
-        outcome = await self._run(call)
+        if self.stops_at is not None and not refusal.fits_before_stop(
+            call.work_s, self.stops_at, arrived
+        ):
+            after_s = refusal.retry_after_s(NO_ENDPOINT_RETRY_AFTER_S, self._rng)
+            outcome = calls.fail(errors.Kind.LEAVING, "the node is leaving", after_s)
+        else:
+            outcome = await self._run(call)
         return self._finish(request, call_id, route.name, outcome, arrived, call)
 
     def on_catalog_change(self) -> None:
@@ -157,7 +165,6 @@
             route.idempotent,
             self._estimates.work_s(service, route.name),
             self._own.service,
-            internal=request.peer == self._own.host,
             max_attempts=max(1, route.max_attempts),
         )
 
@@ -282,15 +289,17 @@
         fact = self._loads.facts_by_instance.get(first.instance)
         if fact is None:
             return None
-        done_s = fact.progress.work_until(now) - first.started_work_s
-        slowness = fact.progress.slowness
-        if now - fact.received_at > placement.SILENT_S:
-            slowness = call.deadline - now
-        left_s = second.remaining_s(call.work_s, done_s, slowness)
         other = self._choose(call, tried, now)
-        if other is None or other.silent:
+        if other is None:
             return None
-        elsewhere_s = placement.expected_s(other, call.work_s, call.work_s)
+        if now - fact.received_at > placement.SILENT_S:
+            left_s = call.deadline - now
+        else:
+            done_s = fact.progress.work_until(now) - first.started_work_s
+            left_work_s = second.remaining_work_s(call.work_s, done_s)
+            left_s = fact.progress.time_s(left_work_s)
+        mean_s = self._estimates.mean_work_s(call.service)
+        elsewhere_s = placement.expected_s(other, call.work_s, mean_s)
         if not second.is_worthwhile(
             left_s, elsewhere_s, call.target_at, call.deadline, now
         ):
@@ -332,7 +341,8 @@
             candidate = self._loads.candidate(instance, near=near, now=now)
             if candidate is not None:
                 candidates.append(candidate)
-        return placement.choose(candidates, call.work_s, call.work_s, self._rng)
+        mean_s = self._estimates.mean_work_s(call.service)
+        return placement.choose(candidates, call.work_s, mean_s, self._rng)
 
     def _no_endpoint(self, call: calls.Call, now: float) -> calls.Outcome:
         after_s = refusal.retry_after_s(NO_ENDPOINT_RETRY_AFTER_S, self._rng)
--- a/src/snipelink/mesh/loads.py
+++ b/src/snipelink/mesh/loads.py
@@ -107,6 +107,7 @@
             load.waiting,
             load.slots,
             load.slowness_percent / 100.0,
+            fact.progress.mean_slowness,
             load.failing_percent / 100.0,
             max(0.0, now - fact.received_at),
         )
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -165,10 +165,32 @@
             extra={"fields": {"changed": changed, "needs_restart": ignored}},
         )
 
+    def facts(self) -> dict[str, bool]:
+        """Return whether each endpoint that was reported takes calls."""
+        return {
+            name: fact.load.accepting
+            for name, fact in self._loads.facts_by_instance.items()
+        }
+
+    def close(self) -> None:
+        """Close all ports and connections at once."""
+        for port in (
+            self._callers,
+            self._peer_port,
+            self._ready_port,
+            self._metrics_port,
+        ):
+            port.close()
+        self._peers.close()
+        self._endpoint.close()
+        self._exchange.close()
+
     async def _leave(self) -> int:
         """Stop gracefully; return the number of calls that were cut off."""
         started = time.monotonic()
+        stops_at = started + self._own.bounds.grace_s - STOP_MARGIN_S
         self._is_leaving = True
+        self._dispatcher.stops_at = stops_at
         self._callers.is_leaving = True
         self._runner.state.is_leaving = True
         self._publish_load(started)
@@ -178,17 +200,13 @@
         while True:
             await asyncio.sleep(STOP_POLL_S)
             now = time.monotonic()
-            if now - started >= self._own.bounds.grace_s - STOP_MARGIN_S:
+            if now >= stops_at:
                 break
             quiet = now - self._callers.last_request_at >= QUIET_S
             if now - started >= MIN_LEAVE_S and quiet and not self._calls_in_flight():
                 break
         cut = self._calls_in_flight()
-        self._callers.stop_accepting()
-        self._peer_port.stop_accepting()
-        self._peers.close()
-        self._endpoint.close()
-        self._exchange.close()
+        self.close()
         return cut
 
     def _calls_in_flight(self) -> int:
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -171,10 +171,10 @@
         """Accept connections."""
         self._listener = await channel.listen(address, self._serve, ACCEPT_BACKLOG)
 
-    def stop_accepting(self) -> None:
-        """Refuse further connections."""
+    def close(self) -> None:
+        """Refuse further connections and end the open ones."""
         if self._listener is not None:
-            self._listener.stop_accepting()
+            self._listener.close()
 
     async def _serve(self, stream: channel.Channel) -> None:
         connection = frames.FrameChannel(stream)
@@ -238,7 +238,6 @@
             _ms(call.work_s),
             call.priority,
             call.idempotent,
-            call.internal,
             call.caller_service,
         )
     )
@@ -260,7 +259,6 @@
         message.idempotent,
         message.work_ms / 1000.0,
         message.caller_service,
-        message.internal,
     )
 
 
--- a/src/snipelink/mesh/status.py
+++ b/src/snipelink/mesh/status.py
@@ -34,10 +34,16 @@
 
     def __init__(self, answers_by_path: dict[str, Answer]) -> None:
         self._answers_by_path = answers_by_path
+        self._listener: channel.Listener | None = None
 
     async def start(self, address: channel.Address) -> None:
         """Accept connections."""
-        await channel.listen(address, self._serve, ACCEPT_BACKLOG)
+        self._listener = await channel.listen(address, self._serve, ACCEPT_BACKLOG)
+
+    def close(self) -> None:
+        """Refuse further connections and end the open ones."""
+        if self._listener is not None:
+            self._listener.close()
 
     async def _serve(self, stream: channel.Channel) -> None:
         pool = memory.Pool(MAX_BODY_BYTES)
--- /dev/null
+++ b/tests/decide/test_work.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import pytest
+
+from snipelink.decide import work
+
+
+def test_progress_counts_undisturbed_seconds_while_slowness_changes() -> None:
+    progress = work.Progress(10.0)
+    progress.set_slowness(7.0, 10.1)
+    progress.set_slowness(1.0, 10.8)
+    assert progress.work_until(11.0) == pytest.approx(0.1 + 0.7 / 7.0 + 0.2)
+
+
+def test_progress_of_the_past_does_not_go_back() -> None:
+    progress = work.Progress(10.0, done_s=3.0)
+    assert progress.work_until(9.0) == 3.0
+
+
+def test_unknown_operation_takes_the_mean_of_its_service() -> None:
+    estimates = work.Estimates()
+    assert estimates.work_s("rota", "view") == work.UNKNOWN_WORK_S
+    estimates.record("rota", "claim", 0.4)
+    assert estimates.work_s("rota", "view") == 0.4
+    assert estimates.work_s("archive", "view") == work.UNKNOWN_WORK_S
+
+
+def test_estimate_follows_a_changed_operation_within_forty_calls() -> None:
+    estimates = work.Estimates()
+    estimates.record("rota", "view", 0.1)
+    for _ in range(40):
+        estimates.record("rota", "view", 0.3)
+    assert estimates.work_s("rota", "view") == pytest.approx(0.3, rel=0.02)
+
+
+def test_operations_that_are_not_published_are_forgotten() -> None:
+    estimates = work.Estimates()
+    estimates.record("rota", "view", 0.1)
+    estimates.record("rota", "claim", 0.5)
+    estimates.retain({("rota", "claim")})
+    assert estimates.work_s("rota", "claim") == 0.5
+    assert estimates.work_s("rota", "view") != 0.1
+
+
+def test_time_of_work_goes_on_at_the_mean_speed() -> None:
+    assert work.time_s(0.02, 7.0, 1.3) == pytest.approx(0.14)
+    soon_s = work.PHASE_S / 7.0
+    assert work.time_s(0.2, 7.0, 1.3) == pytest.approx(
+        work.PHASE_S + (0.2 - soon_s) * 1.3
+    )
+
+
+def test_mean_slowness_follows_a_lasting_change() -> None:
+    progress = work.Progress(0.0)
+    for step in range(200):
+        progress.set_slowness(5.0, step * 0.05)
+    assert progress.mean_slowness == pytest.approx(5.0, rel=0.15)
--- /dev/null
+++ b/tests/mesh/fleet.py
@@ -0,0 +1,336 @@
+"""Nodes on loopback addresses, with endpoints and a store that tests control."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import typing
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from snipelink.mesh import catalog, channel, node, objects, settings, watcher
+from snipelink.session import answers, http, memory, requests
+
+NAMES = settings.HeaderNames()
+PATHS = node.Paths(ready="/ready", metrics="/metrics")
+BOUNDS = settings.Bounds(
+    grace_s=3.0,
+    drain_s=2.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_allowance=40.0,
+    probes_per_s=60.0,
+)
+PEER_PORT = 21380
+ENDPOINT_PORT = 21381
+CALLER_PORT = 21382
+READY_PORT = 21383
+METRICS_PORT = 21384
+SERVICES = ("rota", "archive")
+_hosts = itertools.count(1)
+
+
+class Seen(typing.NamedTuple):
+    """A request that reached an endpoint."""
+
+    instance: str
+    request: http.Request
+
+
+Script = Callable[["FakeEndpoint", http.Request, channel.Channel], Awaitable[None]]
+
+
+async def answer_ok(
+    endpoint: FakeEndpoint, request: http.Request, stream: channel.Channel
+) -> None:
+    """Work for the endpoint's time and answer."""
+    await asyncio.sleep(endpoint.work_s)
+    stream.write(endpoint.response(request))
+
+
+@dataclasses.dataclass(eq=False)
+class FakeEndpoint:
+    """Endpoint that answers as a script says; polls are always answered."""
+
+    host: str
+    instance: str
+    service: str
+    script: Script = answer_ok
+    work_s: float = 0.01
+    slots: int = 4
+    slowness: int = 100
+    running: int = 0
+    seen: list[Seen] = dataclasses.field(default_factory=list)
+    given_up: int = 0
+    listener: channel.Listener | None = None
+
+    async def start(self) -> None:
+        address = (self.host, ENDPOINT_PORT)
+        self.listener = await channel.listen(address, self._serve, 100)
+
+    def stop(self) -> None:
+        assert self.listener is not None
+        self.listener.stop_accepting()
+        for task in self.listener.tasks:
+            task.cancel()
+
+    def response(
+        self,
+        request: http.Request,
+        status: int = 200,
+        body: bytes = b"body",
+        **changes: str,
+    ) -> bytes:
+        """Return the bytes of a stamped answer; changed headers by name."""
+        fields = {
+            NAMES.call_id: request.header(NAMES.call_id),
+            NAMES.stamp: f"stamp-{self.instance}",
+            NAMES.load: self.load(),
+        }
+        fields |= {name.replace("_", "-"): value for name, value in changes.items()}
+        headers = [(name, value) for name, value in fields.items() if value]
+        return http.encode_response(http.Response(status, headers, body), "GET", True)
+
+    def load(self) -> str:
+        return f"{self.running},0,{self.slots},{self.slowness}"
+
+    async def _serve(self, stream: channel.Channel) -> None:
+        reader = requests.RequestReader(
+            objects.CallerLimits(), memory.PoolCharge(memory.Pool(1 << 20))
+        )
+        while True:
+            request = reader.next_request()
+            if request is None:
+                data = await stream.receive()
+                if not data:
+                    return
+                reader.feed(data)
+                continue
+            if request.path == "/health":
+                fields = [(NAMES.instance, self.instance), (NAMES.load, self.load())]
+                response = http.Response(200, fields, b"")
+                stream.write(http.encode_response(response, "GET", True))
+                continue
+            self.seen.append(Seen(self.instance, request))
+            self.running += 1
+            try:
+                work = self.script(self, request, stream)
+                done = await channel.run_while_open(stream, _complete(work))
+                self.given_up += done is None
+            finally:
+                self.running -= 1
+            if done is None or stream.is_lost:
+                return
+
+
+async def _complete(work: Awaitable[None]) -> bool:
+    await work
+    return True
+
+
+class FakeStore:
+    """Source of published state that tests write to."""
+
+    def __init__(self) -> None:
+        self.state = objects.Published(1, None, ())
+        self.is_away = False
+        self.has_history = True
+        self._changed = asyncio.Event()
+
+    def publish(
+        self,
+        configuration: objects.Configuration | None = None,
+        instances: tuple[objects.Instance, ...] | None = None,
+    ) -> None:
+        self.state = objects.Published(
+            self.state.revision + 1,
+            configuration or self.state.configuration,
+            self.state.instances if instances is None else instances,
+        )
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def read(self) -> objects.Published:
+        if self.is_away:
+            raise watcher.SourceError("away")
+        return self.state
+
+    async def watch(self, after: int, wait_s: float) -> catalog.Changes:
+        if self.is_away:
+            raise watcher.SourceError("away")
+        if self.state.revision <= after:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return catalog.Changes(after)
+        if self.is_away:
+            raise watcher.SourceError("cut")
+        # All that is published is told again; nodes need no differences.
+        raise watcher.HistoryLost
+
+
+@dataclasses.dataclass
+class Member:
+    """One node with its endpoint and its own view of the store."""
+
+    host: str
+    endpoint: FakeEndpoint
+    node: node.Node
+    store: FakeStore
+    stop: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    task: asyncio.Task[int] | None = None
+
+    async def start(self) -> None:
+        await self.endpoint.start()
+        self.task = asyncio.ensure_future(self.node.run(self.stop))
+
+    async def end(self) -> None:
+        """End at once, as a kill does."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.wait((self.task,))
+        self.node.close()
+        self.endpoint.stop()
+
+
+def route(service: str, prefix: str = "/view/", **changes: typing.Any) -> objects.Route:
+    values: dict[str, typing.Any] = {
+        "name": f"r{prefix}",
+        "host": "example",
+        "prefix": prefix,
+        "idempotent": True,
+        "timeout_s": 1.0,
+        "target_s": 0.5,
+        "priority": 2,
+        "max_attempts": 2,
+        "parts": (objects.Part(service, 1.0),),
+    }
+    return objects.Route(**(values | changes))
+
+
+def configuration(
+    *routes: objects.Route, version: int = 1, **limits: typing.Any
+) -> objects.Configuration:
+    paths = dict.fromkeys(SERVICES, "/health")
+    return objects.Configuration(version, routes, paths, objects.CallerLimits(**limits))
+
+
+def make_member(service: str, store: FakeStore, zone: str = "a") -> Member:
+    host = f"127.0.{next(_hosts) % 250 + 1}.1"
+    endpoint = FakeEndpoint(host, f"i-{host}", service)
+    own = settings.Settings(
+        node=f"node-{host}",
+        host=host,
+        failure_domain=zone,
+        service=service,
+        endpoint_address=(host, ENDPOINT_PORT),
+        caller_listen=(host, CALLER_PORT),
+        peer_listen=(host, PEER_PORT),
+        ready_listen=(host, READY_PORT),
+        metrics_listen=(host, METRICS_PORT),
+        peer_port=PEER_PORT,
+        load_port=PEER_PORT,
+        bounds=BOUNDS,
+    )
+    return Member(host, endpoint, node.Node(own, NAMES, PATHS, store), store)
+
+
+def published(member: Member, **changes: typing.Any) -> objects.Instance:
+    values: dict[str, typing.Any] = {
+        "id": member.endpoint.instance,
+        "service": member.endpoint.service,
+        "host": member.host,
+        "failure_domain": "a",
+        "slots": 4,
+        "leaving": False,
+    }
+    return objects.Instance(**(values | changes))
+
+
+def publish(
+    members: list[Member],
+    new: objects.Configuration | None = None,
+    instances: tuple[objects.Instance, ...] | None = None,
+) -> None:
+    """Publish to the stores of all members."""
+    for member in members:
+        member.store.publish(new, instances)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    *services: str, routes: tuple[objects.Route, ...] | None = None
+) -> AsyncIterator[list[Member]]:
+    """Start one node for each named service; all are ready and know each other."""
+    members = [make_member(service, FakeStore()) for service in services]
+    routes = routes or (route(services[0]),)
+    publish(members, configuration(*routes), tuple(published(m) for m in members))
+    for member in members:
+        await member.start()
+    try:
+        await wait_until(lambda: all(_knows(m, members) for m in members))
+        yield members
+    finally:
+        for member in members:
+            await member.end()
+
+
+def _knows(member: Member, members: list[Member]) -> bool:
+    facts = member.node.facts()
+    return all(
+        other.endpoint.instance in facts and facts[other.endpoint.instance]
+        for other in members
+    )
+
+
+async def wait_until(condition: Callable[[], bool], timeout_s: float = 5.0) -> None:
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class Client:
+    """A caller's connection."""
+
+    def __init__(self, stream: channel.Channel) -> None:
+        self.stream = stream
+        self._reader = answers.AnswerReader("GET", 1 << 20)
+
+    @classmethod
+    async def open(cls, member: Member) -> Client:
+        return cls(await channel.connect((member.host, CALLER_PORT), 1.0))
+
+    def send(
+        self,
+        call_id: str,
+        path: str = "/view/1",
+        method: str = "GET",
+        body: bytes = b"",
+        **fields: str,
+    ) -> None:
+        headers = {"host": "example", NAMES.call_id: call_id}
+        headers |= {NAMES.remaining_ms: "2000"}
+        headers |= {name.replace("_", "-"): value for name, value in fields.items()}
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if body:
+            lines.append(f"content-length: {len(body)}")
+        self.stream.write(http.encode_head(lines) + body)
+
+    async def receive(self, timeout_s: float = 5.0) -> http.Response | None:
+        """Return the next answer; None if the connection ended instead."""
+        async with asyncio.timeout(timeout_s):
+            while (response := self._reader.take()) is None:
+                data = await self.stream.receive()
+                if not data:
+                    return None
+                self._reader.feed(data)
+        return response
+
+    async def ask(self, call_id: str, **fields: typing.Any) -> http.Response:
+        self.send(call_id, **fields)
+        response = await self.receive()
+        assert response is not None
+        return response
--- /dev/null
+++ b/tests/mesh/test_node.py
@@ -0,0 +1,445 @@
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from snipelink.mesh import channel, objects
+from snipelink.session import http
+from tests.mesh import fleet
+
+ONCE = {"idempotent": False, "prefix": "/claim/"}
+
+
+def run(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Run a test in an event loop of its own."""
+
+    def wrapped() -> None:
+        asyncio.run(test())
+
+    wrapped.__name__ = test.__name__
+    wrapped.__doc__ = test.__doc__
+    return wrapped
+
+
+async def reset(
+    endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+) -> None:
+    stream.abort()
+
+
+async def refuse(
+    endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+) -> None:
+    fields = {fleet.NAMES.not_run: "1", fleet.NAMES.stamp: ""}
+    stream.write(endpoint.response(request, 503, b"", **fields))
+
+
+async def hang(
+    endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+) -> None:
+    await asyncio.sleep(30)
+
+
+def arrivals(members: list[fleet.Member], call_id: str) -> int:
+    return sum(
+        seen.request.header(fleet.NAMES.call_id) == call_id
+        for member in members
+        for seen in member.endpoint.seen
+    )
+
+
+async def both_routes(
+    *services: str, **changes: Any
+) -> tuple[objects.Route, objects.Route]:
+    view = fleet.route(services[0], **changes)
+    return view, fleet.route(services[0], **(ONCE | changes))
+
+
+@run
+async def test_answer_of_the_endpoint_is_passed_on_unchanged() -> None:
+    async with fleet.running("rota", "rota") as members:
+        client = await fleet.Client.open(members[0])
+        response = await client.ask("c1", path="/view/a?x=%41", extra="kept")
+        assert (response.status, response.body) == (200, b"body")
+        seen = next(s for m in members for s in m.endpoint.seen)
+        assert seen.request.raw_target == "/view/a?x=%41"
+        assert seen.request.header("extra") == "kept"
+        names = fleet.NAMES
+        assert seen.request.header(names.expected_instance) == seen.instance
+        assert 0 < int(seen.request.header(names.remaining_ms)) <= 1000
+        fields = dict(response.headers)
+        assert fields[names.stamp] == f"stamp-{seen.instance}"
+        assert fields[names.call_id] == "c1"
+
+
+@run
+async def test_service_of_the_machine_replaces_what_the_caller_claims() -> None:
+    async with fleet.running("rota", "archive") as members:
+        client = await fleet.Client.open(members[1])
+        await client.ask("c1", **{fleet.NAMES.caller_service: "forged"})
+        seen = members[0].endpoint.seen[0]
+        header = fleet.NAMES.caller_service
+        values = [v for name, v in seen.request.headers if name == header]
+        assert values == ["archive"]
+
+
+@run
+async def test_unknown_route_is_not_found() -> None:
+    async with fleet.running("rota") as members:
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c1", path="/other/")).status == 404
+
+
+@run
+async def test_node_without_configuration_answers_unavailable() -> None:
+    member = fleet.make_member("rota", fleet.FakeStore())
+    await member.start()
+    try:
+        await asyncio.sleep(0.05)
+        client = await fleet.Client.open(member)
+        response = await client.ask("c1")
+        assert response.status == 503
+        assert "retry-after" in dict(response.headers)
+    finally:
+        await member.end()
+
+
+@run
+async def test_close_of_the_caller_stops_the_work_through_two_nodes() -> None:
+    async with fleet.running("rota", "archive") as members:
+        endpoint = members[0].endpoint
+        endpoint.script = hang
+        for member in members:
+            client = await fleet.Client.open(member)
+            client.send("c1")
+            await fleet.wait_until(lambda: endpoint.running == 1)
+            client.stream.abort()
+            await fleet.wait_until(lambda: endpoint.running == 0, 0.5)
+        assert endpoint.given_up == 2
+
+
+@run
+async def test_idempotent_call_is_repeated_elsewhere_after_a_reset() -> None:
+    async with fleet.running("rota", "rota") as members:
+        members[0].endpoint.script = reset
+        for index in range(10):
+            client = await fleet.Client.open(members[1])
+            assert (await client.ask(f"c{index}")).status == 200
+
+
+@run
+async def test_call_that_may_run_once_is_not_repeated_after_a_reset() -> None:
+    routes = await both_routes("rota")
+    async with fleet.running("rota", "rota", routes=routes) as members:
+        for member in members:
+            member.endpoint.script = reset
+        client = await fleet.Client.open(members[1])
+        response = await client.ask("c1", path="/claim/1", method="POST", body=b"x")
+        assert response.status == 502
+        assert arrivals(members, "c1") == 1
+
+
+@run
+async def test_call_that_the_endpoint_did_not_run_is_tried_elsewhere() -> None:
+    routes = await both_routes("rota")
+    async with fleet.running("rota", "rota", routes=routes) as members:
+        members[0].endpoint.script = refuse
+        for index in range(10):
+            client = await fleet.Client.open(members[1])
+            response = await client.ask(
+                f"c{index}", path="/claim/1", method="POST", body=b"x"
+            )
+            assert response.status == 200
+
+
+@run
+async def test_refusal_after_a_run_that_may_have_happened_is_no_promise() -> None:
+    """A reset first and a refusal then must not be told as not run."""
+    async with fleet.running("rota", "rota") as members:
+        outcomes = set()
+        for index in range(12):
+            members[0].endpoint.script = reset
+            members[1].endpoint.script = refuse
+            client = await fleet.Client.open(members[1])
+            response = await client.ask(f"c{index}")
+            if any(
+                seen.request.header(fleet.NAMES.call_id) == f"c{index}"
+                for seen in members[0].endpoint.seen
+            ):
+                outcomes.add(response.status)
+        assert outcomes <= {502}
+        assert outcomes
+
+
+@run
+async def test_late_answer_to_another_request_is_not_delivered() -> None:
+    async def answer_twice(
+        endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+    ) -> None:
+        stream.write(endpoint.response(request))
+        await asyncio.sleep(0.02)
+        stream.write(endpoint.response(request, body=b"extra"))
+
+    async with fleet.running("rota") as members:
+        members[0].endpoint.script = answer_twice
+        client = await fleet.Client.open(members[0])
+        for index in range(8):
+            response = await client.ask(f"c{index}")
+            fields = dict(response.headers)
+            assert fields[fleet.NAMES.call_id] == f"c{index}"
+            assert response.body == b"body"
+            await asyncio.sleep(0.005 * index)
+
+
+@run
+async def test_answer_of_another_request_is_skipped_for_the_right_one() -> None:
+    async def answer_other_first(
+        endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+    ) -> None:
+        other = endpoint.response(request, **{fleet.NAMES.call_id: "other"})
+        stream.write(other + endpoint.response(request, body=b"right"))
+
+    async with fleet.running("rota") as members:
+        members[0].endpoint.script = answer_other_first
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c1")).body == b"right"
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{fleet.NAMES.stamp: ""}, {"content-encoding": "gzip"}],
+    ids=["no stamp", "encoded"],
+)
+def test_success_that_is_not_the_endpoints_is_no_success(
+    changes: dict[str, str],
+) -> None:
+    async def answer_changed(
+        endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+    ) -> None:
+        stream.write(endpoint.response(request, **changes))
+
+    async def check() -> None:
+        async with fleet.running("rota") as members:
+            members[0].endpoint.script = answer_changed
+            client = await fleet.Client.open(members[0])
+            assert (await client.ask("c1")).status == 502
+
+    asyncio.run(check())
+
+
+@run
+async def test_answer_that_ends_early_does_not_look_complete() -> None:
+    async def break_off(
+        endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+    ) -> None:
+        stream.write(endpoint.response(request)[:-2])
+        stream.close()
+
+    async with fleet.running("rota") as members:
+        members[0].endpoint.script = break_off
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c1")).status == 502
+
+
+@run
+async def test_pipelined_requests_run_together_and_are_answered_in_order() -> None:
+    async with fleet.running("rota") as members:
+        members[0].endpoint.work_s = 0.1
+        client = await fleet.Client.open(members[0])
+        started = time.monotonic()
+        for index in range(4):
+            client.send(f"c{index}")
+        for index in range(4):
+            response = await client.receive()
+            assert response is not None
+            assert dict(response.headers)[fleet.NAMES.call_id] == f"c{index}"
+        assert time.monotonic() - started < 0.3
+
+
+@run
+async def test_request_that_may_run_once_waits_for_the_answers_before_it() -> None:
+    routes = await both_routes("rota")
+    async with fleet.running("rota", routes=routes) as members:
+        members[0].endpoint.work_s = 0.1
+        client = await fleet.Client.open(members[0])
+        client.send("c0")
+        client.send("c1", path="/claim/1", method="POST", body=b"x")
+        await asyncio.sleep(0.05)
+        assert arrivals(members, "c1") == 0
+        assert await client.receive() is not None
+        assert await client.receive() is not None
+        assert arrivals(members, "c1") == 1
+
+
+@run
+async def test_call_that_cannot_be_done_in_time_is_refused_at_once() -> None:
+    routes = (fleet.route("rota", timeout_s=0.4, target_s=0.2),)
+    async with fleet.running("rota", routes=routes) as members:
+        endpoint = members[0].endpoint
+        endpoint.work_s = 0.2
+        warm = await fleet.Client.open(members[0])
+        for index in range(3):
+            await warm.ask(f"w{index}")
+        clients = [await fleet.Client.open(members[0]) for _ in range(40)]
+        started = time.monotonic()
+        for index, client in enumerate(clients):
+            client.send(f"c{index}")
+
+        async def receive(client: fleet.Client) -> tuple[http.Response, float]:
+            response = await client.receive()
+            assert response is not None
+            return response, time.monotonic() - started
+
+        answers = await asyncio.gather(*(receive(client) for client in clients))
+        refused = [
+            (index, response, took_s)
+            for index, (response, took_s) in enumerate(answers)
+            if response.status == 503
+        ]
+        assert len(refused) > 20
+        for index, response, took_s in refused:
+            assert arrivals(members, f"c{index}") == 0
+            assert float(dict(response.headers)["retry-after"]) > 0.0
+            assert took_s < 0.15
+        assert sum(response.status == 200 for response, _ in answers) >= 4
+
+
+@run
+async def test_call_on_an_endpoint_that_turned_slow_is_sent_to_a_second_one() -> None:
+    routes = (fleet.route("rota", timeout_s=5.0, target_s=0.5),)
+    async with fleet.running("rota", "rota", routes=routes) as members:
+        for index in range(6):
+            warm = await fleet.Client.open(members[0])
+            await warm.ask(f"w{index}")
+        slow, quick = members
+        slow.endpoint.work_s = 3.0
+        # The caller's own node knows nothing of the other one at first.
+        quick.endpoint.slowness = 1000
+        await asyncio.sleep(0.2)
+        client = await fleet.Client.open(slow)
+        client.send("c1")
+        await fleet.wait_until(lambda: slow.endpoint.running == 1)
+        slow.endpoint.slowness, quick.endpoint.slowness = 1500, 100
+        started = time.monotonic()
+        response = await client.receive()
+        assert response is not None
+        assert response.status == 200
+        assert time.monotonic() - started < 1.0
+        await fleet.wait_until(lambda: slow.endpoint.given_up == 1, 0.5)
+
+
+@run
+async def test_call_without_an_answer_ends_at_the_time_of_its_route() -> None:
+    routes = (fleet.route("rota", timeout_s=0.3),)
+    async with fleet.running("rota", "archive", routes=routes) as members:
+        members[0].endpoint.script = hang
+        for index, member in enumerate(members):
+            client = await fleet.Client.open(member)
+            started = time.monotonic()
+            response = await client.ask(f"c{index}")
+            assert response.status == 504
+            assert 0.2 < time.monotonic() - started < 0.5
+
+
+@run
+async def test_stop_finishes_what_runs_and_sends_new_calls_elsewhere() -> None:
+    async with fleet.running("rota", "rota") as members:
+        leaving, staying = members
+        leaving.endpoint.work_s = staying.endpoint.work_s = 0.5
+        clients = [await fleet.Client.open(leaving) for _ in range(6)]
+        for index, client in enumerate(clients):
+            client.send(f"c{index}")
+        await asyncio.sleep(0.05)
+        leaving.stop.set()
+        await asyncio.sleep(0.1)
+        ready = await channel.connect((leaving.host, fleet.READY_PORT), 1.0)
+        ready.write(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        assert b" 503 " in await ready.receive()
+        before = len(leaving.endpoint.seen)
+        late = await fleet.Client.open(leaving)
+        late.send("late")
+        for client in [*clients, late]:
+            response = await client.receive()
+            assert response is not None
+            assert response.status == 200
+            assert dict(response.headers)["connection"] == "close"
+        assert len(leaving.endpoint.seen) == before
+        assert leaving.task is not None
+        async with asyncio.timeout(fleet.BOUNDS.grace_s):
+            assert await leaving.task == 0
+
+
+@run
+async def test_leaving_endpoint_gets_no_calls_while_there_is_another() -> None:
+    async with fleet.running("rota", "rota") as members:
+        leaving, staying = members
+        instances = (fleet.published(leaving, leaving=True), fleet.published(staying))
+        fleet.publish(members, instances=instances)
+        await asyncio.sleep(0.1)
+        for index in range(10):
+            client = await fleet.Client.open(leaving)
+            assert (await client.ask(f"c{index}")).status == 200
+        assert not leaving.endpoint.seen
+
+
+@run
+async def test_only_endpoint_serves_a_little_longer_after_its_entry_lapsed() -> None:
+    async with fleet.running("rota") as members:
+        members[0].store.publish(instances=())
+        await asyncio.sleep(0.1)
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c1")).status == 200
+        await asyncio.sleep(1.5)
+        assert (await client.ask("c2")).status == 503
+
+
+@run
+async def test_node_without_the_store_learns_from_the_others() -> None:
+    async with fleet.running("rota", "rota") as members:
+        cut, other = members
+        cut.store.is_away = True
+        new = fleet.configuration(fleet.route("rota", "/new/"), version=2)
+        other.store.publish(new)
+        await asyncio.sleep(1.0)
+        client = await fleet.Client.open(cut)
+        assert (await client.ask("c1", path="/new/1")).status == 200
+        assert (await client.ask("c2", path="/view/1")).status == 404
+
+
+@run
+async def test_older_configuration_is_not_taken_over() -> None:
+    async with fleet.running("rota") as members:
+        store = members[0].store
+        store.publish(fleet.configuration(fleet.route("rota", "/new/"), version=12))
+        await asyncio.sleep(0.1)
+        store.publish(fleet.configuration(fleet.route("rota", "/old/"), version=9))
+        await asyncio.sleep(0.1)
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c1", path="/new/1")).status == 200
+
+
+@run
+async def test_restarted_endpoint_gets_only_calls_meant_for_it() -> None:
+    async with fleet.running("rota", "rota") as members:
+        members[0].endpoint.instance = "i-new"
+        await asyncio.sleep(0.2)
+        for index in range(6):
+            client = await fleet.Client.open(members[1])
+            assert (await client.ask(f"c{index}")).status == 200
+        assert not members[0].endpoint.seen
+
+
+@run
+async def test_request_with_two_identities_is_refused() -> None:
+    async with fleet.running("rota") as members:
+        client = await fleet.Client.open(members[0])
+        name = fleet.NAMES.call_id.title()
+        client.send("c1", **{name: "c2"})
+        response = await client.receive()
+        assert response is not None
+        assert response.status == 400
+        assert not members[0].endpoint.seen
