Let calls wait while an endpoint is too slow for their deadline

Cause: at the worst load, ordering has two servers left and a third of their slot time goes to calls that run until their deadline and fail (344 calls of 1.2 s in 1,200 slot seconds): they start in a slow phase that lasts. One that may run only once cannot be moved afterwards.

Change: a call starts only if it would end by its deadline should the slow phase last a second; until then it waits at the node, where it can be refused as not run. Calls that cannot be moved choose servers by the same long phase. The retry budget uses a smaller share, because repeats of calls that make calls count twice.

--- a/src/snipelink/decide/placement.py
+++ b/src/snipelink/decide/placement.py
@@ -68,7 +68,12 @@
         return self.age_s > SILENT_S
 
 
-def expected_s(candidate: Candidate, work_s: float, mean_work_s: float) -> float:
+def expected_s(
+    candidate: Candidate,
+    work_s: float,
+    mean_work_s: float,
+    phase_s: float = work.PHASE_S,
+) -> float:
     """Return the seconds until a call would end on an endpoint.
 
     Parameters
@@ -77,6 +82,8 @@
         Expected work of the call, in undisturbed seconds.
     mean_work_s : float
         Mean work of the calls that are ahead of it.
+    phase_s : float
+        Seconds for which the present slowness lasts.
     """
     slots = max(1, candidate.slots)
     ahead = candidate.running + candidate.waiting
@@ -84,7 +91,7 @@
     run_s = work_s * (1.0 + CROWDING * crowding / (1.0 - COMFORTABLE_SHARE))
     wait_s = max(0, ahead + 1 - slots) / slots * mean_work_s
     mean = candidate.mean_slowness
-    return work.time_s(run_s + wait_s, _slowness(candidate), mean)
+    return work.time_s(run_s + wait_s, _slowness(candidate), mean, phase_s)
 
 
 def choose(
@@ -92,23 +99,33 @@
     work_s: float,
     mean_work_s: float,
     rng: random.Random,
+    *,
+    movable: bool = True,
 ) -> Candidate | None:
     """Return the endpoint on which a call costs least; None if no node is heard.
 
     A call sent to a silent node would only wait until its deadline.
+
+    Parameters
+    ----------
+    movable : bool
+        Whether the call can be sent to a second endpoint if the first turns slow.
     """
     heard = [c for c in candidates if not c.silent]
     if not heard:
         return None
-    costs = [cost_s(c, work_s, mean_work_s) for c in heard]
+    phase_s = work.PHASE_S if movable else work.LONG_PHASE_S
+    costs = [cost_s(c, work_s, mean_work_s, phase_s) for c in heard]
     limit = min(costs) * (1.0 + SIMILAR_SHARE)
     similar = [c for c, cost in zip(heard, costs, strict=True) if cost <= limit]
     return rng.choice(similar)
 
 
-def cost_s(candidate: Candidate, work_s: float, mean_work_s: float) -> float:
+def cost_s(
+    candidate: Candidate, work_s: float, mean_work_s: float, phase_s: float
+) -> float:
     """Return the expected time with the cost of distance and failures, seconds."""
-    cost = expected_s(candidate, work_s, mean_work_s)
+    cost = expected_s(candidate, work_s, mean_work_s, phase_s)
     cost *= 1.0 + FAILURE_COST * candidate.failing
     return cost if candidate.near else cost * (1.0 + FAR_COST)
 
--- a/src/snipelink/decide/waiting.py
+++ b/src/snipelink/decide/waiting.py
@@ -6,15 +6,14 @@
 call waits only if it is likely to be served: its caller does better to come back soon
 than to be refused after a long wait.
 
-The same happens when running calls make calls of their own to a full service: their
-slots are lost until those are answered. Operators rank such calls as more urgent, and
-one slot is kept for what is more urgent than the rest.
+A call that does not end by its deadline holds its slot until then for nothing. While an
+endpoint is so slow that this is likely, calls wait for it to be quick again, or are
+refused before they have run, so that they can be tried elsewhere.
 """
 
 from __future__ import annotations
 
 import dataclasses
-import math
 from collections.abc import Sequence
 
 # Share of the time to its latency objective, less its work, for which a call may be
@@ -24,12 +23,6 @@
 LATE_SHARE = 0.2
 # Time after which a waiting call is refused, as a multiple of what was allowed.
 PATIENCE = 1.5
-# Slots that are kept for calls that are more urgent than others.
-RESERVED_SLOTS = 1
-# Share of an endpoint's work above which a rank is worth a slot of its own.
-RESERVED_SHARE = 0.05
-# Time constant of these shares, seconds.
-RESERVED_WINDOW_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +76,7 @@
 
 
 def is_hopeless(demand: Demand, run_s: float, now: float) -> bool:
-    """Whether a call that started now would not be answered by its deadline."""
+    """Whether a call that starts at `now` is not answered by its deadline."""
     return now + run_s > demand.deadline
 
 
@@ -108,31 +101,3 @@
     work_s = sum(d.work_s for d in ahead) + sum(remaining_s)
     shortest_s = min(remaining_s, default=0.0)
     return max(shortest_s, (work_s - sum(remaining_s) / 2) / max(1, slots))
-
-
-class Ranks:
-    """Work that an endpoint received lately, by the priority of its calls."""
-
-    def __init__(self, now: float) -> None:
-        self._work_s_by_priority: dict[int, float] = {}
-        self._at = now
-
-    def add(self, priority: int, work_s: float, now: float) -> None:
-        """Count the work of a call."""
-        left = math.exp(-max(0.0, now - self._at) / RESERVED_WINDOW_S)
-        self._at = now
-        for known in self._work_s_by_priority:
-            self._work_s_by_priority[known] *= left
-        known_s = self._work_s_by_priority.get(priority, 0.0)
-        self._work_s_by_priority[priority] = known_s + work_s
-
-    def slots(self, priority: int, slots: int) -> int:
-        """Return how many of an endpoint's slots calls of a priority may take."""
-        total_s = sum(self._work_s_by_priority.values())
-        has_urgent = any(
-            known < priority and work_s >= RESERVED_SHARE * total_s
-            for known, work_s in self._work_s_by_priority.items()
-        )
-        if not has_urgent or slots <= RESERVED_SLOTS + 1:
-            return slots
-        return slots - RESERVED_SLOTS
--- a/src/snipelink/decide/work.py
+++ b/src/snipelink/decide/work.py
@@ -19,13 +19,18 @@
 # Time for which the present slowness of an endpoint is taken to last, seconds: half of
 # the time between two changes of a shared host's load.
 PHASE_S = 0.25
+# The same where a wrong guess costs a slot until the call's deadline, seconds: a slow
+# phase that lasts for two changes of the host's load.
+LONG_PHASE_S = 1.0
 # Time constant of the mean speed, seconds: some changes of the host's load.
 MEAN_WINDOW_S = 3.0
 # Mean speed of a server on a shared host, used until it has been observed.
 USUAL_SPEED = 0.8
 
 
-def time_s(work_s: float, slowness: float, mean_slowness: float) -> float:
+def time_s(
+    work_s: float, slowness: float, mean_slowness: float, phase_s: float = PHASE_S
+) -> float:
     """Return the seconds that work takes on an endpoint from now on.
 
     Parameters
@@ -34,11 +39,13 @@
         Work in undisturbed seconds.
     slowness, mean_slowness : float
         Time of work relative to the ordinary time, now and over some seconds.
+    phase_s : float
+        Seconds for which the present slowness lasts.
     """
-    soon_s = PHASE_S / slowness
+    soon_s = phase_s / slowness
     if work_s <= soon_s:
         return work_s * slowness
-    return PHASE_S + (work_s - soon_s) * mean_slowness
+    return phase_s + (work_s - soon_s) * mean_slowness
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +90,10 @@
         """Return the seconds that work takes from now on."""
         return time_s(work_s, self.slowness, self.mean_slowness)
 
+    def longest_s(self, work_s: float) -> float:
+        """Return the seconds that work takes if the present slowness lasts."""
+        return time_s(work_s, self.slowness, self.mean_slowness, LONG_PHASE_S)
+
 
 class Estimates:
     """Expected work of calls by service and operation, in undisturbed seconds."""
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -31,9 +31,11 @@
 LOOK_S = 0.05
 # Refusals of nodes after which a call is refused; each costs a trip to a node.
 MAX_REFUSALS = 4
-# Share of the retry budget that is used: calls that a repeated call makes count as
-# repeats at the services they go to.
-BUDGET_SHARE = 0.4
+# Share of the retry budget that is used, of its allowance and of its ratio: calls that
+# a repeated call makes count as repeats at the services they go to, and calls of
+# endpoints do not count as requests there.
+ALLOWANCE_SHARE = 0.3
+RATIO_SHARE = 0.15
 # Answer of a node that cannot say when there will be an endpoint, seconds.
 NO_ENDPOINT_RETRY_AFTER_S = 0.3
 # Caller's time that remains when none is given, milliseconds.
@@ -342,7 +344,9 @@
             if candidate is not None:
                 candidates.append(candidate)
         mean_s = self._estimates.mean_work_s(call.service)
-        return placement.choose(candidates, call.work_s, mean_s, self._rng)
+        return placement.choose(
+            candidates, call.work_s, mean_s, self._rng, movable=call.idempotent
+        )
 
     def _no_endpoint(self, call: calls.Call, now: float) -> calls.Outcome:
         after_s = refusal.retry_after_s(NO_ENDPOINT_RETRY_AFTER_S, self._rng)
@@ -354,14 +358,14 @@
         known = self._budgets_by_service.get(service)
         if known is None:
             nodes = max(1, len(self._catalog.instances_by_id))
-            ratio = self._own.bounds.retry_ratio * BUDGET_SHARE
+            ratio = self._own.bounds.retry_ratio * RATIO_SHARE
             known = budget.Budget(ratio, self._allowance(nodes))
             self._budgets_by_service[service] = known
         return known
 
     def _allowance(self, nodes: int) -> float:
         # Each node has its part; none knows what the others spend.
-        return self._own.bounds.retry_allowance * BUDGET_SHARE / nodes
+        return self._own.bounds.retry_allowance * ALLOWANCE_SHARE / nodes
 
     def _record(
         self, call: calls.Call, attempt: _Attempt, outcome: calls.Outcome, now: float
--- a/tests/decide/test_placement.py
+++ b/tests/decide/test_placement.py
@@ -73,6 +73,14 @@
     assert placement.choose([slow, full], 0.6, 0.6, random.Random(1)) == slow
 
 
+def test_call_that_cannot_be_moved_avoids_servers_that_may_stay_slow() -> None:
+    slow = _candidate("slow", slowness=7.0)
+    full = _candidate("full", running=9, waiting=9)
+    chosen = placement.choose([slow, full], 0.3, 0.3, random.Random(1), movable=False)
+    assert chosen == full
+    assert placement.choose([slow, full], 0.3, 0.3, random.Random(1)) == slow
+
+
 def test_equal_servers_share_the_calls() -> None:
     rng = random.Random(1)
     candidates = [_candidate(name) for name in "abc"]
