Move admission to the slots of an endpoint apart from input and output

Cause: which call starts, waits or is refused was decided between futures of the event loop, so a load could be replayed only through sockets, and a counter of calls that had a slot but had not gone on yet had to be kept right by hand.

Ruled out: replaying the event loop with a false clock; it tests the library.

Change: snipelink.decide.slots holds the running and waiting calls by key; the runner only wakes tasks. Tests replay a burst, a slow phase and a stop without sockets, and a property holds over random series. A watch pauses for 0.15 s after an answer, because each change of a series costs a call.

--- /dev/null
+++ b/src/snipelink/decide/slots.py
@@ -0,0 +1,184 @@
+"""Which calls hold the slots of one endpoint, wait for one, or are refused.
+
+Load pattern: see `waiting`; this module keeps the calls that those rules are about.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from snipelink.decide import waiting, work
+
+# Slots assumed before an endpoint reports them.
+UNKNOWN_SLOTS = 4
+
+
+class Verdict(enum.Enum):
+    """What becomes of a call that is offered."""
+
+    START = "start"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offered:
+    """Answer to an offered call.
+
+    Attributes
+    ----------
+    wait_s : float
+        Seconds until the call would start; for a refused call, until there is room.
+    reason : str
+        Why it is refused.
+    """
+
+    verdict: Verdict
+    wait_s: float = 0.0
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """A call that waited in vain."""
+
+    key: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A waiting call, and the monotonic time after which it is refused."""
+
+    demand: waiting.Demand
+    refused_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    """A running call, and the work its endpoint had done when it started."""
+
+    demand: waiting.Demand
+    started_work_s: float
+
+
+class Slots:
+    """Calls of one endpoint by key.
+
+    Parameters
+    ----------
+    now : float
+        Present monotonic time, seconds.
+
+    Attributes
+    ----------
+    progress : Progress
+        Speed of the endpoint.
+    capacity : int
+        Calls that it runs at once.
+    foreign : int
+        Calls that it runs and that were not offered here.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.progress = work.Progress(now)
+        self.capacity = UNKNOWN_SLOTS
+        self.foreign = 0
+        self._running_by_key: dict[int, _Running] = {}
+        self._waiting_by_key: dict[int, _Waiting] = {}
+
+    @property
+    def running_count(self) -> int:
+        """Calls that hold a slot and were offered here."""
+        return len(self._running_by_key)
+
+    @property
+    def waiting_count(self) -> int:
+        """Calls that wait for a slot."""
+        return len(self._waiting_by_key)
+
+    def offer(self, key: int, demand: waiting.Demand, now: float) -> Offered:
+        """Take up a call, let it wait, or refuse it."""
+        mean_s = demand.work_s * self.progress.mean_slowness
+        if waiting.is_hopeless(demand, mean_s, now):
+            reason = f"takes {mean_s:.2f} s, too long for its deadline"
+            return Offered(Verdict.REFUSE, mean_s, reason)
+        if self._has_room() and self._may_start(demand, now):
+            self._start(key, demand, now)
+            return Offered(Verdict.START)
+        wait_s = self._wait_s(demand, now)
+        allowed_s = waiting.allowed_wait_s(demand, mean_s, now)
+        if wait_s > allowed_s:
+            return Offered(Verdict.REFUSE, wait_s, f"would start in {wait_s:.2f} s")
+        refused_at = now + allowed_s * waiting.PATIENCE
+        self._waiting_by_key[key] = _Waiting(demand, refused_at)
+        return Offered(Verdict.WAIT, wait_s)
+
+    def end(self, key: int) -> None:
+        """Free the slot of a call, or forget one that waits."""
+        self._running_by_key.pop(key, None)
+        self._waiting_by_key.pop(key, None)
+
+    def sweep(self, now: float) -> tuple[list[int], list[Refused]]:
+        """Start the waiting calls that may start, and refuse those that wait in vain.
+
+        Returns
+        -------
+        started : list of int
+            Keys of calls that now hold a slot.
+        refused : list of Refused
+            Calls that no longer wait.
+        """
+        refused = []
+        for key, entry in list(self._waiting_by_key.items()):
+            mean_s = entry.demand.work_s * self.progress.mean_slowness
+            if waiting.is_hopeless(entry.demand, mean_s, now):
+                refused.append(Refused(key, "cannot be done in time"))
+            elif now > entry.refused_at:
+                refused.append(Refused(key, "has waited too long"))
+        for each in refused:
+            del self._waiting_by_key[each.key]
+        started = []
+        for key in sorted(self._waiting_by_key, key=lambda key: self._rank(key, now)):
+            if not self._has_room():
+                break
+            demand = self._waiting_by_key[key].demand
+            if self._may_start(demand, now):
+                del self._waiting_by_key[key]
+                self._start(key, demand, now)
+                started.append(key)
+        return started, refused
+
+    def withdraw_all(self) -> list[int]:
+        """Let no call wait any longer; return the keys of those that did."""
+        keys = list(self._waiting_by_key)
+        self._waiting_by_key.clear()
+        return keys
+
+    def _start(self, key: int, demand: waiting.Demand, now: float) -> None:
+        done_s = self.progress.work_until(now)
+        self._running_by_key[key] = _Running(demand, done_s)
+
+    def _has_room(self) -> bool:
+        return len(self._running_by_key) + self.foreign < max(1, self.capacity)
+
+    def _may_start(self, demand: waiting.Demand, now: float) -> bool:
+        longest_s = self.progress.longest_s(demand.work_s)
+        return not waiting.is_hopeless(demand, longest_s, now)
+
+    def _rank(self, key: int, now: float) -> tuple[int, bool, float]:
+        demand = self._waiting_by_key[key].demand
+        return waiting.rank(demand, self.progress.time_s(demand.work_s), now)
+
+    def _wait_s(self, demand: waiting.Demand, now: float) -> float:
+        done_s = self.progress.work_until(now)
+        remaining_s = [
+            max(0.0, each.demand.work_s - (done_s - each.started_work_s))
+            for each in self._running_by_key.values()
+        ]
+        others = [entry.demand for entry in self._waiting_by_key.values()]
+        capacity = max(1, self.capacity)
+        work_s = waiting.work_ahead_s(demand, others, remaining_s, capacity)
+        wait_s = self.progress.time_s(work_s)
+        return wait_s if self._may_start(demand, now) else max(wait_s, work.PHASE_S)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -242,15 +242,15 @@
         self._exchange.publish(near_by_host.items(), now)
 
     def _load(self, now: float) -> mesh.Load:
-        state = self._runner.state
+        state, slots = self._runner.state, self._runner.slots
         return mesh.Load(
             state.instance,
             self._started_ms,
             0,
-            self._runner.running_calls,
-            self._runner.waiting_calls,
-            state.slots,
-            int(state.progress.slowness * 100),
+            slots.running_count + slots.foreign,
+            slots.waiting_count,
+            slots.capacity,
+            int(slots.progress.slowness * 100),
             int(self._runner.failing(now) * 100),
             state.is_accepting,
             self._catalog.revision,
@@ -281,9 +281,9 @@
         values = {
             "catalog_revision": lambda: self._catalog.revision,
             "configuration_version": lambda: self._catalog.version,
-            "calls_running": lambda: self._runner.running_calls,
-            "calls_waiting": lambda: self._runner.waiting_calls,
-            "endpoint_slowness": lambda: self._runner.state.progress.slowness,
+            "calls_running": lambda: self._runner.slots.running_count,
+            "calls_waiting": lambda: self._runner.slots.waiting_count,
+            "endpoint_slowness": lambda: self._runner.slots.progress.slowness,
             "endpoint_connections_opened": lambda: self._endpoint.connections_opened,
             "unexpected_answers": lambda: self._endpoint.unexpected_answers,
             "endpoint_polls": lambda: self._poller.polls,
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -18,6 +18,9 @@
 # A watch is renewed after this time, seconds: an answer that was lost delays changes
 # by no more, and callers are in touch again three seconds after a disruption.
 WATCH_S = 3.0
+# Changes come in series, and each answer of the store costs a call; time between an
+# answer and the next watch, seconds.
+PAUSE_S = 0.15
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 # Time for which another node must know more before it is asked, seconds: usually the
@@ -103,6 +106,7 @@
                     self._catalog.apply(changes, time.monotonic())
                 self._on_change()
                 backoff_s = MIN_BACKOFF_S
+                await asyncio.sleep(PAUSE_S)
             except HistoryLost:
                 logger.info(
                     "history of the platform is lost",
