Replay load patterns through the deciding functions

Ruled out: a cluster simulator; the replay has slots, speeds and facts of a stated age, and no network and no processes.

--- /dev/null
+++ b/tests/bench/test_replay.py
@@ -0,0 +1,78 @@
+"""Each test replays one load with and without the mechanism that answers it."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench import replay
+from snipelink.decide import placement, waiting, work
+
+SECONDS = 6.0
+SEEDS = range(1, 4)
+
+
+def _measure(policy: str, case: str, load: float) -> replay.Result:
+    return replay.measure(policy, case, load, SECONDS, SEEDS)
+
+
+@pytest.mark.parametrize("case", sorted(replay.CASES))
+def test_decisions_serve_more_than_every_baseline(case: str) -> None:
+    decided = _measure("decide", case, 1.0)
+    baselines = [
+        _measure(name, case, 1.0).goodput
+        for name in ("random", "round-robin", "least-outstanding")
+    ]
+    assert decided.goodput > max(baselines)
+
+
+def test_goodput_does_not_collapse_beyond_the_capacity() -> None:
+    """Value per second at twice the load is that at full load or more."""
+    full = _measure("decide", "steady", 1.0)
+    double = _measure("decide", "steady", 2.0)
+    assert double.goodput * 2.0 >= full.goodput
+
+
+def test_facts_of_thirty_milliseconds_are_nearly_as_good_as_true_ones() -> None:
+    true = _measure("decide, true facts", "steady", 1.5)
+    assert _measure("decide", "steady", 1.5).goodput >= 0.9 * true.goodput
+
+
+def test_choice_by_slowness_is_what_carries_slowed_servers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with_it = _measure("decide", "slow", 0.7)
+    monkeypatch.setattr(placement, "_slowness", lambda candidate: 1.0)
+    assert with_it.goodput > _measure("decide", "slow", 0.7).goodput
+
+
+def test_bounded_waits_are_what_carries_a_burst(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with_it = _measure("decide", "burst", 1.0)
+    monkeypatch.setattr(waiting, "allowed_wait_s", lambda demand, run_s, now: 60.0)
+    without = _measure("decide", "burst", 1.0)
+    assert with_it.told_p99_s < without.told_p99_s
+    assert with_it.goodput > without.goodput
+
+
+def test_waiting_for_a_quick_phase_saves_slots(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Without it, calls start in slow phases and fail at their deadline."""
+    with_it = _measure("decide", "steady", 1.5)
+    monkeypatch.setattr(work, "LONG_PHASE_S", 0.0)
+    monkeypatch.setattr(
+        work.Progress, "longest_s", lambda self, work_s: work_s * self.mean_slowness
+    )
+    assert with_it.goodput > _measure("decide", "steady", 1.5).goodput
+
+
+def test_urgent_calls_are_served_at_least_as_often_as_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with_it = _measure("decide", "burst", 1.5)
+    monkeypatch.setattr(
+        waiting, "rank", lambda demand, run_s, now: (0, False, demand.arrived)
+    )
+    without = _measure("decide", "burst", 1.5)
+    assert with_it.goodput >= without.goodput
