Log what decided, name what is lost, and test the adapter

Cause: a refusal named its reason but not the load that led to it; a node that fell silent left no line; window and drain time of the bounds were read and not used; the adapter had no tests of its own.

Ruled out: a line per poll or datagram; their number grows with time and not with decisions.

Change: answers carry the facts of the choice and their age, refusals the state of the slots and the age of the report; silent nodes are logged when they fall silent and return. The retry budget takes its window from the settings, leaving endpoints are a last resort for a share of the drain time. Fields that nothing read are gone.

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -114,6 +114,7 @@
         key = next(self._keys)
         offered = self.slots.offer(key, call.demand(), now)
         if offered.verdict is slots.Verdict.REFUSE:
+            self._log_refusal(call, offered.reason)
             after_s = refusal.retry_after_s(offered.wait_s, self._rng)
             return calls.fail(errors.Kind.OVERLOADED, offered.reason, after_s)
         self._on_change(now)
@@ -121,6 +122,8 @@
             if offered.verdict is slots.Verdict.WAIT:
                 given_up = await self._wait(key)
                 if given_up is not None:
+                    assert given_up.failure is not None
+                    self._log_refusal(call, given_up.failure.detail)
                     return given_up
             return await self._exchange(call, instance, time.monotonic())
         finally:
@@ -192,6 +195,20 @@
             self.slots.progress.set_slowness(int(fields[3]) / 100.0, now)
         self.state.reported_at = now
 
+    def _log_refusal(self, call: calls.Call, reason: str) -> None:
+        fields = {
+            "id": call.call_id,
+            "instance": self.state.instance,
+            "reason": reason,
+            "running": self.slots.running_count,
+            "foreign": self.slots.foreign,
+            "waiting": self.slots.waiting_count,
+            "slots": self.slots.capacity,
+            "slowness": self.slots.progress.slowness,
+            "report_age_s": round(time.monotonic() - self.state.reported_at, 3),
+        }
+        logger.info("call is refused", extra={"fields": fields})
+
     def _unavailable(self, instance: str) -> calls.Outcome | None:
         """Return why the endpoint takes no calls meant for a process, or None."""
         state = self.state
--- a/src/snipelink/mesh/calls.py
+++ b/src/snipelink/mesh/calls.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from snipelink import errors, model
-from snipelink.decide import waiting
+from snipelink.decide import placement, waiting
 from snipelink.session import http
 
 
@@ -27,6 +27,8 @@
         Service on whose machine the call began.
     work_s : float
         Expected work in undisturbed seconds.
+    choice : Candidate or None
+        What was known of the endpoint that it was last sent to.
     """
 
     call_id: str
@@ -44,6 +46,7 @@
     work_s: float
     caller_service: str = ""
     max_attempts: int = 1
+    choice: placement.Candidate | None = None
 
     def demand(self) -> waiting.Demand:
         """Return what the call needs while it waits."""
--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -9,10 +9,10 @@
 
 logger = logging.getLogger(__name__)
 
-# A removed endpoint is used for so long, and only if there is no other, seconds: some
-# are removed without notice while they still serve, and entries that lapsed while
-# the platform's store was away come back.
-LAST_RESORT_S = 1.2
+# A leaving endpoint is used for this share of the time for which it serves, and only
+# if there is no other: calls that wait must still reach it in that time. Some leave
+# without notice, and entries that lapsed while the store was away come back.
+LAST_RESORT_SHARE = 0.6
 # The same after the store was away: entries are back within about two seconds.
 LAPSED_S = 2.2
 
@@ -38,9 +38,16 @@
 
 
 class Catalog:
-    """Routes and endpoints, merged from the platform and from other nodes."""
+    """Routes and endpoints, merged from the platform and from other nodes.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    drain_s : float
+        Seconds for which a leaving endpoint still serves.
+    """
+
+    def __init__(self, drain_s: float) -> None:
+        self._last_resort_s = drain_s * LAST_RESORT_SHARE
         self.revision = 0
         self.table: objects.RouteTable | None = None
         self.instances_by_id: dict[str, objects.Instance] = {}
@@ -153,7 +160,7 @@
         _log("endpoint is no longer published", instance, leaving=instance.leaving)
 
     def _keep_as_last_resort(self, instance: objects.Instance, now: float) -> None:
-        until = max(now + LAST_RESORT_S, self._lapses_until)
+        until = max(now + self._last_resort_s, self._lapses_until)
         self._last_resort_until_by_id[instance.id] = (instance, until)
 
 
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -207,6 +207,7 @@
             if chosen is None:
                 return outcome or self._no_endpoint(call, now)
             tried.add(chosen.instance)
+            call.choice = chosen
             latest, sent = await self._attempt(call, chosen, tried, arrivals)
             outcome = _more_telling(outcome, latest)
             arrivals += sent
@@ -358,7 +359,9 @@
         if known is None:
             nodes = max(1, len(self._catalog.instances_by_id))
             ratio = self._own.bounds.retry_ratio * RATIO_SHARE
-            known = budget.Budget(ratio, self._allowance(nodes))
+            known = budget.Budget(
+                ratio, self._allowance(nodes), self._own.bounds.retry_window_s
+            )
             self._budgets_by_service[service] = known
         return known
 
@@ -397,6 +400,8 @@
             "took_s": round(now - arrived, 4),
             **_outcome_fields(outcome),
         }
+        if call is not None and call.choice is not None:
+            fields |= _choice_fields(call.choice)
         logger.info("call is answered", extra={"fields": fields})
         if outcome.response is not None:
             return self._pass_on(outcome.response)
@@ -455,6 +460,18 @@
     return DEFAULT_REMAINING_MS
 
 
+def _choice_fields(choice: placement.Candidate) -> dict[str, object]:
+    return {
+        "instance": choice.instance,
+        "near": choice.near,
+        "running": choice.running,
+        "waiting": choice.waiting,
+        "slowness": choice.slowness,
+        "failing": choice.failing,
+        "fact_age_s": round(choice.age_s, 3),
+    }
+
+
 def _outcome_fields(outcome: calls.Outcome) -> dict[str, object]:
     if outcome.failure is not None:
         failure = outcome.failure
--- a/src/snipelink/mesh/loads.py
+++ b/src/snipelink/mesh/loads.py
@@ -63,6 +63,7 @@
         self.facts_by_instance: dict[str, Fact] = {}
         self.facts_by_host: dict[str, Fact] = {}
         self.stale_reports = 0
+        self._silent_hosts: set[str] = set()
 
     def update(self, load: mesh.Load, host: str, now: float) -> bool:
         """Take over a report; false if it is older than the known one."""
@@ -112,6 +113,17 @@
             max(0.0, now - fact.received_at),
         )
 
+    def silence(self, now: float) -> tuple[set[str], set[str]]:
+        """Return the hosts that fell silent, and those that are heard again."""
+        silent = {
+            host
+            for host, fact in self.facts_by_host.items()
+            if now - fact.received_at > placement.SILENT_S
+        }
+        fallen, back = silent - self._silent_hosts, self._silent_hosts - silent
+        self._silent_hosts = silent
+        return fallen, back
+
     def expire(self, published: set[str], now: float) -> None:
         """Forget endpoints that are not published and not heard of."""
         for name, fact in list(self.facts_by_instance.items()):
@@ -218,10 +230,6 @@
             self._sent_by_host[host] = (now, report)
             self.sent_datagrams += 1
 
-    def forget_all(self) -> None:
-        """Report to every host again, whether due or not."""
-        self._sent_by_host.clear()
-
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -77,7 +77,7 @@
         self._started_by_host: dict[str, int] = {}
         self._is_leaving = False
         self._metrics = metrics.Metrics()
-        self._catalog = catalog.Catalog()
+        self._catalog = catalog.Catalog(own.bounds.drain_s)
         self._loads = loads.LoadTable()
         self._endpoint = endpoint.EndpointClient(own.endpoint_address, names)
         self._runner = admission.Runner(
@@ -215,7 +215,13 @@
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_S)
-            self._loads.expire(set(self._catalog.instances_by_id), time.monotonic())
+            now = time.monotonic()
+            fallen, back = self._loads.silence(now)
+            for host in fallen:
+                logger.warning("node is silent", extra={"fields": {"host": host}})
+            for host in back:
+                logger.info("node is heard again", extra={"fields": {"host": host}})
+            self._loads.expire(set(self._catalog.instances_by_id), now)
 
     def _on_poll(self, now: float) -> None:
         state = self._runner.state
--- a/src/snipelink/mesh/objects.py
+++ b/src/snipelink/mesh/objects.py
@@ -74,8 +74,6 @@
         Identity of the process.
     host : str
         IP address of its machine.
-    warming_s : float
-        Seconds for which it stays slow after its start, when published.
     born_ms : int
         Unix milliseconds of its start.
     """
@@ -84,9 +82,7 @@
     service: str
     host: str
     failure_domain: str
-    slots: int
     leaving: bool
-    warming_s: float = 0.0
     born_ms: int = 0
 
 
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -27,11 +27,16 @@
     ratio : float
         Attempts earned by a deposit.
     allowance : float
-        Attempts that may be spent in any 10 s without deposits.
+        Attempts that may be spent in any window without deposits.
+    window_s : float
+        Seconds for which a deposit can be spent; 10 s above stands for it.
     """
 
-    def __init__(self, ratio: float, allowance: float = 0.0) -> None:
+    def __init__(
+        self, ratio: float, allowance: float = 0.0, window_s: float = LIFETIME_S
+    ) -> None:
         self._ratio = ratio
+        self._window_s = window_s
         self._allowance = allowance
         self._allowed_at: collections.deque[float] = collections.deque()
         self._lock = threading.Lock()
@@ -75,10 +80,10 @@
             return self._sum + self._reserve + allowed
 
     def _expire(self, now: float) -> None:
-        while self._allowed_at and now - self._allowed_at[0] >= LIFETIME_S:
+        while self._allowed_at and now - self._allowed_at[0] >= self._window_s:
             self._allowed_at.popleft()
         batches = self._batches
-        while batches and now - batches[0][0] >= LIFETIME_S:
+        while batches and now - batches[0][0] >= self._window_s:
             tokens = batches.popleft()[1]
             self._sum -= tokens
             self._reserve = min(RESERVE, self._reserve + tokens)
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -243,7 +243,6 @@
         "service": member.endpoint.service,
         "host": member.host,
         "failure_domain": "a",
-        "slots": 4,
         "leaving": False,
     }
     return objects.Instance(**(values | changes))
--- a/tests/observe/test_logs.py
+++ b/tests/observe/test_logs.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+import os
 from typing import Any
 
 import pytest
@@ -78,3 +79,15 @@
     for number in range(3 * logs.MAX_MESSAGE_IDS):
         log.logger.warning(f"lost {number}")
     assert len(log.handler._states_by_id) == logs.MAX_MESSAGE_IDS
+
+
+def test_stream_drops_lines_in_place_of_blocking() -> None:
+    reader, writer = os.pipe()
+    try:
+        stream = logs.DroppingStream(writer)
+        while not stream.dropped:
+            stream.write("x" * 1000 + "\n")
+        assert stream.dropped == 1
+    finally:
+        os.close(reader)
+        os.close(writer)
--- /dev/null
+++ b/tests/platform/test_platform_settings.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import pathlib
+import platform
+
+import platform_settings
+import pytest
+
+TEXT = """
+[self]
+node_name = "n-1"
+role = "node"
+ip = "10.1.0.38"
+zone = "ar-central-a"
+app_addr = "10.1.0.38:8145"
+service = "huvo11a"
+[network]
+port_range = [7380, 7395]
+seeds = []
+[network.listen]
+inbound = "10.1.0.38:8146"
+outbound = "10.1.0.38:8147"
+ready = "10.1.0.38:8141"
+[platform.platform]
+address = "10.200.1.7:8142"
+[terms.bounds]
+drain_s = 2
+grace_s = 6
+budget_ratio = 0.2
+budget_window_s = 10
+budget_extra = 58
+probes_per_s = 60
+some_new_field = true
+"""
+
+
+def test_folder_does_not_hide_the_standard_module() -> None:
+    assert platform.python_version()
+    assert not (
+        pathlib.Path(platform_settings.__file__).parent / "__init__.py"
+    ).exists()
+
+
+def test_settings_are_translated_into_the_products_names() -> None:
+    loaded = platform_settings.decode(TEXT).unwrap()
+    node = loaded.node
+    assert (node.node, node.service) == ("n-1", "huvo11a")
+    assert node.failure_domain == "ar-central-a"
+    assert node.endpoint_address == ("10.1.0.38", 8145)
+    assert node.caller_listen == ("10.1.0.38", 8147)
+    assert node.ready_listen == ("10.1.0.38", 8141)
+    assert node.peer_listen == ("10.1.0.38", 7380)
+    assert node.bounds.retry_allowance == 58
+    assert loaded.store_address == ("10.200.1.7", 8142)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        ('ip = "10.1.0.38"', "ip = 7", "$.self.ip"),
+        ('zone = "ar-central-a"\n', "", "zone"),
+        ("grace_s = 6", "grace_s = 0", "$.terms.bounds.grace_s"),
+        ('"10.1.0.38:8147"', '"somewhere:8147"', "somewhere:8147"),
+        ("[terms.bounds]", "[terms.bounds", "not valid"),
+    ],
+)
+def test_error_names_the_field_and_what_is_expected(
+    old: str, new: str, expected: str
+) -> None:
+    error = platform_settings.decode(TEXT.replace(old, new)).unwrap_err()
+    assert expected in error
+
+
+def test_missing_file_is_an_error_and_no_crash(tmp_path: pathlib.Path) -> None:
+    error = platform_settings.load(tmp_path / "none.toml").unwrap_err()
+    assert "cannot be read" in error
--- a/tests/retry/test_budget.py
+++ b/tests/retry/test_budget.py
@@ -51,3 +51,23 @@
 def test_zero_ratio_allows_nothing() -> None:
     """Guards against retries of a service whose budget forbids them."""
     assert not budget.Budget(0.0).try_spend(0.0)
+
+
+def test_allowance_can_be_spent_in_any_window_without_deposits() -> None:
+    tested = budget.Budget(0.0, allowance=2.0)
+    assert [tested.try_spend(0.0) for _ in range(3)] == [True, True, False]
+    assert not tested.try_spend(9.9)
+    assert tested.try_spend(10.0)
+
+
+def test_lower_allowance_holds_at_once() -> None:
+    tested = budget.Budget(0.0, allowance=5.0)
+    tested.set_allowance(0.0)
+    assert not tested.try_spend(0.0)
+
+
+def test_window_is_a_setting() -> None:
+    tested = budget.Budget(0.0, allowance=1.0, window_s=2.0)
+    assert tested.try_spend(0.0)
+    assert not tested.try_spend(1.9)
+    assert tested.try_spend(2.0)
