Go on with calls for the endpoint during the first part of a stop

Ruled out: a shorter stay; callers leave after two questions a second apart.

Change: calls of other nodes are taken for 1.2 s more, if their time ends before the stop.

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -94,6 +94,8 @@
         self._failing = 0.0
         self._failing_at = now
         self.state = EndpointState()
+        # Monotonic time at which this node stops, once that is known.
+        self.stops_at: float | None = None
         self.slots = slots.Slots(now)
 
     def failing(self, now: float) -> float:
@@ -111,6 +113,9 @@
         unavailable = self._unavailable(instance)
         if unavailable is not None:
             return unavailable
+        if self.stops_at is not None and call.deadline > self.stops_at:
+            # It may last until its deadline, and must not be cut off before.
+            return calls.fail(errors.Kind.LEAVING, "the node is leaving")
         key = next(self._keys)
         offered = self.slots.offer(key, call.demand(), now)
         if offered.verdict is slots.Verdict.REFUSE:
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -30,6 +30,9 @@
 
 # Callers are sent elsewhere after two questions for readiness, one a second.
 MIN_LEAVE_S = 2.5
+# Callers leave by themselves in that time; meanwhile the endpoint goes on with calls of
+# other nodes, up to this time after the start of the stop, seconds.
+ENDPOINT_LEAVE_S = 1.2
 # A node without requests for so long after that has been left, seconds.
 QUIET_S = 0.4
 # Time before the end of the grace period at which the node stops anyway, seconds.
@@ -76,6 +79,8 @@
         self._started_ms = int(time.time() * 1000)
         self._started_by_host: dict[str, int] = {}
         self._is_leaving = False
+        # Monotonic time until which a leaving node takes calls for its endpoint.
+        self._endpoint_until = now
         self._metrics = metrics.Metrics()
         self._catalog = catalog.Catalog(own.bounds.drain_s)
         self._loads = loads.LoadTable()
@@ -192,8 +197,8 @@
         self._is_leaving = True
         self._dispatcher.stops_at = stops_at
         self._callers.is_leaving = True
-        self._runner.state.is_leaving = True
-        self._publish_load(started)
+        self._endpoint_until = started + ENDPOINT_LEAVE_S
+        self._runner.stops_at = stops_at
         logger.info(
             "node is leaving", extra={"fields": {"calls": self._calls_in_flight()}}
         )
@@ -226,7 +231,8 @@
     def _on_poll(self, now: float) -> None:
         state = self._runner.state
         usable = self._catalog.is_usable(state.instance, now)
-        state.is_leaving = self._is_leaving or not usable
+        stopping = self._is_leaving and now >= self._endpoint_until
+        state.is_leaving = stopping or not usable
         self._publish_load(now)
 
     def _on_catalog(self) -> None:
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from snipelink.mesh import channel, objects
+from snipelink.mesh import channel, node, objects
 from snipelink.session import http
 from tests.mesh import fleet
 
@@ -359,6 +359,8 @@
         ready = await channel.connect((leaving.host, fleet.READY_PORT), 1.0)
         ready.write(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
         assert b" 503 " in await ready.receive()
+        # Short calls are still taken for a moment, and none that may outlast the stop.
+        await asyncio.sleep(node.ENDPOINT_LEAVE_S)
         before = len(leaving.endpoint.seen)
         late = await fleet.Client.open(leaving)
         late.send("late")
