Answer after a fault of the program, and charge each further arrival

Cause (found by reading): an exception inside the dispatcher ended the caller's connection without an answer. A refusal after an attempt that may have run was counted neither as a refusal nor by the right attempt, so an attempt that reached no endpoint could be charged, and the number of refusals was not bounded by its own limit.

Change: such a request is answered with the error kind internal; the latest attempt decides whether to go on, and each attempt after an arrival is charged.

Figures: a test that plants a fault failed before (connection closed) and passes.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -199,7 +199,14 @@
         request, task = entry.request, entry.task
         assert request is not None
         assert task is not None
-        response = await task
+        try:
+            response = await task
+        except Exception:
+            # A fault of this program must not cost the caller its answer.
+            logger.exception("request could not be answered")
+            call_id = request.header(self._port.names.call_id)
+            failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
+            response = dispatch.failure_response(failure, self._port.names, call_id)
         entry.task = None
         self._port.requests_in_flight -= 1
         keep = request.keep_alive and not self._port.is_leaving
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -211,15 +211,13 @@
             latest, sent = await self._attempt(call, chosen, tried, arrivals)
             outcome = _more_telling(outcome, latest)
             arrivals += sent
-            if outcome.failure is None:
-                if outcome.is_success or not call.idempotent:
-                    return outcome
-            elif not outcome.reached:
-                refusals += 1
+            if outcome.is_success:
+                return outcome
+            refusals += not latest.reached
             now = time.monotonic()
-            if not self._may_repeat(call, outcome, arrivals, refusals, now):
+            if not self._may_repeat(call, latest, arrivals, refusals, now):
                 return outcome
-            if outcome.reached and not self._budget(call.service).try_spend(now):
+            if arrivals and not self._budget(call.service).try_spend(now):
                 self._log(call, "no budget for a further attempt", now)
                 return outcome
             self._log(
@@ -227,13 +225,13 @@
                 "call is tried on another endpoint",
                 now,
                 instance=chosen.instance,
-                **_outcome_fields(outcome),
+                **_outcome_fields(latest),
             )
 
     def _may_repeat(
         self,
         call: calls.Call,
-        outcome: calls.Outcome,
+        latest: calls.Outcome,
         arrivals: int,
         refusals: int,
         now: float,
@@ -242,9 +240,8 @@
             return False
         if now + call.work_s >= call.deadline:
             return False
-        if outcome.failure is None:
-            return call.idempotent
-        return call.idempotent or outcome.failure.not_run
+        not_run = latest.failure is not None and latest.failure.not_run
+        return call.idempotent or not_run
 
     async def _attempt(
         self,
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -75,7 +75,7 @@
             return outcome
         except TimeoutError:
             return calls.fail(errors.Kind.DEADLINE_UNKNOWN, host, reached=True)
-        except (OSError, framing.FrameError, msgspec.MsgspecError) as error:
+        except (OSError, ValueError, framing.FrameError, msgspec.MsgspecError) as error:
             detail = f"node at {host}: {error}"
             return calls.fail(errors.Kind.CONNECTION_LOST, detail, reached=True)
         finally:
@@ -193,6 +193,7 @@
                 else:
                     raise framing.FrameError(f"{kind.name} was not asked for")
         except ConnectionError:
+            # The other node is gone; its own log tells of the call.
             return
         except (framing.FrameError, msgspec.MsgspecError) as error:
             logger.warning(
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from snipelink.decide import placement
 from snipelink.mesh import channel, node, objects
 from snipelink.session import http
 from tests.mesh import fleet
@@ -175,6 +176,23 @@
         assert outcomes
 
 
+def test_fault_of_the_program_is_answered_as_such(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail(*_: object, **__: object) -> None:
+        raise RuntimeError("planted")
+
+    async def check() -> None:
+        async with fleet.running("rota") as members:
+            client = await fleet.Client.open(members[0])
+            monkeypatch.setattr(placement, "choose", fail)
+            assert (await client.ask("c1")).status == 500
+            monkeypatch.undo()
+            assert (await client.ask("c2")).status == 200
+
+    asyncio.run(check())
+
+
 @run
 async def test_late_answer_to_another_request_is_not_delivered() -> None:
     async def answer_twice(
