Fix a race in the test relay; give each test process its own addresses

Tests of the mesh used fixed loopback addresses, so two runs on one machine clashed. Ruled out: a fault of the code under test; the trace ends in the relay's own setsockopt. Change: closed sockets are passed over; addresses are made from the process id. An unused limit of the answer reader goes, and the docs of the retry budget say what a window is. Conclusion: two test runs can go on at once.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -76,6 +76,9 @@
         for writer in self._writers:
             # Without lingering the peer sees a reset and not an ordinary end.
             stream = writer.get_extra_info("socket")
+            if stream.fileno() < 0:
+                # The peer closed it, and the task that serves it has not run since.
+                continue
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
             writer.transport.abort()
 
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -14,10 +14,10 @@
 class Budget:
     """Allows further attempts in proportion to answered calls.
 
-    A deposit can be spent for 10 s, so nothing accumulates over a pause. One attempt is
-    kept beyond that, because a service that is rarely called would otherwise never earn
-    one. In any window the attempts spent are at most ``ratio`` times the deposits made
-    in it and in the 10 s before, plus one.
+    A deposit can be spent for one window, so nothing accumulates over a pause. One
+    attempt is kept beyond that, because a service that is rarely called would otherwise
+    never earn one. In any window the attempts spent are at most ``ratio`` times the
+    deposits made in it and in the window before, plus one, plus ``allowance``.
 
     Only answered calls deposit: under overload the answers are limited by capacity,
     so the budget does not grow with the load that causes the refusals.
@@ -29,7 +29,7 @@
     allowance : float
         Attempts that may be spent in any window without deposits.
     window_s : float
-        Seconds for which a deposit can be spent; 10 s above stands for it.
+        Length of a window, seconds.
     """
 
     def __init__(
@@ -68,7 +68,7 @@
             return True
 
     def set_allowance(self, allowance: float) -> None:
-        """Change the attempts that may be spent in any 10 s without deposits."""
+        """Change the attempts that may be spent in any window without deposits."""
         with self._lock:
             self._allowance = allowance
 
--- a/src/snipelink/session/answers.py
+++ b/src/snipelink/session/answers.py
@@ -8,7 +8,6 @@
 from snipelink.session import headers as header_rules
 from snipelink.session import http
 
-MAX_HEAD_BYTES = 65536
 # Bytes beside the body: heads, chunk lines and trailers.
 MAX_FRAMING_BYTES = 262144
 
--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -7,9 +7,10 @@
 
 from snipelink import errors
 from snipelink.mesh import channel, endpoint
+from tests import loopback
 from tests.mesh import fleet
 
-ADDRESS = ("127.0.0.1", 21395)
+ADDRESS = (loopback.next_host(), 21395)
 
 
 def _answer(call_id: str, *fields: str) -> bytes:
