Move attempts out of the dispatcher

Change: mesh/attempts.py chooses endpoints, runs calls there and starts second attempts; the dispatcher keeps routes, repeats and answers.

--- /dev/null
+++ b/src/snipelink/mesh/attempts.py
@@ -0,0 +1,241 @@
+"""Runs a call on an endpoint, and on a second one if the first turns slow."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import random
+import time
+
+from snipelink.decide import placement, second, work
+from snipelink.mesh import admission, calls, catalog, loads, peers, settings
+from snipelink.observe import metrics
+from snipelink.retry import budget
+
+logger = logging.getLogger(__name__)
+
+# Time between two looks at a call that runs, seconds; a fraction of the time for
+# which an endpoint is slow.
+LOOK_S = 0.05
+# Share of the retry budget that is used, of its allowance and of its ratio: calls that
+# a repeated call makes count as repeats at the services they go to, and calls of
+# endpoints do not count as requests there.
+ALLOWANCE_SHARE = 0.3
+RATIO_SHARE = 0.15
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """One attempt that runs."""
+
+    task: asyncio.Task[calls.Outcome]
+    instance: str
+    started: float
+    started_work_s: float
+
+
+class Attempts:
+    """Chooses endpoints for calls and runs them there.
+
+    Parameters
+    ----------
+    own : Settings
+        Identity of this node, and the bounds of its retries.
+    known : Catalog
+        Published endpoints.
+    table : LoadTable
+        Load of the endpoints that this node follows.
+    runner : Runner
+        Runs calls on the own endpoint.
+    client : PeerClient
+        Runs calls on other endpoints.
+    recorded : Metrics
+        Receives the attempts.
+    rng : random.Random
+        Breaks ties.
+
+    Attributes
+    ----------
+    estimates : Estimates
+        Work of the calls of each operation.
+    """
+
+    def __init__(
+        self,
+        own: settings.Settings,
+        known: catalog.Catalog,
+        table: loads.LoadTable,
+        runner: admission.Runner,
+        client: peers.PeerClient,
+        recorded: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._catalog = known
+        self._loads = table
+        self._runner = runner
+        self._client = client
+        self._metrics = recorded
+        self._rng = rng
+        self._budgets_by_service: dict[str, budget.Budget] = {}
+        self.estimates = work.Estimates()
+
+    def on_catalog_change(self) -> None:
+        """Share the retry budget among the machines that are now published."""
+        for each in self._budgets_by_service.values():
+            each.set_allowance(self._allowance())
+
+    def may_spend(self, service: str, now: float) -> bool:
+        """Take one further attempt from the budget; false if there is none."""
+        return self._budget(service).try_spend(now)
+
+    def choose(
+        self, call: calls.Call, tried: set[str], now: float
+    ) -> placement.Candidate | None:
+        """Return the endpoint on which a call should run, of those not tried."""
+        candidates = []
+        for instance in self._catalog.usable(call.service, now):
+            if instance.id in tried:
+                continue
+            near = instance.failure_domain == self._own.failure_domain
+            candidate = self._loads.candidate(instance, near=near, now=now)
+            if candidate is not None:
+                candidates.append(candidate)
+        mean_s = self.estimates.mean_work_s(call.service)
+        return placement.choose(
+            candidates, call.work_s, mean_s, self._rng, movable=call.idempotent
+        )
+
+    async def run(
+        self,
+        call: calls.Call,
+        chosen: placement.Candidate,
+        tried: set[str],
+        arrivals: int,
+    ) -> tuple[calls.Outcome, int]:
+        """Run a call on an endpoint, and on a second one if the first turns slow.
+
+        Returns the better outcome and the number of endpoints that were reached.
+        """
+        running = [self._start(call, chosen)]
+        best: calls.Outcome | None = None
+        sent = 0
+        try:
+            while True:
+                done, _ = await asyncio.wait(
+                    [attempt.task for attempt in running],
+                    timeout=LOOK_S if call.idempotent else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                now = time.monotonic()
+                for attempt in [a for a in running if a.task in done]:
+                    running.remove(attempt)
+                    outcome = attempt.task.result()
+                    sent += outcome.reached
+                    self._record(call, attempt, outcome, now)
+                    best = more_telling(best, outcome)
+                    if best.is_success or not running:
+                        return best, sent + len(running)
+                if len(running) == 1 and arrivals + sent + 2 <= call.max_attempts:
+                    extra = self._second(call, running[0], tried, now)
+                    if extra is not None:
+                        running.append(extra)
+        finally:
+            for attempt in running:
+                attempt.task.cancel()
+
+    def _second(
+        self, call: calls.Call, first: _Attempt, tried: set[str], now: float
+    ) -> _Attempt | None:
+        """Start a second attempt if it is likely to end sooner, and in budget."""
+        fact = self._loads.facts_by_instance.get(first.instance)
+        if fact is None:
+            return None
+        other = self.choose(call, tried, now)
+        if other is None:
+            return None
+        if now - fact.received_at > placement.SILENT_S:
+            left_s = call.deadline - now
+        else:
+            done_s = fact.progress.work_until(now) - first.started_work_s
+            left_work_s = second.remaining_work_s(call.work_s, done_s)
+            left_s = fact.progress.time_s(left_work_s)
+        mean_s = self.estimates.mean_work_s(call.service)
+        elsewhere_s = placement.expected_s(other, call.work_s, mean_s)
+        if not second.is_worthwhile(
+            left_s, elsewhere_s, call.target_at, call.deadline, now
+        ):
+            return None
+        if not self._budget(call.service).try_spend(now):
+            return None
+        tried.add(other.instance)
+        log(
+            call,
+            "call is sent to a second endpoint",
+            now,
+            instance=first.instance,
+            second=other.instance,
+            left_s=round(left_s, 3),
+            elsewhere_s=round(elsewhere_s, 3),
+        )
+        return self._start(call, other)
+
+    def _start(self, call: calls.Call, chosen: placement.Candidate) -> _Attempt:
+        now = time.monotonic()
+        fact = self._loads.facts_by_instance[chosen.instance]
+        if fact.host == self._own.host:
+            running = self._runner.run(call, chosen.instance)
+        else:
+            self._loads.on_sent(chosen.instance, now)
+            running = self._client.call(fact.host, chosen.instance, call)
+        task = asyncio.ensure_future(running)
+        done_s = fact.progress.work_until(now)
+        return _Attempt(task, chosen.instance, now, done_s)
+
+    def _budget(self, service: str) -> budget.Budget:
+        known = self._budgets_by_service.get(service)
+        if known is None:
+            ratio = self._own.bounds.retry_ratio * RATIO_SHARE
+            known = budget.Budget(
+                ratio, self._allowance(), self._own.bounds.retry_window_s
+            )
+            self._budgets_by_service[service] = known
+        return known
+
+    def _allowance(self) -> float:
+        nodes = max(1, len(self._catalog.instances_by_id))
+        # Each node has its part; none knows what the others spend.
+        return self._own.bounds.retry_allowance * ALLOWANCE_SHARE / nodes
+
+    def _record(
+        self, call: calls.Call, attempt: _Attempt, outcome: calls.Outcome, now: float
+    ) -> None:
+        kind = outcome.failure.kind if outcome.failure else None
+        self._metrics.record_attempt(attempt.instance, now - attempt.started, kind)
+        if outcome.is_success:
+            self._budget(call.service).deposit(now)
+        if outcome.work_s > 0.0:
+            self.estimates.record(call.service, call.operation, outcome.work_s)
+
+
+def log(call: calls.Call, message: str, now: float, **fields: object) -> None:
+    """Log a decision about a call, with the time it has left."""
+    known = {
+        "id": call.call_id,
+        "service": call.service,
+        "left_to_target_s": round(call.target_at - now, 3),
+    }
+    logger.info(message, extra={"fields": known | fields})
+
+
+def more_telling(earlier: calls.Outcome | None, later: calls.Outcome) -> calls.Outcome:
+    """Return the outcome that the caller is told of two attempts.
+
+    A refusal of the later one does not undo that the earlier one may have run.
+    """
+    if earlier is None or later.failure is None:
+        return later
+    if earlier.failure is None or not earlier.failure.not_run:
+        return earlier
+    return later
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -2,40 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
-import dataclasses
 import logging
 import random
 import time
 
 from snipelink import errors
-from snipelink.decide import placement, refusal, second, split, work
-from snipelink.mesh import (
-    admission,
-    calls,
-    catalog,
-    loads,
-    objects,
-    peers,
-    settings,
-)
+from snipelink.decide import placement, refusal, split
+from snipelink.mesh import attempts, calls, catalog, objects, settings
 from snipelink.observe import metrics
-from snipelink.retry import budget
 from snipelink.session import headers as header_rules
 from snipelink.session import http
 
 logger = logging.getLogger(__name__)
 
-# Time between two looks at a call that runs, seconds; a fraction of the time for
-# which an endpoint is slow.
-LOOK_S = 0.05
 # Refusals of nodes after which a call is refused; each costs a trip to a node.
 MAX_REFUSALS = 4
-# Share of the retry budget that is used, of its allowance and of its ratio: calls that
-# a repeated call makes count as repeats at the services they go to, and calls of
-# endpoints do not count as requests there.
-ALLOWANCE_SHARE = 0.3
-RATIO_SHARE = 0.15
 # Answer of a node that cannot say when there will be an endpoint, seconds.
 NO_ENDPOINT_RETRY_AFTER_S = 0.3
 # Caller's time that remains when none is given, milliseconds.
@@ -45,16 +26,6 @@
 ANSWER_MARGIN_S = 0.01
 
 
-@dataclasses.dataclass(slots=True)
-class _Attempt:
-    """One attempt that runs."""
-
-    task: asyncio.Task[calls.Outcome]
-    instance: str
-    started: float
-    started_work_s: float
-
-
 class Dispatcher:
     """Answers the requests of callers.
 
@@ -66,16 +37,12 @@
         Names of the mesh's own headers.
     known : Catalog
         Routes and endpoints.
-    table : LoadTable
-        Load of all endpoints.
-    runner : Runner
-        Runs calls on the own endpoint.
-    client : PeerClient
-        Runs calls on other endpoints.
+    running : Attempts
+        Runs calls on endpoints.
     recorded : Metrics
         Receives latencies and error kinds.
     rng : random.Random
-        Breaks ties.
+        Spreads returning callers and the parts of split routes.
     """
 
     def __init__(
@@ -83,24 +50,18 @@
         own: settings.Settings,
         names: settings.HeaderNames,
         known: catalog.Catalog,
-        table: loads.LoadTable,
-        runner: admission.Runner,
-        client: peers.PeerClient,
+        running: attempts.Attempts,
         recorded: metrics.Metrics,
         rng: random.Random,
     ) -> None:
         self._own = own
         self._names = names
         self._catalog = known
-        self._loads = table
-        self._runner = runner
-        self._client = client
+        self._attempts = running
         self._metrics = recorded
         self._rng = rng
-        self._estimates = work.Estimates()
         # Monotonic time at which this node stops, once that is known.
         self.stops_at: float | None = None
-        self._budgets_by_service: dict[str, budget.Budget] = {}
         self._splitters_by_route: dict[objects.Route, split.Splitter] = {}
 
     async def answer(self, request: http.Request, arrived: float) -> http.Response:
@@ -138,12 +99,10 @@
         routes = set(table.configuration.routes)
         for route in [r for r in self._splitters_by_route if r not in routes]:
             del self._splitters_by_route[route]
-        self._estimates.retain(
+        self._attempts.estimates.retain(
             {(part.service, route.name) for route in routes for part in route.parts}
         )
-        nodes = max(1, len(self._catalog.instances_by_id))
-        for each in self._budgets_by_service.values():
-            each.set_allowance(self._allowance(nodes))
+        self._attempts.on_catalog_change()
 
     def _build(
         self, request: http.Request, call_id: str, route: objects.Route, now: float
@@ -164,7 +123,7 @@
             now + remaining_s - ANSWER_MARGIN_S,
             route.priority,
             route.idempotent,
-            self._estimates.work_s(service, route.name),
+            self._attempts.estimates.work_s(service, route.name, route.target_s),
             self._own.service,
             max_attempts=max(1, route.max_attempts),
         )
@@ -203,13 +162,13 @@
         outcome: calls.Outcome | None = None
         while True:
             now = time.monotonic()
-            chosen = self._choose(call, tried, now)
+            chosen = self._attempts.choose(call, tried, now)
             if chosen is None:
                 return outcome or self._no_endpoint(call, now)
             tried.add(chosen.instance)
             call.choice = chosen
-            latest, sent = await self._attempt(call, chosen, tried, arrivals)
-            outcome = _more_telling(outcome, latest)
+            latest, sent = await self._attempts.run(call, chosen, tried, arrivals)
+            outcome = attempts.more_telling(outcome, latest)
             arrivals += sent
             if outcome.is_success:
                 return outcome
@@ -217,10 +176,10 @@
             now = time.monotonic()
             if not self._may_repeat(call, latest, arrivals, refusals, now):
                 return outcome
-            if arrivals and not self._budget(call.service).try_spend(now):
-                self._log(call, "no budget for a further attempt", now)
+            if arrivals and not self._attempts.may_spend(call.service, now):
+                attempts.log(call, "no budget for a further attempt", now)
                 return outcome
-            self._log(
+            attempts.log(
                 call,
                 "call is tried on another endpoint",
                 now,
@@ -243,139 +202,12 @@
         not_run = latest.failure is not None and latest.failure.not_run
         return call.idempotent or not_run
 
-    async def _attempt(
-        self,
-        call: calls.Call,
-        chosen: placement.Candidate,
-        tried: set[str],
-        arrivals: int,
-    ) -> tuple[calls.Outcome, int]:
-        """Run a call on an endpoint, and on a second one if the first turns slow.
-
-        Returns the better outcome and the number of endpoints that were reached.
-        """
-        running = [self._start(call, chosen)]
-        best: calls.Outcome | None = None
-        sent = 0
-        try:
-            while True:
-                done, _ = await asyncio.wait(
-                    [attempt.task for attempt in running],
-                    timeout=LOOK_S if call.idempotent else None,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                now = time.monotonic()
-                for attempt in [a for a in running if a.task in done]:
-                    running.remove(attempt)
-                    outcome = attempt.task.result()
-                    sent += outcome.reached
-                    self._record(call, attempt, outcome, now)
-                    best = _more_telling(best, outcome)
-                    if best.is_success or not running:
-                        return best, sent + len(running)
-                if len(running) == 1 and arrivals + sent + 2 <= call.max_attempts:
-                    extra = self._second(call, running[0], tried, now)
-                    if extra is not None:
-                        running.append(extra)
-        finally:
-            for attempt in running:
-                attempt.task.cancel()
-
-    def _second(
-        self, call: calls.Call, first: _Attempt, tried: set[str], now: float
-    ) -> _Attempt | None:
-        """Start a second attempt if it is likely to end sooner, and in budget."""
-        fact = self._loads.facts_by_instance.get(first.instance)
-        if fact is None:
-            return None
-        other = self._choose(call, tried, now)
-        if other is None:
-            return None
-        if now - fact.received_at > placement.SILENT_S:
-            left_s = call.deadline - now
-        else:
-            done_s = fact.progress.work_until(now) - first.started_work_s
-            left_work_s = second.remaining_work_s(call.work_s, done_s)
-            left_s = fact.progress.time_s(left_work_s)
-        mean_s = self._estimates.mean_work_s(call.service)
-        elsewhere_s = placement.expected_s(other, call.work_s, mean_s)
-        if not second.is_worthwhile(
-            left_s, elsewhere_s, call.target_at, call.deadline, now
-        ):
-            return None
-        if not self._budget(call.service).try_spend(now):
-            return None
-        tried.add(other.instance)
-        self._log(
-            call,
-            "call is sent to a second endpoint",
-            now,
-            instance=first.instance,
-            second=other.instance,
-            left_s=round(left_s, 3),
-            elsewhere_s=round(elsewhere_s, 3),
-        )
-        return self._start(call, other)
-
-    def _start(self, call: calls.Call, chosen: placement.Candidate) -> _Attempt:
-        now = time.monotonic()
-        fact = self._loads.facts_by_instance[chosen.instance]
-        if fact.host == self._own.host:
-            running = self._runner.run(call, chosen.instance)
-        else:
-            self._loads.on_sent(chosen.instance, now)
-            running = self._client.call(fact.host, chosen.instance, call)
-        task = asyncio.ensure_future(running)
-        done_s = fact.progress.work_until(now)
-        return _Attempt(task, chosen.instance, now, done_s)
-
-    def _choose(
-        self, call: calls.Call, tried: set[str], now: float
-    ) -> placement.Candidate | None:
-        candidates = []
-        for instance in self._catalog.usable(call.service, now):
-            if instance.id in tried:
-                continue
-            near = instance.failure_domain == self._own.failure_domain
-            candidate = self._loads.candidate(instance, near=near, now=now)
-            if candidate is not None:
-                candidates.append(candidate)
-        mean_s = self._estimates.mean_work_s(call.service)
-        return placement.choose(
-            candidates, call.work_s, mean_s, self._rng, movable=call.idempotent
-        )
-
     def _no_endpoint(self, call: calls.Call, now: float) -> calls.Outcome:
         after_s = refusal.retry_after_s(NO_ENDPOINT_RETRY_AFTER_S, self._rng)
         known = len(self._catalog.usable(call.service, now))
         detail = f"none of {known} endpoints of {call.service} takes calls"
         return calls.fail(errors.Kind.NO_ENDPOINT, detail, after_s)
 
-    def _budget(self, service: str) -> budget.Budget:
-        known = self._budgets_by_service.get(service)
-        if known is None:
-            nodes = max(1, len(self._catalog.instances_by_id))
-            ratio = self._own.bounds.retry_ratio * RATIO_SHARE
-            known = budget.Budget(
-                ratio, self._allowance(nodes), self._own.bounds.retry_window_s
-            )
-            self._budgets_by_service[service] = known
-        return known
-
-    def _allowance(self, nodes: int) -> float:
-        # Each node has its part; none knows what the others spend.
-        return self._own.bounds.retry_allowance * ALLOWANCE_SHARE / nodes
-
-    def _record(
-        self, call: calls.Call, attempt: _Attempt, outcome: calls.Outcome, now: float
-    ) -> None:
-        kind = outcome.failure.kind if outcome.failure else None
-        self._metrics.record_attempt(attempt.instance, now - attempt.started, kind)
-        if outcome.is_success:
-            self._budget(call.service).deposit(now)
-        if outcome.work_s > 0.0:
-            self._estimates.record(call.service, call.operation, outcome.work_s)
-
     def _finish(
         self,
         request: http.Request,
@@ -410,16 +242,6 @@
         passed = header_rules.end_to_end(response.headers, dropped)
         return http.Response(response.status, passed, response.body)
 
-    def _log(
-        self, call: calls.Call, message: str, now: float, **fields: object
-    ) -> None:
-        known = {
-            "id": call.call_id,
-            "service": call.service,
-            "left_to_target_s": round(call.target_at - now, 3),
-        }
-        logger.info(message, extra={"fields": known | fields})
-
 
 def failure_response(
     failure: errors.Failure, names: settings.HeaderNames, call_id: str
@@ -439,18 +261,6 @@
     return http.Response(entry.status, fields, text.encode())
 
 
-def _more_telling(earlier: calls.Outcome | None, later: calls.Outcome) -> calls.Outcome:
-    """Return the outcome that the caller is told of two attempts.
-
-    A refusal of the later one does not undo that the earlier one may have run.
-    """
-    if earlier is None or later.failure is None:
-        return later
-    if earlier.failure is None or not earlier.failure.not_run:
-        return earlier
-    return later
-
-
 def _parse_ms(text: str) -> int:
     if text.isascii() and text.isdigit() and len(text) <= 9:
         return int(text)
