--- /dev/null
+++ b/src/snipelink/decide/turns.py
@@ -0,0 +1,99 @@
+"""When a node watches the platform's store itself.
+
+Load pattern: each change wakes every watch, and each watch is a call that is paid for;
+if all nodes watched, calls would grow with the fleet. Nodes watch in turns, so that a
+few of them watch at any time, and tell the others. None is appointed, so that nothing
+has to be agreed on when nodes end or cannot reach the store.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+# Nodes that watch at any time, in the mean; that none does for two seconds is unlikely
+# even while the store refuses a third of them.
+WATCHERS = 6.0
+# Factor by which more nodes try while the store refuses some.
+REFUSED_FACTOR = 3.0
+# Length of a turn, seconds.
+TURN_S = 3.0
+# A node that hears fewer others cannot rely on them.
+MIN_HEARD = 2
+# Time between two watches of such a node, seconds: a fraction of the time in which a
+# change must be in force. When a whole fleet starts, all nodes are alone for a while.
+ALONE_REST_S = 0.7
+# Times are multiplied by a factor from this range, so that turns spread out.
+MIN_SPREAD, MAX_SPREAD = 0.5, 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Others:
+    """What a node knows of the other ones.
+
+    Attributes
+    ----------
+    published : int
+        Machines that are published.
+    followed, heard : int
+        Machines that this node follows, and those of them that it hears.
+    refused : bool
+        Whether the store does not answer one of them, or this node.
+    """
+
+    published: int
+    followed: int
+    heard: int
+    refused: bool = False
+
+    @property
+    def reachable(self) -> float:
+        """Nodes that take turns with this one; those cut off from it do not."""
+        return self.published * self.heard / max(1, self.followed)
+
+
+class Turns:
+    """Turns of one node.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the turns of nodes that start together.
+    now : float
+        Present monotonic time, seconds.
+    """
+
+    def __init__(self, rng: random.Random, now: float) -> None:
+        self._rng = rng
+        self._turn_ends: float | None = None
+        self._rests_since = now
+        # A fleet that starts at once is at all stages of a rest.
+        self._spread = rng.random()
+
+    def is_due(self, others: Others, now: float) -> bool:
+        """Whether the node should watch now; to be asked again after each watch."""
+        if self._turn_ends is not None:
+            if now < self._turn_ends:
+                return True
+            self._turn_ends = None
+            self._rests_since = now
+            self._spread = self._rng.uniform(MIN_SPREAD, MAX_SPREAD)
+        if now - self._rests_since < _rest_s(others) * self._spread:
+            return False
+        # A node that is alone may hear others after a single watch.
+        self._turn_ends = now if others.heard < MIN_HEARD else now + TURN_S
+        return True
+
+    def watch_s(self, now: float) -> float:
+        """Return the seconds for which to watch."""
+        left_s = 0.0 if self._turn_ends is None else self._turn_ends - now
+        return left_s if left_s > 0.0 else TURN_S
+
+
+def _rest_s(others: Others) -> float:
+    if others.published and others.followed < MIN_HEARD:
+        return 0.0
+    if others.heard < MIN_HEARD:
+        return ALONE_REST_S
+    watchers = WATCHERS * (REFUSED_FACTOR if others.refused else 1.0)
+    return max(0.0, TURN_S * (others.reachable / watchers - 1.0))
--- a/src/snipelink/decide/work.py
+++ b/src/snipelink/decide/work.py
@@ -12,7 +12,10 @@
 
 # Weight of a new sample: the mean follows a changed operation within about 20 calls.
 SAMPLE_WEIGHT = 0.1
-# Work assumed of an operation that has not been seen, seconds.
+# Work assumed of an operation that has not been seen, as a share of its latency
+# objective; objectives leave room for about one and a half times the work.
+UNKNOWN_SHARE = 0.4
+# Mean work of a service's calls while none has been seen, seconds.
 UNKNOWN_WORK_S = 0.2
 # An endpoint that reports less is not believed; its work would never seem to end.
 MIN_SLOWNESS = 0.25
@@ -95,40 +98,50 @@
         return time_s(work_s, self.slowness, self.mean_slowness, LONG_PHASE_S)
 
 
+@dataclasses.dataclass(slots=True)
+class _Mean:
+    """Mean of samples; the first few count alike, then the latest count most."""
+
+    value: float = 0.0
+    count: int = 0
+
+    def add(self, sample: float) -> None:
+        """Take over a sample."""
+        self.count += 1
+        self.value += max(SAMPLE_WEIGHT, 1.0 / self.count) * (sample - self.value)
+
+
 class Estimates:
     """Expected work of calls by service and operation, in undisturbed seconds."""
 
     def __init__(self) -> None:
-        self._work_s_by_operation: dict[tuple[str, str], float] = {}
-        self._work_s_by_service: dict[str, float] = {}
+        self._mean_by_operation: dict[tuple[str, str], _Mean] = {}
+        self._mean_by_service: dict[str, _Mean] = {}
 
     def record(self, service: str, operation: str, work_s: float) -> None:
         """Take over the work that one answered call took."""
         key = (service, operation)
-        known = self._work_s_by_operation.get(key)
-        self._work_s_by_operation[key] = _mean(known, work_s)
-        self._work_s_by_service[service] = _mean(
-            self._work_s_by_service.get(service), work_s
-        )
-
-    def work_s(self, service: str, operation: str) -> float:
-        """Return the expected work of a call."""
-        known = self._work_s_by_operation.get((service, operation))
-        if known is not None:
-            return known
-        return self.mean_work_s(service)
+        self._mean_by_operation.setdefault(key, _Mean()).add(work_s)
+        self._mean_by_service.setdefault(service, _Mean()).add(work_s)
+
+    def work_s(self, service: str, operation: str, objective_s: float) -> float:
+        """Return the expected work of a call.
+
+        Parameters
+        ----------
+        objective_s : float
+            Latency objective of the operation, from which the work of the first calls
+            is guessed.
+        """
+        known = self._mean_by_operation.get((service, operation))
+        return UNKNOWN_SHARE * objective_s if known is None else known.value
 
     def mean_work_s(self, service: str) -> float:
         """Return the mean work of a service's calls."""
-        return self._work_s_by_service.get(service, UNKNOWN_WORK_S)
+        known = self._mean_by_service.get(service)
+        return UNKNOWN_WORK_S if known is None else known.value
 
     def retain(self, operations: set[tuple[str, str]]) -> None:
         """Forget the operations that are no longer published."""
-        for key in [k for k in self._work_s_by_operation if k not in operations]:
-            del self._work_s_by_operation[key]
-
-
-def _mean(known: float | None, sample: float) -> float:
-    if known is None:
-        return sample
-    return known + SAMPLE_WEIGHT * (sample - known)
+        for key in [k for k in self._mean_by_operation if k not in operations]:
+            del self._mean_by_operation[key]
--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import logging
 
@@ -15,6 +16,8 @@
 LAST_RESORT_SHARE = 0.6
 # The same after the store was away: entries are back within about two seconds.
 LAPSED_S = 2.2
+# Changes that are kept for nodes that ask for what they missed.
+MAX_KEPT_CHANGES = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +56,10 @@
         self.instances_by_id: dict[str, objects.Instance] = {}
         self._last_resort_until_by_id: dict[str, tuple[objects.Instance, float]] = {}
         self._lapses_until = 0.0
+        # What was applied, after which revision.
+        self._kept: collections.deque[tuple[int, Changes]] = collections.deque(
+            maxlen=MAX_KEPT_CHANGES
+        )
 
     @property
     def version(self) -> int:
@@ -65,6 +72,15 @@
         instances = tuple(self.instances_by_id.values())
         return objects.Published(self.revision, configuration, instances)
 
+    def changes_since(self, revision: int) -> Changes | None:
+        """Return what changed after a revision; None if that is no longer known."""
+        missed = [entry for entry in self._kept if entry[1].revision > revision]
+        if revision >= self.revision:
+            return Changes(self.revision)
+        if not missed or missed[0][0] > revision:
+            return None
+        return _merge([changes for _, changes in missed])
+
     def sync(self, published: objects.Published, now: float) -> bool:
         """Take over a whole state; false if it is older than the known one."""
         if published.revision < self.revision:
@@ -77,6 +93,7 @@
         for instance in present.values():
             self._set_instance(instance, now)
         self.revision = published.revision
+        self._kept.clear()
         return True
 
     def apply(self, changes: Changes, now: float) -> None:
@@ -89,10 +106,11 @@
             self._remove(name, now)
         for instance in changes.instances:
             self._set_instance(instance, now)
+        self._kept.append((self.revision, changes))
         self.revision = changes.revision
 
-    def on_source_returned(self, now: float) -> None:
-        """Note that the platform's store is back after it was away."""
+    def on_source_away(self, now: float) -> None:
+        """Note that the platform's store is away, or was until now."""
         self._lapses_until = now + LAPSED_S
 
     def usable(self, service: str, now: float) -> list[objects.Instance]:
@@ -164,6 +182,25 @@
         self._last_resort_until_by_id[instance.id] = (instance, until)
 
 
+def _merge(series: list[Changes]) -> Changes:
+    """Return successive changes as one."""
+    instances_by_id: dict[str, objects.Instance] = {}
+    removed: dict[str, None] = {}
+    for changes in series:
+        for name in changes.removed:
+            instances_by_id.pop(name, None)
+            removed[name] = None
+        for instance in changes.instances:
+            instances_by_id[instance.id] = instance
+            removed.pop(instance.id, None)
+    return Changes(
+        series[-1].revision,
+        tuple(each for changes in series for each in changes.configurations),
+        tuple(instances_by_id.values()),
+        tuple(removed),
+    )
+
+
 def _log(message: str, instance: objects.Instance, *, leaving: bool) -> None:
     logger.info(
         message,
--- a/src/snipelink/mesh/frames.py
+++ b/src/snipelink/mesh/frames.py
@@ -17,6 +17,7 @@
     REPLY = b"R"
     PUBLISHED_REQUEST = b"Q"
     PUBLISHED = b"P"
+    CHANGES = b"D"
 
 
 class FrameChannel:
--- a/src/snipelink/mesh/loads.py
+++ b/src/snipelink/mesh/loads.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import dataclasses
+import enum
 import logging
 import time
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Mapping
 
 import msgspec
 
@@ -17,15 +18,40 @@
 
 logger = logging.getLogger(__name__)
 
-# Hosts of nodes that are heard but not published are told for so long, seconds.
-HEARD_S = 3.0
+# Facts of endpoints that are neither published nor followed are kept so long, seconds.
+KEPT_S = 3.0
+# A node that follows is told for so long, seconds; two repetitions may be lost.
+FOLLOWER_S = 5.0
+# Time after which a heard node, and one that is not heard, is asked again, seconds.
+FOLLOW_AGAIN_S = 2.0
+FOLLOW_UNHEARD_S = 0.25
+# A followed node that reports several times a second is asked again after this silence.
+UNHEARD_S = 0.5
 MAX_DATAGRAM_BYTES = 1024
 # Calls sent to an endpoint are added to its reported load for so long, seconds: the
 # time until a report that counts them arrives.
 UNREPORTED_S = 0.06
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(mesh.Load)
+_load_decoder = msgspec.msgpack.Decoder(mesh.Load)
+_follow_decoder = msgspec.msgpack.Decoder(mesh.Follow)
+
+
+class Kind(enum.Enum):
+    """First byte of a datagram: what the rest is."""
+
+    LOAD = b"L"
+    FOLLOW = b"F"
+
+
+@dataclasses.dataclass(slots=True)
+class _Follower:
+    """A node that is told this node's load, and what it was told last."""
+
+    near: bool
+    until: float
+    sent_at: float
+    sent: reporting.Report | None
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +82,14 @@
         return len(self.sent_at)
 
 
+@dataclasses.dataclass(slots=True)
+class _Asked:
+    """Times at which a node was first and last asked for its reports."""
+
+    first_at: float
+    last_at: float
+
+
 class LoadTable:
     """Latest fact of each endpoint, by identity of its process."""
 
@@ -124,25 +158,29 @@
         self._silent_hosts = silent
         return fallen, back
 
-    def expire(self, published: set[str], now: float) -> None:
-        """Forget endpoints that are not published and not heard of."""
-        for name, fact in list(self.facts_by_instance.items()):
-            if name not in published and now - fact.received_at > HEARD_S:
-                del self.facts_by_instance[name]
+    def is_heard(self, host: str, now: float) -> bool:
+        """Whether the node on a machine has reported lately."""
+        fact = self.facts_by_host.get(host)
+        return fact is not None and now - fact.received_at <= placement.SILENT_S
+
+    def expire(self, kept_hosts: Collection[str], now: float) -> None:
+        """Forget the endpoints on other machines than `kept_hosts` that are silent."""
         for host, fact in list(self.facts_by_host.items()):
-            if fact.load.instance not in published and (
-                now - fact.received_at > HEARD_S
-            ):
+            if host not in kept_hosts and now - fact.received_at > KEPT_S:
                 del self.facts_by_host[host]
+        for name, fact in list(self.facts_by_instance.items()):
+            replaced = self.facts_by_host.get(fact.host) is not fact
+            if replaced and now - fact.received_at > KEPT_S:
+                del self.facts_by_instance[name]
 
 
 class LoadExchange(asyncio.DatagramProtocol):
-    """Sends this node's load to the other nodes and receives theirs.
+    """Reports this node's load to the nodes that follow it, and receives theirs.
 
     Parameters
     ----------
     host : str
-        Address of this machine, which is left out.
+        Address of this machine.
     port : int
         Port of the datagrams on all machines.
     table : LoadTable
@@ -168,10 +206,16 @@
         self._on_report = on_report
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
-        self._sent_by_host: dict[str, tuple[float, reporting.Report]] = {}
+        self._followers_by_host: dict[str, _Follower] = {}
+        self._asked_by_host: dict[str, _Asked] = {}
         self.sent_datagrams = 0
         self.unreadable_datagrams = 0
 
+    @property
+    def follower_count(self) -> int:
+        """Nodes that are told this node's load."""
+        return len(self._followers_by_host)
+
     async def start(self, address: channel.Address) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
@@ -182,62 +226,107 @@
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take over a report; called by the event loop."""
+        """Take over a message; called by the event loop."""
+        now = time.monotonic()
+        host = addr[0]
         try:
-            load = _decoder.decode(data)
-        except msgspec.MsgspecError as error:
+            kind = Kind(data[:1])
+            if kind is Kind.FOLLOW:
+                self._on_follow(host, _follow_decoder.decode(data[1:]), now)
+                return
+            load = _load_decoder.decode(data[1:])
+        except (ValueError, msgspec.MsgspecError) as error:
             self.unreadable_datagrams += 1
             logger.warning(
-                "load datagram is not readable",
-                extra={"fields": {"host": addr[0], "error": str(error)}},
+                "datagram is not readable",
+                extra={"fields": {"host": host, "error": str(error)}},
             )
             return
-        if self._table.update(load, addr[0], time.monotonic()):
-            self._on_report(addr[0], load)
+        if self._table.update(load, host, now):
+            self._on_report(host, load)
 
     def error_received(self, exc: Exception) -> None:
         """Note a datagram that could not be sent; called by the event loop."""
-        logger.info("load datagram was not sent", extra={"fields": {"error": str(exc)}})
+        logger.info("datagram was not sent", extra={"fields": {"error": str(exc)}})
 
-    def publish(self, hosts: Iterable[tuple[str, bool]], now: float) -> None:
-        """Send the present load to the hosts that are due for it.
+    def follow(self, near_by_host: Mapping[str, bool], now: float) -> None:
+        """Ask for the reports of machines that are due to be asked.
 
         Parameters
         ----------
-        hosts : iterable of (str, bool)
-            Machines with a node, and whether they are in this failure domain.
+        near_by_host : mapping of str to bool
+            Machines to follow, and whether they are in this failure domain.
         """
-        if self._transport is None:
-            return
+        for host in [h for h in self._asked_by_host if h not in near_by_host]:
+            del self._asked_by_host[host]
+        for host, near in near_by_host.items():
+            asked = self._asked_by_host.get(host)
+            fact = self._table.facts_by_host.get(host)
+            heard = fact is not None and now - fact.received_at <= UNHEARD_S
+            again_s = FOLLOW_AGAIN_S if heard else FOLLOW_UNHEARD_S
+            if asked is None:
+                asked = self._asked_by_host[host] = _Asked(now, now)
+            elif now - asked.last_at < again_s:
+                continue
+            asked.last_at = now
+            self._send(Kind.FOLLOW, _encoder.encode(mesh.Follow(near)), host)
+
+    def is_silent(self, host: str, now: float) -> bool:
+        """Whether a machine has long been asked for reports and sends none."""
+        asked = self._asked_by_host.get(host)
+        if asked is None or now - asked.first_at <= placement.SILENT_S:
+            return False
+        return not self._table.is_heard(host, now)
+
+    def publish(self, now: float) -> None:
+        """Report the present load to the followers that are due for it."""
         load = self._current(now)
         self._sequence += 1
         load.sequence = self._sequence
         self._table.update(load, self._host, now)
         report = _report(load)
-        due = []
-        for host, near in hosts:
-            sent = self._sent_by_host.get(host)
-            if host != self._host and (
-                sent is None
-                or reporting.is_due(sent[1], report, now - sent[0], near=near)
+        payload = b""
+        for host, follower in list(self._followers_by_host.items()):
+            if now > follower.until:
+                del self._followers_by_host[host]
+                continue
+            age_s = now - follower.sent_at
+            if follower.sent is None or reporting.is_due(
+                follower.sent, report, age_s, near=follower.near
             ):
-                due.append(host)
-        if not due:
-            return
-        payload = _encoder.encode(load)
-        for host in due:
-            self._transport.sendto(payload, (host, self._port))
-            self._sent_by_host[host] = (now, report)
-            self.sent_datagrams += 1
+                payload = payload or _encoder.encode(load)
+                follower.sent_at, follower.sent = now, report
+                self._send(Kind.LOAD, payload, host)
 
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
 
+    def _on_follow(self, host: str, message: mesh.Follow, now: float) -> None:
+        known = self._followers_by_host.get(host)
+        until = now + FOLLOWER_S
+        if known is not None:
+            known.near, known.until = message.near, until
+            return
+        self._followers_by_host[host] = _Follower(message.near, until, now, None)
+        self.publish(now)
+
+    def _send(self, kind: Kind, payload: bytes, host: str) -> None:
+        if self._transport is None:
+            return
+        self._transport.sendto(kind.value + payload, (host, self._port))
+        self.sent_datagrams += 1
+
 
 def _report(load: mesh.Load) -> reporting.Report:
-    state = (load.instance, load.accepting, load.configuration, load.revision)
+    state = (
+        load.instance,
+        load.accepting,
+        load.configuration,
+        load.revision,
+        load.source_away,
+    )
     return reporting.Report(
         load.running + load.waiting,
         load.slots,
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import dataclasses
+import functools
 import logging
 import random
 import time
 
+from snipelink.decide import interest, placement, turns
 from snipelink.generated import mesh
 from snipelink.mesh import (
     admission,
+    attempts,
     callers,
     catalog,
     dispatch,
@@ -38,8 +41,8 @@
 # Time before the end of the grace period at which the node stops anyway, seconds.
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.05
-# Time between two looks at what has grown old.
-EXPIRY_S = 1.0
+# Time between two looks at which nodes are followed and heard, seconds.
+FOLLOW_LOOK_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,12 +93,14 @@
         )
         self._peers = peers.PeerClient(own.peer_port)
         self._peer_port = peers.PeerPort(self._runner, self._catalog)
+        self._interest = interest.Interest(own.host)
+        self._followed: dict[str, bool] = {}
+        self._rng = rng
         self._exchange = loads.LoadExchange(
             own.host, own.load_port, self._loads, self._load, self._on_report
         )
-        self._dispatcher = dispatch.Dispatcher(
+        running = attempts.Attempts(
             own,
-            names,
             self._catalog,
             self._loads,
             self._runner,
@@ -103,6 +108,9 @@
             self._metrics,
             rng,
         )
+        self._dispatcher = dispatch.Dispatcher(
+            own, names, self._catalog, running, self._metrics, rng
+        )
         self._callers = callers.CallerPort(self._dispatcher, names, self._limits)
         self._poller = health.Poller(
             self._endpoint,
@@ -112,7 +120,9 @@
             names,
             self._on_poll,
         )
-        self._watcher = watcher.Watcher(source, self._catalog, self._on_catalog, rng)
+        self._watcher = watcher.Watcher(
+            source, self._catalog, self._on_catalog, rng, self._others
+        )
         self._ready_port = status.StatusPort({paths.ready: self._ready})
         self._metrics_port = status.StatusPort({paths.metrics: self._exposition})
         self._add_gauges()
@@ -135,14 +145,14 @@
         await self._peer_port.start(own.peer_listen)
         await self._callers.start(own.caller_listen)
         await self._ready_port.start(own.ready_listen)
-        await self._metrics_port.start(own.metrics_listen)
+        await self._start_metrics_port()
         tasks = [
             asyncio.ensure_future(self._watcher.run()),
             asyncio.ensure_future(
                 self._watcher.follow_nodes(self._newest, self._peers.fetch_published)
             ),
             asyncio.ensure_future(self._poller.run()),
-            asyncio.ensure_future(self._expire()),
+            asyncio.ensure_future(self._follow()),
         ]
         stopped = asyncio.ensure_future(stop.wait())
         logger.info(
@@ -161,10 +171,20 @@
         logger.info("node has stopped", extra={"fields": {"calls_cut_off": cut}})
         return 1 if cut else 0
 
+    async def _start_metrics_port(self) -> None:
+        try:
+            await self._metrics_port.start(self._own.metrics_listen)
+        except OSError as error:
+            # Calls are served all the same; operators miss the figures of this node.
+            logger.warning(
+                "metrics port is taken", extra={"fields": {"error": str(error)}}
+            )
+
     def reload(self, new: settings.Settings) -> None:
         """Take over changed settings."""
         changed, ignored = self._own.take_over(new)
         self._endpoint.address = self._own.endpoint_address
+        self._rank_interest()
         logger.info(
             "settings are reloaded",
             extra={"fields": {"changed": changed, "needs_restart": ignored}},
@@ -217,16 +237,38 @@
     def _calls_in_flight(self) -> int:
         return self._callers.requests_in_flight + self._peer_port.calls_in_flight
 
-    async def _expire(self) -> None:
+    async def _follow(self) -> None:
+        """Keep up with the nodes whose load this node needs."""
         while True:
-            await asyncio.sleep(EXPIRY_S)
             now = time.monotonic()
+            is_silent = functools.partial(self._exchange.is_silent, now=now)
+            self._followed = self._interest.followed(is_silent)
+            self._exchange.follow(self._followed, now)
             fallen, back = self._loads.silence(now)
             for host in fallen:
                 logger.warning("node is silent", extra={"fields": {"host": host}})
             for host in back:
                 logger.info("node is heard again", extra={"fields": {"host": host}})
-            self._loads.expire(set(self._catalog.instances_by_id), now)
+            self._loads.expire(self._followed, now)
+            if self._is_source_away(now):
+                self._catalog.on_source_away(now)
+            await asyncio.sleep(FOLLOW_LOOK_S)
+
+    def _is_source_away(self, now: float) -> bool:
+        """Whether this node or one that it hears cannot reach the store."""
+        return self._watcher.is_away(now) or any(
+            fact.load.source_away and now - fact.received_at < placement.SILENT_S
+            for fact in self._loads.facts_by_host.values()
+        )
+
+    def _others(self) -> turns.Others:
+        now = time.monotonic()
+        return turns.Others(
+            published=len(self._catalog.instances_by_id),
+            followed=len(self._followed),
+            heard=sum(self._loads.is_heard(host, now) for host in self._followed),
+            refused=self._is_source_away(now),
+        )
 
     def _on_poll(self, now: float) -> None:
         state = self._runner.state
@@ -237,21 +279,20 @@
 
     def _on_catalog(self) -> None:
         self._dispatcher.on_catalog_change()
+        self._rank_interest()
         self._publish_load(time.monotonic())
 
+    def _rank_interest(self) -> None:
+        instances = self._catalog.instances_by_id.values()
+        self._interest.rank(instances, self._own.failure_domain)
+
     def _on_report(self, host: str, load: mesh.Load) -> None:
         if self._started_by_host.get(host) != load.started_ms:
             self._started_by_host[host] = load.started_ms
             self._peers.forget(host)
 
     def _publish_load(self, now: float) -> None:
-        near_by_host = {
-            instance.host: instance.failure_domain == self._own.failure_domain
-            for instance in self._catalog.instances_by_id.values()
-        }
-        for host in self._loads.facts_by_host:
-            near_by_host.setdefault(host, False)
-        self._exchange.publish(near_by_host.items(), now)
+        self._exchange.publish(now)
 
     def _load(self, now: float) -> mesh.Load:
         state, slots = self._runner.state, self._runner.slots
@@ -267,12 +308,19 @@
             state.is_accepting,
             self._catalog.revision,
             self._catalog.version,
+            self._watcher.is_away(now),
         )
 
     def _newest(self) -> tuple[int, str]:
-        """Return the highest revision that a node reports, and its host."""
+        """Return the highest revision that a node reports, and its host.
+
+        Of several, one in this failure domain is taken if there is one.
+        """
         facts = self._loads.facts_by_host.values()
-        return max(((f.load.revision, f.host) for f in facts), default=(0, ""))
+        newest = max((fact.load.revision for fact in facts), default=0)
+        hosts = [fact.host for fact in facts if fact.load.revision == newest]
+        near = [host for host in hosts if self._followed.get(host)]
+        return newest, self._rng.choice(near or hosts) if hosts else ""
 
     def _limits(self) -> objects.CallerLimits:
         table = self._catalog.table
@@ -302,6 +350,8 @@
             "platform_reads": lambda: self._watcher.reads,
             "platform_reads_failed": lambda: self._watcher.failed_reads,
             "load_datagrams_sent": lambda: self._exchange.sent_datagrams,
+            "nodes_followed": lambda: len(self._followed),
+            "nodes_following": lambda: self._exchange.follower_count,
         }
         for name, read in values.items():
             self._metrics.gauge(f"snipelink_mesh_{name}", name.replace("_", " "), read)
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -30,6 +30,8 @@
 _encoder = msgspec.msgpack.Encoder()
 _call_decoder = msgspec.msgpack.Decoder(mesh.Call)
 _reply_decoder = msgspec.msgpack.Decoder(mesh.Reply)
+_request_decoder = msgspec.msgpack.Decoder(mesh.PublishedRequest)
+_changes_decoder = msgspec.msgpack.Decoder(catalog.Changes)
 _published_decoder = msgspec.msgpack.Decoder(objects.Published)
 
 
@@ -82,20 +84,25 @@
             if not kept:
                 connection.stream.abort()
 
-    async def fetch_published(self, host: str) -> Result[objects.Published, str]:
-        """Return what the node on `host` knows of the published state."""
+    async def fetch_published(
+        self, host: str, after: int
+    ) -> Result[objects.Published | catalog.Changes, str]:
+        """Return what the node on `host` knows beyond a revision."""
+        request = _encoder.encode(mesh.PublishedRequest(after))
         try:
             async with asyncio.timeout(PUBLISHED_TIMEOUT_S):
                 stream = await channel.connect((host, self._port), CONNECT_TIMEOUT_S)
                 connection = frames.FrameChannel(stream)
                 try:
-                    connection.send(frames.Kind.PUBLISHED_REQUEST, b"")
+                    connection.send(frames.Kind.PUBLISHED_REQUEST, request)
                     received = await connection.receive()
                 finally:
                     stream.abort()
-            if received is None or received[0] is not frames.Kind.PUBLISHED:
-                return Err("no published state in the reply")
-            return Ok(_published_decoder.decode(received[1]))
+            if received is not None and received[0] is frames.Kind.CHANGES:
+                return Ok(_changes_decoder.decode(received[1]))
+            if received is not None and received[0] is frames.Kind.PUBLISHED:
+                return Ok(_published_decoder.decode(received[1]))
+            return Err("no published state in the reply")
         except (OSError, framing.FrameError, msgspec.MsgspecError) as error:
             return Err(str(error) or type(error).__name__)
 
@@ -185,8 +192,7 @@
                     return
                 kind, payload = received
                 if kind is frames.Kind.PUBLISHED_REQUEST:
-                    published = _encoder.encode(self._catalog.published())
-                    connection.send(frames.Kind.PUBLISHED, published)
+                    self._send_published(connection, payload)
                 elif kind is frames.Kind.CALL:
                     if not await self._serve_call(connection, payload):
                         return
@@ -201,6 +207,15 @@
                 extra={"fields": {"host": stream.peer_host, "error": str(error)}},
             )
 
+    def _send_published(self, connection: frames.FrameChannel, payload: bytes) -> None:
+        request = _request_decoder.decode(payload)
+        changes = self._catalog.changes_since(request.after)
+        if changes is not None:
+            connection.send(frames.Kind.CHANGES, _encoder.encode(changes))
+            return
+        published = _encoder.encode(self._catalog.published())
+        connection.send(frames.Kind.PUBLISHED, published)
+
     async def _serve_call(
         self, connection: frames.FrameChannel, payload: bytes
     ) -> bool:
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -11,20 +11,22 @@
 
 from result import Err, Result
 
+from snipelink.decide import turns
 from snipelink.mesh import catalog, objects
 
 logger = logging.getLogger(__name__)
 
-# A watch is renewed after this time, seconds: an answer that was lost delays changes
-# by no more, and callers are in touch again three seconds after a disruption.
-WATCH_S = 3.0
 # Changes come in series, and each answer of the store costs a call; time between an
 # answer and the next watch, seconds.
 PAUSE_S = 0.15
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
-# Time for which another node must know more before it is asked, seconds: usually the
-# own watch brings the change within milliseconds.
+# Shortest watch that is worth a call, seconds.
+MIN_WATCH_S = 0.5
+# Longest time between two looks at whether it is this node's turn, seconds.
+TURN_LOOK_S = 0.3
+# Time for which another node must know more before it is asked by a node that watches,
+# seconds: usually the own watch brings the change within milliseconds.
 BEHIND_S = 0.25
 BEHIND_POLL_S = 0.1
 # A store that was out of reach for longer may have dropped entries of living servers.
@@ -42,8 +44,11 @@
 class Source(typing.Protocol):
     """Reads the published state."""
 
-    async def read(self) -> objects.Published:
-        """Return the whole state; raises ``SourceError``."""
+    async def read(self, *, fresh: bool) -> objects.Published:
+        """Return the whole state; raises ``SourceError``.
+
+        Without `fresh` it may be some seconds old, which costs the store less.
+        """
 
     async def watch(self, after: int, wait_s: float) -> catalog.Changes:
         """Return the changes after a revision, once there are some.
@@ -53,7 +58,9 @@
         """
 
 
-FetchFromNode = Callable[[str], typing.Awaitable[Result[objects.Published, str]]]
+FetchFromNode = Callable[
+    [str, int], typing.Awaitable[Result[objects.Published | catalog.Changes, str]]
+]
 
 
 class Watcher:
@@ -69,6 +76,8 @@
         Called after each change of the catalogue.
     rng : random.Random
         Spreads repeated reads of many nodes.
+    others : callable
+        Returns what this node knows of the others, which watch in turns with it.
     """
 
     def __init__(
@@ -77,31 +86,48 @@
         known: catalog.Catalog,
         on_change: Callable[[], None],
         rng: random.Random,
+        others: Callable[[], turns.Others],
     ) -> None:
         self._source = source
         self._catalog = known
         self._on_change = on_change
         self._rng = rng
+        self._others = others
+        self._turns = turns.Turns(rng, time.monotonic())
+        self._in_turn = False
         self._failed_since: float | None = None
         self._behind_since: float | None = None
         self.reads = 0
         self.failed_reads = 0
 
+    @property
+    def is_watching(self) -> bool:
+        """Whether it is this node's turn, and the store answers it."""
+        return self._in_turn and self._failed_since is None
+
+    def is_away(self, now: float) -> bool:
+        """Whether the store has not answered for longer than a hiccup."""
+        return self._failed_since is not None and now - self._failed_since > AWAY_S
+
     async def run(self) -> None:
-        """Read and watch until cancelled."""
+        """Read, and watch by turns, until cancelled."""
         backoff_s = MIN_BACKOFF_S
-        must_read = True
+        must_read, fresh = True, False
         while True:
             try:
                 if must_read:
                     self.reads += 1
-                    published = await self._source.read()
+                    published = await self._source.read(fresh=fresh)
                     self._succeeded()
                     self._catalog.sync(published, time.monotonic())
                     must_read = False
                 else:
+                    await self._wait_for_turn()
                     self.reads += 1
-                    changes = await self._source.watch(self._catalog.revision, WATCH_S)
+                    watch_s = self._turns.watch_s(time.monotonic())
+                    changes = await self._source.watch(
+                        self._catalog.revision, max(MIN_WATCH_S, watch_s)
+                    )
                     self._succeeded()
                     self._catalog.apply(changes, time.monotonic())
                 self._on_change()
@@ -112,12 +138,18 @@
                     "history of the platform is lost",
                     extra={"fields": {"after": self._catalog.revision}},
                 )
-                must_read = True
+                must_read = fresh = True
             except SourceError as error:
                 self._failed(error)
                 await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2.0)
 
+    async def _wait_for_turn(self) -> None:
+        while not self._turns.is_due(self._others(), time.monotonic()):
+            self._in_turn = False
+            await asyncio.sleep(TURN_LOOK_S * self._rng.uniform(0.5, 1.0))
+        self._in_turn = True
+
     async def follow_nodes(
         self, newest: Callable[[], tuple[int, str]], fetch: FetchFromNode
     ) -> None:
@@ -128,7 +160,7 @@
         newest : callable
             Returns the highest revision that a node reports, and its host.
         fetch : callable
-            Returns the published state that the node on a host knows.
+            Returns what the node on a host knows beyond a revision.
         """
         while True:
             await asyncio.sleep(BEHIND_POLL_S)
@@ -139,10 +171,10 @@
                 continue
             if self._behind_since is None:
                 self._behind_since = now
-            if now - self._behind_since < BEHIND_S:
+            if self.is_watching and now - self._behind_since < BEHIND_S:
                 continue
             self._behind_since = now
-            fetched = await fetch(host)
+            fetched = await fetch(host, self._catalog.revision)
             fields: dict[str, object] = {
                 "host": host,
                 "known": self._catalog.revision,
@@ -151,10 +183,19 @@
             if isinstance(fetched, Err):
                 fields["error"] = fetched.err_value
             else:
-                fields["taken"] = self._catalog.sync(fetched.ok_value, time.monotonic())
+                fields["changed"] = self._take(fetched.ok_value)
                 self._on_change()
             logger.info("asked a node that knows more", extra={"fields": fields})
 
+    def _take(self, known: objects.Published | catalog.Changes) -> bool:
+        """Take over what another node knows; false if it is not newer."""
+        before, now = self._catalog.revision, time.monotonic()
+        if isinstance(known, catalog.Changes):
+            self._catalog.apply(known, now)
+        else:
+            self._catalog.sync(known, now)
+        return self._catalog.revision > before
+
     def _succeeded(self) -> None:
         if self._failed_since is None:
             return
@@ -162,7 +203,7 @@
         away_s = now - self._failed_since
         self._failed_since = None
         if away_s > AWAY_S:
-            self._catalog.on_source_returned(now)
+            self._catalog.on_source_away(now)
         logger.info("platform is back", extra={"fields": {"away_s": round(away_s, 3)}})
 
     def _failed(self, error: SourceError) -> None:
--- /dev/null
+++ b/tests/decide/test_interest.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import collections
+
+import pytest
+
+from snipelink.decide import interest
+from snipelink.mesh import objects
+
+DOMAINS = "abc"
+
+
+def _endpoints(count: int, service: str = "rota") -> list[objects.Instance]:
+    return [
+        objects.Instance(
+            f"{service}-{index}",
+            service,
+            f"{service}.{index}",
+            DOMAINS[index % len(DOMAINS)],
+            False,
+        )
+        for index in range(count)
+    ]
+
+
+def _followed(
+    host: str,
+    domain: str,
+    endpoints: list[objects.Instance],
+    silent: frozenset[str] = frozenset(),
+) -> dict[str, bool]:
+    chosen = interest.Interest(host)
+    chosen.rank(endpoints, domain)
+    return chosen.followed(silent.__contains__)
+
+
+def test_small_fleet_is_followed_whole_but_for_the_own_machine() -> None:
+    followed = _followed("rota.0", "a", _endpoints(9))
+    assert set(followed) == {f"rota.{index}" for index in range(1, 9)}
+    assert {host for host, near in followed.items() if near} == {"rota.3", "rota.6"}
+
+
+@pytest.mark.parametrize("count", [60, 300, 3000])
+def test_count_of_followed_machines_does_not_grow_with_the_fleet(count: int) -> None:
+    followed = _followed("x", "a", _endpoints(count) + _endpoints(count, "archive"))
+    assert len(followed) == 2 * (interest.NEAR_COUNT + interest.FAR_COUNT)
+
+
+def test_nodes_together_follow_every_endpoint_about_equally() -> None:
+    endpoints = _endpoints(300)
+    followers: collections.Counter[str] = collections.Counter()
+    for endpoint in endpoints:
+        followers.update(_followed(endpoint.host, endpoint.failure_domain, endpoints))
+    expected = interest.NEAR_COUNT + interest.FAR_COUNT
+    assert len(followers) == len(endpoints)
+    assert min(followers.values()) > expected * 0.4
+    assert max(followers.values()) < expected * 2.0
+
+
+def test_silent_machine_is_still_followed_and_another_one_too() -> None:
+    endpoints = _endpoints(90)
+    followed = _followed("x", "a", endpoints)
+    silent = next(host for host, near in followed.items() if near)
+    replaced = _followed("x", "a", endpoints, frozenset({silent}))
+    assert set(followed) < set(replaced)
+    assert len(replaced) == len(followed) + 1
+
+
+def test_domain_with_few_endpoints_follows_more_of_the_others() -> None:
+    endpoints = [e for e in _endpoints(300) if e.failure_domain != "a"]
+    followed = _followed("x", "a", endpoints)
+    assert len(followed) == interest.NEAR_COUNT
+    assert not any(followed.values())
+
+
+def test_leaving_endpoint_is_not_followed() -> None:
+    leaving = objects.Instance("i-1", "rota", "rota.1", "a", True)
+    assert _followed("x", "a", [leaving]) == {}
--- /dev/null
+++ b/tests/decide/test_turns.py
@@ -0,0 +1,99 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from snipelink.decide import turns
+
+LOOK_S = 0.25
+# Time in which a change must be in force on the strictest deployment.
+BOUND_S = 2.0
+CALM = turns.Others(published=80, followed=20, heard=20)
+
+
+class Fleet:
+    """Nodes that take turns."""
+
+    def __init__(self, nodes: int, seed: int = 1) -> None:
+        self._nodes = [
+            turns.Turns(random.Random(seed * nodes + index), 0.0)
+            for index in range(nodes)
+        ]
+        self.refused: set[int] = set()
+
+    def play(self, first_s: float, last_s: float) -> list[int]:
+        """Return how many watched at each look."""
+        count = len(self._nodes)
+        refused = bool(self.refused)
+        others = turns.Others(count, followed=20, heard=20, refused=refused)
+        return [
+            sum(
+                node.is_due(others, look * LOOK_S) and index not in self.refused
+                for index, node in enumerate(self._nodes)
+            )
+            for look in range(int(first_s / LOOK_S), int(last_s / LOOK_S))
+        ]
+
+
+def _longest_gap_s(counts: list[int]) -> float:
+    gap = longest = 0
+    for count in counts:
+        gap = 0 if count else gap + 1
+        longest = max(longest, gap)
+    return longest * LOOK_S
+
+
+@pytest.mark.parametrize("nodes", [30, 80, 300])
+def test_a_few_nodes_watch_at_any_time_whatever_the_fleet(nodes: int) -> None:
+    counts = Fleet(nodes).play(0.0, 120.0)
+    mean = sum(counts) / len(counts)
+    assert turns.WATCHERS * 0.7 < mean < turns.WATCHERS * 2.0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_there_is_no_gap_after_all_nodes_start_at_once(seed: int) -> None:
+    counts = Fleet(80, seed=seed).play(0.0, 60.0)
+    assert _longest_gap_s(counts) < BOUND_S
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_there_is_no_gap_while_the_store_refuses_a_third_of_the_nodes(
+    seed: int,
+) -> None:
+    fleet = Fleet(80, seed=seed)
+    fleet.play(0.0, 20.0)
+    fleet.refused = set(range(0, 80, 3))
+    assert _longest_gap_s(fleet.play(20.0, 60.0)) < BOUND_S
+
+
+def test_only_node_watches_all_the_time() -> None:
+    node = turns.Turns(random.Random(1), 0.0)
+    others = turns.Others(published=1, followed=0, heard=0)
+    assert all(node.is_due(others, look * LOOK_S) for look in range(100))
+
+
+def test_small_fleet_watches_all_the_time() -> None:
+    node = turns.Turns(random.Random(1), 0.0)
+    others = turns.Others(published=5, followed=4, heard=4)
+    assert all(node.is_due(others, look * LOOK_S) for look in range(100))
+
+
+def test_node_that_hears_no_other_watches_often() -> None:
+    node = turns.Turns(random.Random(1), 0.0)
+    others = turns.Others(published=3900, followed=20, heard=1)
+    due = [node.is_due(others, look * 0.05) for look in range(400)]
+    rest_s = turns.ALONE_REST_S * turns.MAX_SPREAD
+    assert sum(due) >= 400 * 0.05 / (rest_s + 0.05)
+
+
+def test_node_that_hears_no_other_watches_once_and_looks_again() -> None:
+    node = turns.Turns(random.Random(1), 0.0)
+    alone = turns.Others(published=80, followed=20, heard=0)
+    assert node.is_due(alone, turns.ALONE_REST_S)
+    assert not node.is_due(CALM, turns.ALONE_REST_S + 0.1)
+
+
+def test_nodes_that_are_cut_off_are_not_counted_on() -> None:
+    cut = turns.Others(published=80, followed=20, heard=10)
+    assert cut.reachable == CALM.reachable / 2
--- a/tests/decide/test_work.py
+++ b/tests/decide/test_work.py
@@ -17,12 +17,21 @@
     assert progress.work_until(9.0) == 3.0
 
 
-def test_unknown_operation_takes_the_mean_of_its_service() -> None:
+def test_work_of_an_unknown_operation_is_guessed_from_its_objective() -> None:
     estimates = work.Estimates()
-    assert estimates.work_s("rota", "view") == work.UNKNOWN_WORK_S
+    assert estimates.work_s("rota", "view", 0.5) == pytest.approx(0.2)
     estimates.record("rota", "claim", 0.4)
-    assert estimates.work_s("rota", "view") == 0.4
-    assert estimates.work_s("archive", "view") == work.UNKNOWN_WORK_S
+    assert estimates.work_s("rota", "view", 0.5) == pytest.approx(0.2)
+    assert estimates.work_s("rota", "claim", 0.5) == 0.4
+    assert estimates.mean_work_s("rota") == 0.4
+    assert estimates.mean_work_s("archive") == work.UNKNOWN_WORK_S
+
+
+def test_first_calls_of_an_operation_count_alike() -> None:
+    estimates = work.Estimates()
+    for work_s in (0.1, 0.3, 0.2):
+        estimates.record("rota", "view", work_s)
+    assert estimates.work_s("rota", "view", 0.5) == pytest.approx(0.2)
 
 
 def test_estimate_follows_a_changed_operation_within_forty_calls() -> None:
@@ -30,7 +39,7 @@
     estimates.record("rota", "view", 0.1)
     for _ in range(40):
         estimates.record("rota", "view", 0.3)
-    assert estimates.work_s("rota", "view") == pytest.approx(0.3, rel=0.02)
+    assert estimates.work_s("rota", "view", 0.5) == pytest.approx(0.3, rel=0.02)
 
 
 def test_operations_that_are_not_published_are_forgotten() -> None:
@@ -38,8 +47,8 @@
     estimates.record("rota", "view", 0.1)
     estimates.record("rota", "claim", 0.5)
     estimates.retain({("rota", "claim")})
-    assert estimates.work_s("rota", "claim") == 0.5
-    assert estimates.work_s("rota", "view") != 0.1
+    assert estimates.work_s("rota", "claim", 0.7) == 0.5
+    assert estimates.work_s("rota", "view", 0.5) != 0.1
 
 
 def test_time_of_work_goes_on_at_the_mean_speed() -> None:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -5,12 +5,12 @@
 import asyncio
 import contextlib
 import dataclasses
-import itertools
 import typing
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from snipelink.mesh import catalog, channel, node, objects, settings, watcher
 from snipelink.session import answers, http, memory, requests
+from tests import loopback
 
 NAMES = settings.HeaderNames()
 PATHS = node.Paths(ready="/ready", metrics="/metrics")
@@ -28,7 +28,6 @@
 READY_PORT = 21383
 METRICS_PORT = 21384
 SERVICES = ("rota", "archive")
-_hosts = itertools.count(1)
 
 
 class Seen(typing.NamedTuple):
@@ -151,7 +150,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def read(self) -> objects.Published:
+    async def read(self, *, fresh: bool) -> objects.Published:
         if self.is_away:
             raise watcher.SourceError("away")
         return self.state
@@ -218,7 +217,7 @@
 
 
 def make_member(service: str, store: FakeStore, zone: str = "a") -> Member:
-    host = f"127.0.{next(_hosts) % 250 + 1}.1"
+    host = loopback.next_host()
     endpoint = FakeEndpoint(host, f"i-{host}", service)
     own = settings.Settings(
         node=f"node-{host}",
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -55,7 +55,7 @@
 
 def test_lapsed_entries_are_kept_longer_after_the_store_was_away() -> None:
     known = _catalog(_instance("a"))
-    known.on_source_returned(NOW)
+    known.on_source_away(NOW)
     known.apply(catalog.Changes(6, removed=("a",)), NOW)
     assert _usable(known, NOW + 2.0) == ["a"]
     assert _usable(known, NOW + 2.3) == []
@@ -66,3 +66,34 @@
     late = _instance("a", leaving=True, born_ms=1000)
     known.apply(catalog.Changes(6, instances=(late,)), NOW)
     assert _usable(known) == ["a"]
+
+
+def test_changes_since_a_revision_lead_to_the_same_state() -> None:
+    first, second = catalog.Catalog(2.0), catalog.Catalog(2.0)
+    for known in (first, second):
+        known.sync(objects.Published(5, None, (_instance("a"), _instance("b"))), NOW)
+    first.apply(catalog.Changes(6, removed=("a",)), NOW)
+    first.apply(catalog.Changes(7, instances=(_instance("c"),)), NOW)
+    first.apply(catalog.Changes(9, instances=(_instance("a"),), removed=("c",)), NOW)
+    for after in (5, 6, 7, 8, 9):
+        changes = first.changes_since(after)
+        assert changes is not None
+        assert changes.revision == 9
+    changes = first.changes_since(5)
+    assert changes is not None
+    second.apply(changes, NOW)
+    assert second.instances_by_id == first.instances_by_id
+    assert second.revision == first.revision
+
+
+def test_changes_that_are_no_longer_known_are_not_made_up() -> None:
+    known = catalog.Catalog(2.0)
+    known.sync(objects.Published(5, None, ()), NOW)
+    known.apply(catalog.Changes(6, instances=(_instance("a"),)), NOW)
+    assert known.changes_since(4) is None
+    known.sync(objects.Published(8, None, ()), NOW)
+    assert known.changes_since(6) is None
+    for revision in range(9, 9 + 2 * catalog.MAX_KEPT_CHANGES):
+        known.apply(catalog.Changes(revision), NOW)
+    assert known.changes_since(9) is None
+    assert known.changes_since(known.revision - 1) is not None
--- a/tests/mesh/test_loads.py
+++ b/tests/mesh/test_loads.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import asyncio
+import time
 from typing import Any
 
 import pytest
@@ -25,6 +27,7 @@
         "accepting": True,
         "revision": 5,
         "configuration": 2,
+        "source_away": False,
     }
     return mesh.Load(**(values | changes))
 
@@ -85,9 +88,92 @@
     assert table.silence(late + 0.3) == (set(), {HOST})
 
 
-def test_published_endpoints_are_kept_and_others_forgotten() -> None:
+def test_followed_endpoints_are_kept_and_others_forgotten() -> None:
     table = loads.LoadTable()
     table.update(_load(), HOST, 10.0)
     table.update(_load(instance="i-2"), "10.0.0.2", 10.0)
-    table.expire({"i-1"}, 10.0 + loads.HEARD_S + 0.1)
+    table.expire({HOST}, 10.0 + loads.KEPT_S + 0.1)
     assert set(table.facts_by_instance) == {"i-1"}
+    assert set(table.facts_by_host) == {HOST}
+
+
+def test_former_process_of_a_followed_machine_is_forgotten() -> None:
+    table = loads.LoadTable()
+    table.update(_load(), HOST, 10.0)
+    table.update(_load(instance="i-2", sequence=2), HOST, 10.1)
+    table.expire({HOST}, 10.1 + loads.KEPT_S + 0.1)
+    assert set(table.facts_by_instance) == {"i-2"}
+
+
+class Wire(asyncio.DatagramTransport):
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent: list[tuple[bytes, str]] = []
+
+    def sendto(self, data: bytes, addr: Any = None) -> None:
+        self.sent.append((data, addr[0]))
+
+    def take(self) -> list[tuple[bytes, str]]:
+        sent, self.sent = self.sent, []
+        return sent
+
+
+def _exchange(table: loads.LoadTable) -> tuple[loads.LoadExchange, Wire]:
+    exchange = loads.LoadExchange(
+        "10.0.0.9", 7000, table, lambda now: _load(instance="own"), lambda *_: None
+    )
+    wire = Wire()
+    exchange.connection_made(wire)
+    return exchange, wire
+
+
+def test_load_is_told_only_to_followers_and_until_they_stop_asking() -> None:
+    exchange, wire = _exchange(loads.LoadTable())
+    exchange.publish(0.0)
+    assert wire.take() == []
+    asker, asked_by = _exchange(loads.LoadTable())
+    asker.follow({"10.0.0.9": True}, 0.0)
+    ((request, host),) = asked_by.take()
+    assert host == "10.0.0.9"
+    exchange.datagram_received(request, (HOST, 7000))
+    ((report, host),) = wire.take()
+    assert host == HOST
+    assert report[:1] == loads.Kind.LOAD.value
+    exchange.publish(time.monotonic() + 1.0)
+    assert [host for _, host in wire.take()] == [HOST]
+    exchange.publish(time.monotonic() + loads.FOLLOWER_S + 0.1)
+    assert wire.take() == []
+    assert exchange.follower_count == 0
+
+
+def test_node_that_is_not_heard_is_asked_again_sooner() -> None:
+    table = loads.LoadTable()
+    exchange, wire = _exchange(table)
+    near_by_host = {HOST: True, "10.0.0.2": False}
+    exchange.follow(near_by_host, 0.0)
+    assert {host for _, host in wire.take()} == {HOST, "10.0.0.2"}
+    table.update(_load(), HOST, 0.2)
+    exchange.follow(near_by_host, loads.FOLLOW_UNHEARD_S)
+    assert [host for _, host in wire.take()] == ["10.0.0.2"]
+
+
+def test_node_is_silent_only_after_it_had_time_to_answer() -> None:
+    table = loads.LoadTable()
+    exchange, _ = _exchange(table)
+    assert not exchange.is_silent(HOST, 0.0)
+    exchange.follow({HOST: True}, 0.0)
+    assert not exchange.is_silent(HOST, 0.5)
+    assert exchange.is_silent(HOST, placement.SILENT_S + 0.1)
+    table.update(_load(), HOST, 1.5)
+    assert not exchange.is_silent(HOST, 1.6)
+
+
+@pytest.mark.parametrize("data", [b"", b"X123", b"L123", b"F"])
+def test_unreadable_datagram_is_counted_and_dropped(data: bytes) -> None:
+    exchange, wire = _exchange(loads.LoadTable())
+    exchange.datagram_received(data, (HOST, 7000))
+    assert exchange.unreadable_datagrams == 1
+    assert exchange.follower_count == 0
+    assert wire.take() == []
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -477,3 +477,36 @@
         assert response is not None
         assert response.status == 400
         assert not members[0].endpoint.seen
+
+
+@run
+async def test_node_serves_calls_though_its_metrics_port_is_taken() -> None:
+    member = fleet.make_member("rota", fleet.FakeStore())
+    address = (member.host, fleet.METRICS_PORT)
+    other = await channel.listen(address, lambda _: asyncio.sleep(0), 1)
+    fleet.publish(
+        [member], fleet.configuration(fleet.route("rota")), (fleet.published(member),)
+    )
+    await member.start()
+    try:
+        await fleet.wait_until(lambda: member.node.is_ready)
+        await fleet.wait_until(lambda: bool(member.node.facts()))
+        client = await fleet.Client.open(member)
+        assert (await client.ask("c-1")).status == 200
+    finally:
+        await member.end()
+        other.close()
+
+
+@run
+async def test_resting_node_learns_of_a_change_from_a_watching_one() -> None:
+    async with fleet.running("rota", "rota", "rota") as members:
+        resting = members[1]
+        resting.store.is_away = True
+        new = fleet.configuration(fleet.route("rota", "/new/"), version=2)
+        members[0].store.publish(new)
+        client = await fleet.Client.open(resting)
+        started = time.monotonic()
+        while (await client.ask("c-1", path="/new/1")).status == 404:
+            await asyncio.sleep(0.02)
+        assert time.monotonic() - started < 1.0
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 
 import pytest
 from result import Err, Ok, Result
 
+from snipelink.decide import turns
 from snipelink.mesh import catalog, objects, watcher
 
 Step = catalog.Changes | objects.Published | Exception
@@ -20,8 +22,8 @@
         self.steps = list(steps)
         self.calls: list[str] = []
 
-    async def read(self) -> objects.Published:
-        step = await self._next("read")
+    async def read(self, *, fresh: bool) -> objects.Published:
+        step = await self._next("read fresh" if fresh else "read")
         assert isinstance(step, objects.Published)
         return step
 
@@ -44,6 +46,14 @@
     return objects.Instance(name, "rota", "10.0.0.1", "a", False)
 
 
+def _watcher(
+    source: Script,
+    known: catalog.Catalog,
+    others: Callable[[], turns.Others] = lambda: turns.Others(1, 2, 2),
+) -> watcher.Watcher:
+    return watcher.Watcher(source, known, lambda: None, random.Random(1), others)
+
+
 def _play(
     monkeypatch: pytest.MonkeyPatch, *steps: Step
 ) -> tuple[Script, catalog.Catalog]:
@@ -53,7 +63,7 @@
     source, known = Script(steps), catalog.Catalog(2.0)
 
     async def play() -> None:
-        tested = watcher.Watcher(source, known, lambda: None, random.Random(1))
+        tested = _watcher(source, known)
         task = asyncio.ensure_future(tested.run())
         async with asyncio.timeout(5.0):
             while len(source.calls) <= len(steps):
@@ -87,7 +97,7 @@
         watcher.HistoryLost(),
         objects.Published(12, None, (_instance("b"),)),
     )
-    assert source.calls == ["read", "watch 7", "read", "watch 12"]
+    assert source.calls == ["read", "watch 7", "read fresh", "watch 12"]
     assert set(known.instances_by_id) == {"b"}
 
 
@@ -122,13 +132,15 @@
     [
         (Ok(objects.Published(9, None, (_instance("a"),))), 9),
         (Ok(objects.Published(3, None, ())), 5),
+        (Ok(catalog.Changes(8, instances=(_instance("a"),))), 8),
+        (Ok(catalog.Changes(4, instances=(_instance("a"),))), 5),
         (Err("refused"), 5),
     ],
-    ids=["newer", "older", "out of reach"],
+    ids=["newer", "older", "newer changes", "older changes", "out of reach"],
 )
 def test_node_that_reports_more_is_asked_for_it(
     monkeypatch: pytest.MonkeyPatch,
-    fetched: Result[objects.Published, str],
+    fetched: Result[objects.Published | catalog.Changes, str],
     expected: int,
 ) -> None:
     monkeypatch.setattr(watcher, "BEHIND_S", 0.02)
@@ -137,12 +149,14 @@
     known.sync(objects.Published(5, None, ()), 0.0)
     asked: list[str] = []
 
-    async def fetch(host: str) -> Result[objects.Published, str]:
-        asked.append(host)
+    async def fetch(
+        host: str, after: int
+    ) -> Result[objects.Published | catalog.Changes, str]:
+        asked.append(f"{host} after {after}")
         return fetched
 
     async def play() -> None:
-        tested = watcher.Watcher(Script([]), known, lambda: None, random.Random(1))
+        tested = _watcher(Script([]), known)
         follow = tested.follow_nodes(lambda: (9, "10.0.0.2"), fetch)
         task = asyncio.ensure_future(follow)
         async with asyncio.timeout(5.0):
@@ -152,5 +166,52 @@
         task.cancel()
 
     asyncio.run(play())
-    assert asked[0] == "10.0.0.2"
+    assert asked[0] == "10.0.0.2 after 5"
     assert known.revision == expected
+
+
+def test_node_rests_while_it_hears_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(watcher, "PAUSE_S", 0.0)
+    monkeypatch.setattr(watcher, "TURN_LOOK_S", 0.01)
+    monkeypatch.setattr(turns, "ALONE_REST_S", 0.0)
+    source, heard = Script([objects.Published(7, None, ())]), 20
+
+    async def play() -> list[list[str]]:
+        nonlocal heard
+        others = lambda: turns.Others(3900, 20, heard)  # noqa: E731
+        tested = _watcher(source, catalog.Catalog(2.0), others)
+        task = asyncio.ensure_future(tested.run())
+        await asyncio.sleep(0.1)
+        seen = [list(source.calls)]
+        assert not tested.is_watching
+        heard = 0
+        await asyncio.sleep(0.1)
+        assert tested.is_watching
+        task.cancel()
+        return [*seen, source.calls]
+
+    resting, alone = asyncio.run(play())
+    assert resting == ["read"]
+    assert alone == ["read", "watch 7"]
+
+
+def test_watch_without_an_answer_counts_as_a_store_that_is_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(watcher, "AWAY_S", 0.0)
+
+    async def play() -> list[bool]:
+        steps = [watcher.SourceError("down"), objects.Published(7, None, ())]
+        tested = _watcher(Script(steps), catalog.Catalog(2.0))
+        task = asyncio.ensure_future(tested.run())
+        seen = []
+        for _ in range(2):
+            await asyncio.sleep(0.03)
+            seen.append(tested.is_away(time.monotonic()))
+            await asyncio.sleep(0.1)
+        task.cancel()
+        return seen
+
+    assert asyncio.run(play()) == [True, False]
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -12,9 +12,10 @@
 
 from snipelink.mesh import channel, watcher
 from snipelink.session import http, memory, requests
+from tests import loopback
 from tests.platform import test_platform_documents as documents
 
-ADDRESS = ("127.0.0.1", 21390)
+ADDRESS = (loopback.next_host(), 21390)
 Answer = Callable[[http.Request], bytes | None]
 
 
@@ -79,12 +80,33 @@
 
     async def check() -> None:
         async with store(answer) as client:
-            published = await client.read()
+            published = await client.read(fresh=True)
         assert published.revision == 7
         assert published.configuration is not None
         assert published.configuration.version == 12
         assert [instance.id for instance in published.instances] == ["i-1", "i-3"]
         assert "after=servers%2Fi-2" in asked[1]
+        assert not any("serializable" in target for target in asked)
+
+    asyncio.run(check())
+
+
+def test_read_that_may_be_old_counts_from_its_oldest_page() -> None:
+    pages = [
+        {"items": [server_item("i-1")], "has_more": True, "as_of": 9},
+        {"items": [server_item("i-3")], "has_more": False, "as_of": 7},
+    ]
+    asked: list[str] = []
+
+    def answer(request: http.Request) -> bytes:
+        asked.append(request.raw_target)
+        return reply(pages[len(asked) - 1])
+
+    async def check() -> None:
+        async with store(answer) as client:
+            published = await client.read(fresh=False)
+        assert published.revision == 7
+        assert all("serializable=1" in target for target in asked)
 
     asyncio.run(check())
 
@@ -129,7 +151,7 @@
     async def check() -> None:
         async with store(lambda request: answer) as client:
             with pytest.raises(watcher.SourceError):
-                await client.read()
+                await client.read(fresh=True)
 
     asyncio.run(check())
 
@@ -140,8 +162,8 @@
     async def check() -> None:
         async with store(lambda request: answers.pop(0)) as client:
             with pytest.raises(watcher.SourceError):
-                await client.read()
-            assert (await client.read()).revision == 3
+                await client.read(fresh=True)
+            assert (await client.read(fresh=True)).revision == 3
 
     asyncio.run(check())
 
@@ -149,6 +171,6 @@
 def test_store_that_is_down_is_an_error_of_the_source() -> None:
     async def check() -> None:
         with pytest.raises(watcher.SourceError):
-            await platform_store.Store(("127.0.0.1", 1)).read()
+            await platform_store.Store(("127.0.0.1", 1)).read(fresh=True)
 
     asyncio.run(check())
