Rest between turns without memory; move calls by the time left of a slow phase

When a fleet starts, every node is alone, watches once and then drew its rest from half to one and a half times the mean, so none watched for the next 19 s. Calls on slow endpoints were moved by a fixed guess of how long the slowness lasts, though it changes with a period of 0.5 s (trace of reports). Ruled out: answers of the store that skip changes (traced: no watch was open in that time). Change: rests follow a hazard, so they cannot fall into step, and follow a mean that changes; a test of whole fleets begins with nodes that are alone and fails on the old rests. Pauses after an answer are longer where others watch too, and a refused node leaves the store to others after five attempts: each change had cost six calls, each refused node more than one call a second. Nodes learn the period of the changes and use it for calls that run or wait. For placing it was tried and not kept.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -30,7 +30,7 @@
 import docopt
 import hdrh.histogram
 
-from snipelink.decide import placement, slots, waiting, work
+from snipelink.decide import placement, rhythm, slots, waiting, work
 
 SERVERS = 4
 SLOTS = 12
@@ -98,7 +98,7 @@
 
     def __init__(self, name: str, rng: random.Random, extra: float) -> None:
         self.name = name
-        self.slots = slots.Slots(0.0)
+        self.slots = slots.Slots(0.0, rhythm.Rhythm())
         self.slots.capacity = SLOTS
         self.queue: list[Call] = []
         self.waiting_by_key: dict[int, Call] = {}
--- a/src/snipelink/decide/placement.py
+++ b/src/snipelink/decide/placement.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Sequence
 
-from snipelink.decide import work
+from snipelink.decide import rhythm, work
 
 # Calls beyond this share of the slots make many servers slower.
 COMFORTABLE_SHARE = 0.7
@@ -69,10 +69,7 @@
 
 
 def expected_s(
-    candidate: Candidate,
-    work_s: float,
-    mean_work_s: float,
-    phase_s: float = work.PHASE_S,
+    candidate: Candidate, work_s: float, mean_work_s: float, *, movable: bool = True
 ) -> float:
     """Return the seconds until a call would end on an endpoint.
 
@@ -82,8 +79,8 @@
         Expected work of the call, in undisturbed seconds.
     mean_work_s : float
         Mean work of the calls that are ahead of it.
-    phase_s : float
-        Seconds for which the present slowness lasts.
+    movable : bool
+        Whether the call can be sent to a second endpoint if this one stays slow.
     """
     slots = max(1, candidate.slots)
     ahead = candidate.running + candidate.waiting
@@ -91,7 +88,11 @@
     run_s = work_s * (1.0 + CROWDING * crowding / (1.0 - COMFORTABLE_SHARE))
     wait_s = max(0, ahead + 1 - slots) / slots * mean_work_s
     mean = candidate.mean_slowness
-    return work.time_s(run_s + wait_s, _slowness(candidate), mean, phase_s)
+    slowness = _slowness(candidate)
+    # Not the time that is left of this phase: all nodes would choose the endpoints that
+    # have just turned quick.
+    phase_s = rhythm.UNKNOWN_S if movable else work.LONG_PHASE_S
+    return work.time_s(run_s + wait_s, slowness, mean, phase_s)
 
 
 def choose(
@@ -114,18 +115,17 @@
     heard = [c for c in candidates if not c.silent]
     if not heard:
         return None
-    phase_s = work.PHASE_S if movable else work.LONG_PHASE_S
-    costs = [cost_s(c, work_s, mean_work_s, phase_s) for c in heard]
+    costs = [cost_s(c, work_s, mean_work_s, movable=movable) for c in heard]
     limit = min(costs) * (1.0 + SIMILAR_SHARE)
     similar = [c for c, cost in zip(heard, costs, strict=True) if cost <= limit]
     return rng.choice(similar)
 
 
 def cost_s(
-    candidate: Candidate, work_s: float, mean_work_s: float, phase_s: float
+    candidate: Candidate, work_s: float, mean_work_s: float, *, movable: bool
 ) -> float:
     """Return the expected time with the cost of distance and failures, seconds."""
-    cost = expected_s(candidate, work_s, mean_work_s, phase_s)
+    cost = expected_s(candidate, work_s, mean_work_s, movable=movable)
     cost *= 1.0 + FAILURE_COST * candidate.failing
     return cost if candidate.near else cost * (1.0 + FAR_COST)
 
--- a/src/snipelink/decide/slots.py
+++ b/src/snipelink/decide/slots.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 
-from snipelink.decide import waiting, work
+from snipelink.decide import rhythm, waiting, work
 
 # Slots assumed before an endpoint reports them.
 UNKNOWN_SLOTS = 4
@@ -70,6 +70,8 @@
     ----------
     now : float
         Present monotonic time, seconds.
+    shared : Rhythm
+        When endpoints change their slowness; other endpoints' changes count too.
 
     Attributes
     ----------
@@ -81,8 +83,8 @@
         Calls that it runs and that were not offered here.
     """
 
-    def __init__(self, now: float) -> None:
-        self.progress = work.Progress(now)
+    def __init__(self, now: float, shared: rhythm.Rhythm) -> None:
+        self.progress = work.Progress(now, shared)
         self.capacity = UNKNOWN_SLOTS
         self.foreign = 0
         self._running_by_key: dict[int, _Running] = {}
@@ -169,7 +171,7 @@
 
     def _rank(self, key: int, now: float) -> tuple[int, bool, float]:
         demand = self._waiting_by_key[key].demand
-        return waiting.rank(demand, self.progress.time_s(demand.work_s), now)
+        return waiting.rank(demand, self.progress.time_s(demand.work_s, now), now)
 
     def _wait_s(self, demand: waiting.Demand, now: float) -> float:
         done_s = self.progress.work_until(now)
@@ -180,5 +182,7 @@
         others = [entry.demand for entry in self._waiting_by_key.values()]
         capacity = max(1, self.capacity)
         work_s = waiting.work_ahead_s(demand, others, remaining_s, capacity)
-        wait_s = self.progress.time_s(work_s)
-        return wait_s if self._may_start(demand, now) else max(wait_s, work.PHASE_S)
+        wait_s = self.progress.time_s(work_s, now)
+        if self._may_start(demand, now):
+            return wait_s
+        return max(wait_s, rhythm.UNKNOWN_S)
--- a/src/snipelink/decide/turns.py
+++ b/src/snipelink/decide/turns.py
@@ -3,28 +3,32 @@
 Load pattern: each change wakes every watch, and each watch is a call that is paid for;
 if all nodes watched, calls would grow with the fleet. Nodes watch in turns, so that a
 few of them watch at any time, and tell the others. None is appointed, so that nothing
-has to be agreed on when nodes end or cannot reach the store.
+has to be agreed on when nodes end, are cut off or cannot reach the store.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 
 # Nodes that watch at any time, in the mean; that none does for two seconds is unlikely
 # even while the store refuses a third of them.
 WATCHERS = 6.0
 # Factor by which more nodes try while the store refuses some.
-REFUSED_FACTOR = 3.0
-# Length of a turn, seconds.
-TURN_S = 3.0
+REFUSED_FACTOR = 2.0
+# Length of a turn, seconds; the shorter, the sooner another one makes up for a gap.
+TURN_S = 2.0
 # A node that hears fewer others cannot rely on them.
 MIN_HEARD = 2
-# Time between two watches of such a node, seconds: a fraction of the time in which a
-# change must be in force. When a whole fleet starts, all nodes are alone for a while.
-ALONE_REST_S = 0.7
-# Times are multiplied by a factor from this range, so that turns spread out.
-MIN_SPREAD, MAX_SPREAD = 0.5, 1.5
+# Mean time between two watches of such a node, seconds: a fraction of the time in which
+# a change must be in force. When a whole fleet starts, all are alone for a while.
+ALONE_REST_S = 0.5
+# Changes come in series, and each answer of the store costs a call; time between an
+# answer and the next watch, seconds, of a node that watches all the time, and of one
+# that takes turns with others, which watch meanwhile.
+PAUSE_S = 0.15
+SHARED_PAUSE_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,9 +70,7 @@
     def __init__(self, rng: random.Random, now: float) -> None:
         self._rng = rng
         self._turn_ends: float | None = None
-        self._rests_since = now
-        # A fleet that starts at once is at all stages of a rest.
-        self._spread = rng.random()
+        self._looked_at = now
 
     def is_due(self, others: Others, now: float) -> bool:
         """Whether the node should watch now; to be asked again after each watch."""
@@ -76,21 +78,35 @@
             if now < self._turn_ends:
                 return True
             self._turn_ends = None
-            self._rests_since = now
-            self._spread = self._rng.uniform(MIN_SPREAD, MAX_SPREAD)
-        if now - self._rests_since < _rest_s(others) * self._spread:
+            self._looked_at = now
+        # Rests without memory never fall into step, however nodes start, and follow a
+        # mean that changes.
+        rested_s = now - self._looked_at
+        self._looked_at = now
+        mean_s = _mean_rest_s(others)
+        if mean_s > 0.0 and self._rng.random() < math.exp(-rested_s / mean_s):
             return False
         # A node that is alone may hear others after a single watch.
         self._turn_ends = now if others.heard < MIN_HEARD else now + TURN_S
         return True
 
+    def end(self) -> None:
+        """Let the present turn end with its watch."""
+        if self._turn_ends is not None:
+            self._turn_ends = -math.inf
+
     def watch_s(self, now: float) -> float:
         """Return the seconds for which to watch."""
         left_s = 0.0 if self._turn_ends is None else self._turn_ends - now
         return left_s if left_s > 0.0 else TURN_S
 
 
-def _rest_s(others: Others) -> float:
+def pause_s(others: Others) -> float:
+    """Return the seconds between an answer of the store and the next watch."""
+    return SHARED_PAUSE_S if _mean_rest_s(others) > 0.0 else PAUSE_S
+
+
+def _mean_rest_s(others: Others) -> float:
     if others.published and others.followed < MIN_HEARD:
         return 0.0
     if others.heard < MIN_HEARD:
--- a/src/snipelink/decide/work.py
+++ b/src/snipelink/decide/work.py
@@ -10,6 +10,8 @@
 import dataclasses
 import math
 
+from snipelink.decide import rhythm
+
 # Weight of a new sample: the mean follows a changed operation within about 20 calls.
 SAMPLE_WEIGHT = 0.1
 # Work assumed of an operation that has not been seen, as a share of its latency
@@ -19,20 +21,20 @@
 UNKNOWN_WORK_S = 0.2
 # An endpoint that reports less is not believed; its work would never seem to end.
 MIN_SLOWNESS = 0.25
-# Time for which the present slowness of an endpoint is taken to last, seconds: half of
-# the time between two changes of a shared host's load, which is about 0.5 s.
-PHASE_S = 0.25
-# The same where a wrong guess costs a slot until the call's deadline, seconds: a slow
-# phase that outlasts three changes of the host's load, as one in twenty does.
+# Time for which an endpoint is taken to stay slow where a wrong guess costs a slot
+# until the call's deadline, seconds: a slow phase that outlasts three changes of the
+# host's load, as one in twenty does.
 LONG_PHASE_S = 1.5
 # Time constant of the mean speed, seconds: some changes of the host's load.
 MEAN_WINDOW_S = 3.0
+# Change of slowness, as a share, that begins a new phase.
+CHANGED_SHARE = 0.25
 # Mean speed of a server on a shared host, used until it has been observed.
 USUAL_SPEED = 0.8
 
 
 def time_s(
-    work_s: float, slowness: float, mean_slowness: float, phase_s: float = PHASE_S
+    work_s: float, slowness: float, mean_slowness: float, phase_s: float
 ) -> float:
     """Return the seconds that work takes on an endpoint from now on.
 
@@ -65,12 +67,18 @@
         Work done per second over the last seconds, until `at`.
     at : float
         Monotonic time in seconds.
+    rhythm : Rhythm
+        When endpoints change their slowness.
+    changed_at : float or None
+        Monotonic time of the last change; None if it was not seen in time.
     """
 
     at: float
+    rhythm: rhythm.Rhythm
     slowness: float = 1.0
     done_s: float = 0.0
     mean_speed: float = USUAL_SPEED
+    changed_at: float | None = None
 
     @property
     def mean_slowness(self) -> float:
@@ -79,6 +87,8 @@
 
     def set_slowness(self, slowness: float, now: float) -> None:
         """Take over a new slowness that holds from `now` on."""
+        if abs(slowness - self.slowness) > CHANGED_SHARE * self.slowness:
+            self._note_change(now)
         share = 1.0 - math.exp(-max(0.0, now - self.at) / MEAN_WINDOW_S)
         self.mean_speed += share * (1.0 / self.slowness - self.mean_speed)
         self.done_s = self.work_until(now)
@@ -89,14 +99,27 @@
         """Return the undisturbed seconds of work done until `now`."""
         return self.done_s + max(0.0, now - self.at) / self.slowness
 
-    def time_s(self, work_s: float) -> float:
+    def left_s(self, now: float) -> float:
+        """Return the seconds for which the present slowness is likely to last."""
+        return self.rhythm.left_s(self.changed_at, now)
+
+    def time_s(self, work_s: float, now: float) -> float:
         """Return the seconds that work takes from now on."""
-        return time_s(work_s, self.slowness, self.mean_slowness)
+        left_s = self.left_s(now)
+        return time_s(work_s, self.slowness, self.mean_slowness, left_s)
 
     def longest_s(self, work_s: float) -> float:
         """Return the seconds that work takes if the present slowness lasts."""
         return time_s(work_s, self.slowness, self.mean_slowness, LONG_PHASE_S)
 
+    def _note_change(self, now: float) -> None:
+        if now - self.at > rhythm.MAX_UNSEEN_S:
+            self.changed_at = None
+            return
+        if self.changed_at is not None:
+            self.rhythm.note(now - self.changed_at)
+        self.changed_at = now
+
 
 @dataclasses.dataclass(slots=True)
 class _Mean:
--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from snipelink import errors
-from snipelink.decide import refusal, slots, work
+from snipelink.decide import refusal, rhythm, slots
 from snipelink.mesh import calls, endpoint, settings
 from snipelink.session import headers as header_rules
 from snipelink.session import http
@@ -73,6 +73,8 @@
         Present monotonic time, seconds.
     on_change : callable
         Called with the present time when calls start, wait or end.
+    shared : Rhythm
+        When endpoints change their slowness.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         rng: random.Random,
         now: float,
         on_change: Callable[[float], None],
+        shared: rhythm.Rhythm,
     ) -> None:
         self._client = client
         self._names = names
@@ -96,7 +99,7 @@
         self.state = EndpointState()
         # Monotonic time at which this node stops, once that is known.
         self.stops_at: float | None = None
-        self.slots = slots.Slots(now)
+        self.slots = slots.Slots(now, shared)
 
     def failing(self, now: float) -> float:
         """Return the recent share of calls that the endpoint failed."""
@@ -160,13 +163,14 @@
 
     def _wake(self, key: int, kind: errors.Kind | None, reason: str) -> None:
         admitted = self._admitted_by_key.get(key)
+        now = time.monotonic()
         if admitted is None or admitted.done():
             # The caller gave the call up in the same turn of the event loop.
             return
         if kind is None:
             admitted.set_result(None)
             return
-        after_s = refusal.retry_after_s(work.PHASE_S, self._rng)
+        after_s = refusal.retry_after_s(self.slots.progress.left_s(now), self._rng)
         admitted.set_result(calls.fail(kind, reason, after_s))
 
     def on_new_process(self, instance: str, now: float) -> None:
--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -160,7 +160,7 @@
         else:
             done_s = fact.progress.work_until(now) - first.started_work_s
             left_work_s = second.remaining_work_s(call.work_s, done_s)
-            left_s = fact.progress.time_s(left_work_s)
+            left_s = fact.progress.time_s(left_work_s, now)
         mean_s = self.estimates.mean_work_s(call.service)
         elsewhere_s = placement.expected_s(other, call.work_s, mean_s)
         if not second.is_worthwhile(
--- a/src/snipelink/mesh/loads.py
+++ b/src/snipelink/mesh/loads.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from snipelink.decide import placement, reporting, work
+from snipelink.decide import placement, reporting, rhythm, work
 from snipelink.generated import mesh
 from snipelink.mesh import channel, objects
 
@@ -91,9 +91,16 @@
 
 
 class LoadTable:
-    """Latest fact of each endpoint, by identity of its process."""
+    """Latest fact of each endpoint, by identity of its process.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    shared : Rhythm
+        Learns when endpoints change their slowness.
+    """
+
+    def __init__(self, shared: rhythm.Rhythm) -> None:
+        self._rhythm = shared
         self.facts_by_instance: dict[str, Fact] = {}
         self.facts_by_host: dict[str, Fact] = {}
         self.stale_reports = 0
@@ -108,7 +115,7 @@
                 return False
         else:
             known = None
-        progress = work.Progress(now)
+        progress = work.Progress(now, self._rhythm)
         sent_at: list[float] = []
         if known is not None and known.load.instance == load.instance:
             progress, sent_at = known.progress, known.sent_at
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -9,7 +9,7 @@
 import random
 import time
 
-from snipelink.decide import interest, placement, turns
+from snipelink.decide import interest, placement, rhythm, turns
 from snipelink.generated import mesh
 from snipelink.mesh import (
     admission,
@@ -77,6 +77,7 @@
     ) -> None:
         now = time.monotonic()
         rng = random.Random()
+        self._rhythm = rhythm.Rhythm()
         self._own = own
         # Tells the processes of one machine apart; never compared as a time.
         self._started_ms = int(time.time() * 1000)
@@ -86,10 +87,10 @@
         self._endpoint_until = now
         self._metrics = metrics.Metrics()
         self._catalog = catalog.Catalog(own.bounds.drain_s)
-        self._loads = loads.LoadTable()
+        self._loads = loads.LoadTable(self._rhythm)
         self._endpoint = endpoint.EndpointClient(own.endpoint_address, names)
         self._runner = admission.Runner(
-            self._endpoint, names, rng, now, self._publish_load
+            self._endpoint, names, rng, now, self._publish_load, self._rhythm
         )
         self._peers = peers.PeerClient(own.peer_port)
         self._peer_port = peers.PeerPort(self._runner, self._catalog)
@@ -344,6 +345,7 @@
             "calls_running": lambda: self._runner.slots.running_count,
             "calls_waiting": lambda: self._runner.slots.waiting_count,
             "endpoint_slowness": lambda: self._runner.slots.progress.slowness,
+            "slowness_period_seconds": lambda: self._rhythm.period_s or 0.0,
             "endpoint_connections_opened": lambda: self._endpoint.connections_opened,
             "unexpected_answers": lambda: self._endpoint.unexpected_answers,
             "endpoint_polls": lambda: self._poller.polls,
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -16,11 +16,12 @@
 
 logger = logging.getLogger(__name__)
 
-# Changes come in series, and each answer of the store costs a call; time between an
-# answer and the next watch, seconds.
-PAUSE_S = 0.15
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
+# Attempts without an answer after which a node leaves it to others, if it hears them.
+MAX_ATTEMPTS = 5
+# Time after the last attempt for which the store counts as away, seconds.
+AWAY_KEPT_S = 2.0
 # Shortest watch that is worth a call, seconds.
 MIN_WATCH_S = 0.5
 # Longest time between two looks at whether it is this node's turn, seconds.
@@ -96,6 +97,7 @@
         self._turns = turns.Turns(rng, time.monotonic())
         self._in_turn = False
         self._failed_since: float | None = None
+        self._failed_at = 0.0
         self._behind_since: float | None = None
         self.reads = 0
         self.failed_reads = 0
@@ -107,11 +109,13 @@
 
     def is_away(self, now: float) -> bool:
         """Whether the store has not answered for longer than a hiccup."""
-        return self._failed_since is not None and now - self._failed_since > AWAY_S
+        if self._failed_since is None or now - self._failed_at > AWAY_KEPT_S:
+            return False
+        return now - self._failed_since > AWAY_S
 
     async def run(self) -> None:
         """Read, and watch by turns, until cancelled."""
-        backoff_s = MIN_BACKOFF_S
+        attempts = 0
         must_read, fresh = True, False
         while True:
             try:
@@ -131,8 +135,8 @@
                     self._succeeded()
                     self._catalog.apply(changes, time.monotonic())
                 self._on_change()
-                backoff_s = MIN_BACKOFF_S
-                await asyncio.sleep(PAUSE_S)
+                attempts = 0
+                await asyncio.sleep(turns.pause_s(self._others()))
             except HistoryLost:
                 logger.info(
                     "history of the platform is lost",
@@ -141,8 +145,11 @@
                 must_read = fresh = True
             except SourceError as error:
                 self._failed(error)
+                backoff_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2.0**attempts)
                 await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
-                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2.0)
+                attempts += 1
+                if attempts >= MAX_ATTEMPTS and not must_read:
+                    self._turns.end()
 
     async def _wait_for_turn(self) -> None:
         while not self._turns.is_due(self._others(), time.monotonic()):
@@ -208,6 +215,7 @@
 
     def _failed(self, error: SourceError) -> None:
         self.failed_reads += 1
+        self._failed_at = time.monotonic()
         if self._failed_since is not None:
             return
         self._failed_since = time.monotonic()
--- a/tests/decide/test_second.py
+++ b/tests/decide/test_second.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from snipelink.decide import second
+from snipelink.decide import rhythm, second, work
 
 
 def test_overdue_call_is_not_taken_as_finished() -> None:
@@ -28,3 +28,18 @@
 ) -> None:
     decided = second.is_worthwhile(left_s, elsewhere_s, 10.5, 13.0, 10.0)
     assert decided is worthwhile
+
+
+@pytest.mark.parametrize(("after_s", "moved"), [(0.1, True), (0.45, False)])
+def test_call_is_moved_if_the_slow_phase_has_just_begun(
+    after_s: float, moved: bool
+) -> None:
+    """Without a known period both would be treated alike."""
+    learnt = rhythm.Rhythm()
+    for _ in range(rhythm.MIN_GAPS):
+        learnt.note(0.5)
+    slow = work.Progress(9.95, learnt)
+    slow.set_slowness(7.0, 10.0)
+    now = 10.0 + after_s
+    left_s = slow.time_s(0.15, now)
+    assert second.is_worthwhile(left_s, 0.3, now + 0.35, now + 1.0, now) is moved
--- a/tests/decide/test_slots.py
+++ b/tests/decide/test_slots.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from snipelink.decide import slots, waiting
+from snipelink.decide import rhythm, slots, waiting
 
 NOW = 10.0
 
@@ -21,7 +21,7 @@
 
 def _full(capacity: int = 4, slowness: float = 1.0) -> slots.Slots:
     """Return slots that are all taken by calls with the keys 0, 1, 2 and so on."""
-    full = slots.Slots(NOW)
+    full = slots.Slots(NOW, rhythm.Rhythm())
     full.capacity = capacity
     for key in range(capacity):
         assert full.offer(key, _demand(), NOW).verdict is slots.Verdict.START
@@ -54,14 +54,14 @@
 
 
 def test_call_with_less_time_than_work_is_refused_before_it_runs() -> None:
-    empty = slots.Slots(NOW)
+    empty = slots.Slots(NOW, rhythm.Rhythm())
     short = _demand(deadline=NOW + 0.15)
     assert empty.offer(1, short, NOW).verdict is slots.Verdict.REFUSE
 
 
 def test_call_does_not_start_in_a_phase_that_may_outlast_its_deadline() -> None:
     """Started, it would hold a slot for 1.2 s and fail, and could not be moved."""
-    slow = slots.Slots(NOW)
+    slow = slots.Slots(NOW, rhythm.Rhythm())
     slow.progress.set_slowness(7.0, NOW)
     offered = slow.offer(1, _demand(), NOW)
     assert offered.verdict is slots.Verdict.WAIT
@@ -71,7 +71,7 @@
 
 
 def test_call_that_waited_for_a_slow_endpoint_is_refused_as_not_run() -> None:
-    slow = slots.Slots(NOW)
+    slow = slots.Slots(NOW, rhythm.Rhythm())
     slow.progress.set_slowness(7.0, NOW)
     slow.offer(1, _demand(), NOW)
     started, refused = slow.sweep(NOW + 0.7)
@@ -89,7 +89,7 @@
 
 
 def test_calls_of_others_take_slots() -> None:
-    used = slots.Slots(NOW)
+    used = slots.Slots(NOW, rhythm.Rhythm())
     used.capacity, used.foreign = 4, 4
     assert used.offer(1, _demand(), NOW).verdict is slots.Verdict.WAIT
 
@@ -107,7 +107,7 @@
 def test_slots_are_never_exceeded_and_no_call_is_lost(
     steps: list[tuple[str, int, float]],
 ) -> None:
-    tested = slots.Slots(NOW)
+    tested = slots.Slots(NOW, rhythm.Rhythm())
     now = NOW
     held: set[int] = set()
     queued: set[int] = set()
--- a/tests/decide/test_turns.py
+++ b/tests/decide/test_turns.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 
 import pytest
 
@@ -22,11 +23,11 @@
         ]
         self.refused: set[int] = set()
 
-    def play(self, first_s: float, last_s: float) -> list[int]:
+    def play(self, first_s: float, last_s: float, heard: int = 20) -> list[int]:
         """Return how many watched at each look."""
         count = len(self._nodes)
         refused = bool(self.refused)
-        others = turns.Others(count, followed=20, heard=20, refused=refused)
+        others = turns.Others(count, followed=20, heard=heard, refused=refused)
         return [
             sum(
                 node.is_due(others, look * LOOK_S) and index not in self.refused
@@ -36,7 +37,7 @@
         ]
 
 
-def _longest_gap_s(counts: list[int]) -> float:
+def _longest_gap_s(counts: Sequence[int]) -> float:
     gap = longest = 0
     for count in counts:
         gap = 0 if count else gap + 1
@@ -53,8 +54,9 @@
 
 @pytest.mark.parametrize("seed", range(20))
 def test_there_is_no_gap_after_all_nodes_start_at_once(seed: int) -> None:
-    counts = Fleet(80, seed=seed).play(0.0, 60.0)
-    assert _longest_gap_s(counts) < BOUND_S
+    fleet = Fleet(80, seed=seed)
+    fleet.play(0.0, 1.5, heard=0)
+    assert _longest_gap_s(fleet.play(1.5, 60.0)) < BOUND_S
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -81,17 +83,18 @@
 
 def test_node_that_hears_no_other_watches_often() -> None:
     node = turns.Turns(random.Random(1), 0.0)
-    others = turns.Others(published=3900, followed=20, heard=1)
-    due = [node.is_due(others, look * 0.05) for look in range(400)]
-    rest_s = turns.ALONE_REST_S * turns.MAX_SPREAD
-    assert sum(due) >= 400 * 0.05 / (rest_s + 0.05)
+    alone = turns.Others(published=3900, followed=20, heard=1)
+    due = [node.is_due(alone, look * 0.05) for look in range(1, 2001)]
+    assert sum(due) == pytest.approx(100.0 / turns.ALONE_REST_S, rel=0.2)
+    assert _longest_gap_s(due) * 0.05 / LOOK_S < 8.0 * turns.ALONE_REST_S
 
 
 def test_node_that_hears_no_other_watches_once_and_looks_again() -> None:
     node = turns.Turns(random.Random(1), 0.0)
     alone = turns.Others(published=80, followed=20, heard=0)
-    assert node.is_due(alone, turns.ALONE_REST_S)
-    assert not node.is_due(CALM, turns.ALONE_REST_S + 0.1)
+    assert node.is_due(alone, 100.0)
+    assert node.watch_s(100.0) == turns.TURN_S
+    assert not node.is_due(CALM, 100.1)
 
 
 def test_nodes_that_are_cut_off_are_not_counted_on() -> None:
--- a/tests/decide/test_work.py
+++ b/tests/decide/test_work.py
@@ -2,18 +2,20 @@
 
 import pytest
 
-from snipelink.decide import work
+from snipelink.decide import rhythm, work
+
+LEFT_S = 0.25
 
 
 def test_progress_counts_undisturbed_seconds_while_slowness_changes() -> None:
-    progress = work.Progress(10.0)
+    progress = work.Progress(10.0, rhythm.Rhythm())
     progress.set_slowness(7.0, 10.1)
     progress.set_slowness(1.0, 10.8)
     assert progress.work_until(11.0) == pytest.approx(0.1 + 0.7 / 7.0 + 0.2)
 
 
 def test_progress_of_the_past_does_not_go_back() -> None:
-    progress = work.Progress(10.0, done_s=3.0)
+    progress = work.Progress(10.0, rhythm.Rhythm(), done_s=3.0)
     assert progress.work_until(9.0) == 3.0
 
 
@@ -52,15 +54,15 @@
 
 
 def test_time_of_work_goes_on_at_the_mean_speed() -> None:
-    assert work.time_s(0.02, 7.0, 1.3) == pytest.approx(0.14)
-    soon_s = work.PHASE_S / 7.0
-    assert work.time_s(0.2, 7.0, 1.3) == pytest.approx(
-        work.PHASE_S + (0.2 - soon_s) * 1.3
+    assert work.time_s(0.02, 7.0, 1.3, LEFT_S) == pytest.approx(0.14)
+    soon_s = LEFT_S / 7.0
+    assert work.time_s(0.2, 7.0, 1.3, LEFT_S) == pytest.approx(
+        LEFT_S + (0.2 - soon_s) * 1.3
     )
 
 
 def test_mean_slowness_follows_a_lasting_change() -> None:
-    progress = work.Progress(0.0)
+    progress = work.Progress(0.0, rhythm.Rhythm())
     for step in range(200):
         progress.set_slowness(5.0, step * 0.05)
     assert progress.mean_slowness == pytest.approx(5.0, rel=0.15)
--- a/tests/mesh/test_loads.py
+++ b/tests/mesh/test_loads.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from snipelink.decide import placement
+from snipelink.decide import placement, rhythm
 from snipelink.generated import mesh
 from snipelink.mesh import loads, objects
 
@@ -37,7 +37,7 @@
 
 
 def test_report_tells_load_and_its_age() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     assert _candidate(table, 10.0) is None
     assert table.update(_load(), HOST, 10.0)
     candidate = _candidate(table, 10.2)
@@ -47,7 +47,7 @@
 
 
 def test_late_datagram_does_not_replace_a_newer_one() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     table.update(_load(sequence=5, running=7), HOST, 10.0)
     assert not table.update(_load(sequence=4, running=0), HOST, 10.1)
     candidate = _candidate(table, 10.1)
@@ -56,19 +56,19 @@
 
 
 def test_restarted_node_starts_its_numbers_anew() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     table.update(_load(sequence=500), HOST, 10.0)
     assert table.update(_load(started_ms=2000, sequence=1, running=0), HOST, 10.1)
 
 
 def test_endpoint_that_takes_no_calls_is_no_candidate() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     table.update(_load(accepting=False), HOST, 10.0)
     assert _candidate(table, 10.0) is None
 
 
 def test_calls_sent_count_until_a_report_can_count_them() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     table.update(_load(), HOST, 10.0)
     table.on_sent("i-1", 10.0)
     table.on_sent("i-1", 10.01)
@@ -79,7 +79,7 @@
 
 
 def test_node_falls_silent_once_and_is_heard_again_once() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     table.update(_load(), HOST, 10.0)
     late = 10.0 + placement.SILENT_S + 0.1
     assert table.silence(late) == ({HOST}, set())
@@ -89,7 +89,7 @@
 
 
 def test_followed_endpoints_are_kept_and_others_forgotten() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     table.update(_load(), HOST, 10.0)
     table.update(_load(instance="i-2"), "10.0.0.2", 10.0)
     table.expire({HOST}, 10.0 + loads.KEPT_S + 0.1)
@@ -98,7 +98,7 @@
 
 
 def test_former_process_of_a_followed_machine_is_forgotten() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     table.update(_load(), HOST, 10.0)
     table.update(_load(instance="i-2", sequence=2), HOST, 10.1)
     table.expire({HOST}, 10.1 + loads.KEPT_S + 0.1)
@@ -130,10 +130,10 @@
 
 
 def test_load_is_told_only_to_followers_and_until_they_stop_asking() -> None:
-    exchange, wire = _exchange(loads.LoadTable())
+    exchange, wire = _exchange(loads.LoadTable(rhythm.Rhythm()))
     exchange.publish(0.0)
     assert wire.take() == []
-    asker, asked_by = _exchange(loads.LoadTable())
+    asker, asked_by = _exchange(loads.LoadTable(rhythm.Rhythm()))
     asker.follow({"10.0.0.9": True}, 0.0)
     ((request, host),) = asked_by.take()
     assert host == "10.0.0.9"
@@ -149,7 +149,7 @@
 
 
 def test_node_that_is_not_heard_is_asked_again_sooner() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     exchange, wire = _exchange(table)
     near_by_host = {HOST: True, "10.0.0.2": False}
     exchange.follow(near_by_host, 0.0)
@@ -160,7 +160,7 @@
 
 
 def test_node_is_silent_only_after_it_had_time_to_answer() -> None:
-    table = loads.LoadTable()
+    table = loads.LoadTable(rhythm.Rhythm())
     exchange, _ = _exchange(table)
     assert not exchange.is_silent(HOST, 0.0)
     exchange.follow({HOST: True}, 0.0)
@@ -172,7 +172,7 @@
 
 @pytest.mark.parametrize("data", [b"", b"X123", b"L123", b"F"])
 def test_unreadable_datagram_is_counted_and_dropped(data: bytes) -> None:
-    exchange, wire = _exchange(loads.LoadTable())
+    exchange, wire = _exchange(loads.LoadTable(rhythm.Rhythm()))
     exchange.datagram_received(data, (HOST, 7000))
     assert exchange.unreadable_datagrams == 1
     assert exchange.follower_count == 0
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -58,7 +58,7 @@
     monkeypatch: pytest.MonkeyPatch, *steps: Step
 ) -> tuple[Script, catalog.Catalog]:
     """Play steps until all are used up."""
-    monkeypatch.setattr(watcher, "PAUSE_S", 0.0)
+    monkeypatch.setattr(turns, "pause_s", lambda others: 0.0)
     monkeypatch.setattr(watcher, "MIN_BACKOFF_S", 0.01)
     source, known = Script(steps), catalog.Catalog(2.0)
 
@@ -173,7 +173,7 @@
 def test_node_rests_while_it_hears_others(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(watcher, "PAUSE_S", 0.0)
+    monkeypatch.setattr(turns, "pause_s", lambda others: 0.0)
     monkeypatch.setattr(watcher, "TURN_LOOK_S", 0.01)
     monkeypatch.setattr(turns, "ALONE_REST_S", 0.0)
     source, heard = Script([objects.Published(7, None, ())]), 20
@@ -215,3 +215,27 @@
         return seen
 
     assert asyncio.run(play()) == [True, False]
+
+
+def test_refused_node_leaves_the_store_to_others_that_it_hears(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(turns, "pause_s", lambda others: 0.0)
+    monkeypatch.setattr(watcher, "MIN_BACKOFF_S", 0.001)
+    refused = [watcher.SourceError("refused")] * 50
+    source, many = Script([objects.Published(7, None, ()), *refused]), 2
+
+    async def play() -> int:
+        nonlocal many
+        tested = _watcher(
+            source, catalog.Catalog(2.0), lambda: turns.Others(many, 20, 20)
+        )
+        task = asyncio.ensure_future(tested.run())
+        await asyncio.sleep(0.03)
+        # The turn has begun; from now on there are others.
+        many = 3900
+        await asyncio.sleep(0.3)
+        task.cancel()
+        return len(source.calls)
+
+    assert 1 < asyncio.run(play()) <= 1 + 2 * watcher.MAX_ATTEMPTS
