Place calls by the time left of a quick phase where there is a choice

Change: among eight endpoints or more, those with room are compared by the time left of their phase.

--- a/src/snipelink/decide/placement.py
+++ b/src/snipelink/decide/placement.py
@@ -28,6 +28,9 @@
 # How strongly failures count: at a share of one half a call seems to take thrice as
 # long, which is what a failed and a repeated attempt cost.
 FAILURE_COST = 4.0
+# Endpoints among which the time left of their phases decides. Of fewer, one or two have
+# just turned quick at any moment, all nodes would choose these, and calls would wait.
+MIN_CHOICES = 8
 # Endpoints whose expected times differ by less than this share are equally good.
 SIMILAR_SHARE = 0.05
 
@@ -50,6 +53,9 @@
         Recent share of failed calls.
     age_s : float
         Age of these facts in seconds.
+    left_s : float or None
+        Seconds for which the present slowness is likely to last; None if unknown, or
+        if it should not decide.
     """
 
     instance: str
@@ -61,6 +67,7 @@
     mean_slowness: float = 1.0 / work.USUAL_SPEED
     failing: float = 0.0
     age_s: float = 0.0
+    left_s: float | None = None
 
     @property
     def silent(self) -> bool:
@@ -89,9 +96,10 @@
     wait_s = max(0, ahead + 1 - slots) / slots * mean_work_s
     mean = candidate.mean_slowness
     slowness = _slowness(candidate)
-    # Not the time that is left of this phase: all nodes would choose the endpoints that
-    # have just turned quick.
     phase_s = rhythm.UNKNOWN_S if movable else work.LONG_PHASE_S
+    is_slow = slowness > mean
+    if crowding <= 0.0 and (movable or not is_slow) and candidate.left_s is not None:
+        phase_s = candidate.left_s
     return work.time_s(run_s + wait_s, slowness, mean, phase_s)
 
 
@@ -115,6 +123,8 @@
     heard = [c for c in candidates if not c.silent]
     if not heard:
         return None
+    if len(heard) < MIN_CHOICES:
+        heard = [dataclasses.replace(c, left_s=None) for c in heard]
     costs = [cost_s(c, work_s, mean_work_s, movable=movable) for c in heard]
     limit = min(costs) * (1.0 + SIMILAR_SHARE)
     similar = [c for c, cost in zip(heard, costs, strict=True) if cost <= limit]
--- a/src/snipelink/decide/rhythm.py
+++ b/src/snipelink/decide/rhythm.py
@@ -6,9 +6,8 @@
 period is learnt from the changes of all endpoints that a node hears of; where there is
 none, the mean time of a phase is assumed.
 
-It decides whether a call that runs on a slow endpoint is moved, and which waiting calls
-can still meet their objective. It does not decide placement: on days of the users'
-deployments all nodes then chose the same endpoints, and served less.
+It decides whether a call that runs on a slow endpoint is moved, which waiting calls can
+still meet their objective and, among many endpoints with room, where a call runs.
 """
 
 from __future__ import annotations
--- a/src/snipelink/mesh/loads.py
+++ b/src/snipelink/mesh/loads.py
@@ -152,6 +152,7 @@
             fact.progress.mean_slowness,
             load.failing_percent / 100.0,
             max(0.0, now - fact.received_at),
+            fact.progress.left_s(now),
         )
 
     def silence(self, now: float) -> tuple[set[str], set[str]]:
--- a/tests/decide/test_placement.py
+++ b/tests/decide/test_placement.py
@@ -108,3 +108,39 @@
     assert placement.expected_s(more, WORK_S, WORK_S) >= placement.expected_s(
         less, WORK_S, WORK_S
     )
+
+
+def _others() -> list[placement.Candidate]:
+    """Return enough slow endpoints for a choice among many."""
+    return [
+        _candidate(f"slow {index}", slowness=7.0)
+        for index in range(placement.MIN_CHOICES)
+    ]
+
+
+def test_endpoint_that_stays_quick_for_longer_is_taken_while_there_is_room() -> None:
+    soon_slow = _candidate("soon slow", left_s=0.02)
+    long_quick = _candidate("long quick", left_s=0.45, running=3)
+    assert _choose(soon_slow, long_quick, *_others()) == "long quick"
+
+
+def test_time_left_does_not_decide_among_few_or_crowded_endpoints() -> None:
+    """Else all nodes choose the same few of them at once."""
+    soon_slow = _candidate("soon slow", left_s=0.02)
+    long_quick = _candidate("long quick", left_s=0.45, running=7)
+    assert _choose(soon_slow, long_quick) == "soon slow"
+    crowded = _candidate("crowded", left_s=0.02, running=7)
+    longer = _candidate("longer", left_s=0.45, running=8)
+    assert _choose(crowded, longer, *_others()) == "crowded"
+
+
+def test_call_that_cannot_be_moved_is_not_sent_to_one_that_is_slow_for_a_moment() -> (
+    None
+):
+    slow = _candidate("slow", slowness=7.0, left_s=0.02)
+    quick = _candidate("quick", running=6)
+    chosen = placement.choose(
+        [slow, quick], WORK_S, WORK_S, random.Random(1), movable=False
+    )
+    assert chosen is not None
+    assert chosen.instance == "quick"
