Add a randomized fault soak of real nodes

Change: bench/soak starts platform/sidecar.py processes on loopback beside stand-ins of the store, endpoints and callers, behind proxies that delay, reset or silence links; kills, freezes, stops, reloads, drains, store outages and publications come from a seed, alone and together.

--- /dev/null
+++ b/bench/soak/nodes.py
@@ -0,0 +1,147 @@
+"""The real programs: started, signalled and ended by their process ids."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import platform_names
+
+from bench.soak import history
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "platform" / "sidecar.py"
+PEER_PORT, ENDPOINT_PORT, CALLER_PORT, READY_PORT = 21480, 21481, 21482, 21483
+STORE_PORT = 21484
+# Time between the end of a process and its next start, seconds.
+RESTART_S = 0.2
+LOOK_S = 0.02
+SETTINGS = """
+[self]
+node_name = "n-{number}"
+ip = "{host}"
+zone = "{zone}"
+app_addr = "{host}:{endpoint_port}"
+service = "{service}"
+[network]
+port_range = [{peer_port}, {peer_port}]
+[network.listen]
+outbound = "{host}:{caller_port}"
+ready = "{host}:{ready_port}"
+[platform.platform]
+address = "{host}:{store_port}"
+[terms.bounds]
+drain_s = {drain_s}
+grace_s = {grace_s}
+budget_ratio = 0.2
+budget_window_s = 10
+budget_extra = 58
+probes_per_s = 60
+"""
+
+
+class Node:
+    """One process after the other on the same machine.
+
+    Parameters
+    ----------
+    folder : Path
+        Receives the settings file and what the process writes.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        host: str,
+        zone: str,
+        service: str,
+        folder: pathlib.Path,
+        seen: history.History,
+    ) -> None:
+        self._number = number
+        self._seen = seen
+        self._signal, self._signal_at = "", 0.0
+        self._file = folder / f"node-{number}.toml"
+        self._log = folder / f"node-{number}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+        self.host = host
+        self.zone = zone
+        self.service = service
+        self._file.write_text(
+            SETTINGS.format(
+                number=number,
+                host=host,
+                zone=zone,
+                service=service,
+                peer_port=PEER_PORT,
+                endpoint_port=ENDPOINT_PORT,
+                caller_port=CALLER_PORT,
+                ready_port=READY_PORT,
+                store_port=STORE_PORT,
+                drain_s=seen.drain_s,
+                grace_s=seen.grace_s,
+            )
+        )
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether callers' machines send it no new work."""
+        return self._signal == "TERM"
+
+    async def run(self) -> None:
+        """Start the process, and again whenever it ends, until cancelled."""
+        environment = os.environ | {
+            platform_names.SETTINGS_VARIABLE: str(self._file),
+            "PYTHONPATH": str(ROOT / "src"),
+        }
+        with self._log.open("ab") as log:
+            while True:
+                self._signal = ""
+                self._process = subprocess.Popen(
+                    [sys.executable, str(PROGRAM)],
+                    env=environment,
+                    stdout=log,
+                    stderr=log,
+                )
+                try:
+                    while self._process.poll() is None:
+                        await asyncio.sleep(LOOK_S)
+                finally:
+                    self._end()
+                self._note_exit(self._process.returncode)
+                await asyncio.sleep(RESTART_S)
+
+    def send(self, name: str) -> None:
+        """Send a signal, named without its prefix."""
+        if self._process is None or self._process.poll() is not None:
+            return
+        if name in ("TERM", "KILL"):
+            if self._signal != "TERM":
+                self._signal_at = time.monotonic()
+            self._signal = name
+        self._process.send_signal(signal.Signals[f"SIG{name}"])
+
+    def is_alive(self) -> bool:
+        """Whether the process runs or stands still."""
+        return self._process is not None and self._process.poll() is None
+
+    def touch_settings(self) -> None:
+        """Write the settings file again, with a comment that changes nothing."""
+        self._file.write_text(self._file.read_text() + "# written again\n")
+
+    def _end(self) -> None:
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+
+    def _note_exit(self, code: int) -> None:
+        now = time.monotonic()
+        took_s = now - self._signal_at if self._signal else 0.0
+        self._seen.exited.append(
+            history.Exited(self._number, now, self._signal, code, took_s)
+        )
--- /dev/null
+++ b/bench/soak/plan.py
@@ -0,0 +1,62 @@
+"""Draws the faults of a run from its seed."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+# Kinds of faults, and whether nodes must bear them unnoticed.
+PLANNED = frozenset({"stop", "reload", "drain", "vanish", "publish"})
+NODE_KINDS = ("kill", "freeze", "stop", "reload")
+LINK_KINDS = ("delay", "reset", "silence-in", "silence-out")
+STORE_KINDS = ("store-refuses", "store-silent", "store-slow", "store-forgets")
+ENDPOINT_KINDS = (
+    "slow",
+    "refuse",
+    "break-off",
+    "mute",
+    "drain",
+    "vanish",
+)
+KINDS = (*NODE_KINDS, *LINK_KINDS, *STORE_KINDS, *ENDPOINT_KINDS, "publish")
+# Events of a run, and their lengths in seconds.
+MIN_EVENTS, MAX_EVENTS = 4, 10
+MIN_LENGTH_S, MAX_LENGTH_S = 0.2, 2.5
+# Share of events that begin together with the one before.
+TOGETHER_SHARE = 0.35
+# Share of runs with planned work alone, in which nothing at all may be noticed.
+PLANNED_SHARE = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One fault or piece of planned work; times in seconds from the first call.
+
+    Attributes
+    ----------
+    node : int
+        Number of the node, or of the machine whose endpoint or link it acts on.
+    """
+
+    at: float
+    kind: str
+    node: int
+    for_s: float
+
+
+def draw(seed: int, nodes: int, seconds: float) -> list[Event]:
+    """Return the events of a run, in order; the same for the same arguments."""
+    rng = random.Random(f"soak/{seed}/{nodes}/{seconds}")
+    kinds = KINDS
+    if rng.random() < PLANNED_SHARE:
+        kinds = tuple(sorted(PLANNED))
+    events: list[Event] = []
+    at = 0.5
+    for _ in range(rng.randint(MIN_EVENTS, MAX_EVENTS)):
+        if not events or rng.random() >= TOGETHER_SHARE:
+            at = rng.uniform(0.5, seconds - MAX_LENGTH_S)
+        length_s = rng.uniform(MIN_LENGTH_S, MAX_LENGTH_S)
+        event = Event(at, rng.choice(kinds), rng.randrange(nodes), length_s)
+        if not any(e.kind == event.kind and e.node == event.node for e in events):
+            events.append(event)
+    return sorted(events, key=lambda event: event.at)
--- /dev/null
+++ b/tests/bench/soak/test_plan.py
@@ -0,0 +1,26 @@
+from __future__ import annotations
+
+import collections
+
+from bench.soak import plan
+
+
+def test_same_seed_gives_the_same_faults() -> None:
+    assert plan.draw(7, 4, 8.0) == plan.draw(7, 4, 8.0)
+    assert plan.draw(7, 4, 8.0) != plan.draw(8, 4, 8.0)
+
+
+def test_seeds_cover_all_kinds_and_let_faults_overlap() -> None:
+    events = [plan.draw(seed, 4, 8.0) for seed in range(200)]
+    kinds = collections.Counter(event.kind for each in events for event in each)
+    assert set(kinds) == set(plan.KINDS)
+    overlapping = sum(
+        any(a.at <= b.at < a.at + a.for_s for a in each for b in each if a is not b)
+        for each in events
+    )
+    assert overlapping > 100
+
+
+def test_some_runs_have_planned_work_alone() -> None:
+    kinds = [{event.kind for event in plan.draw(seed, 4, 8.0)} for seed in range(100)]
+    assert 10 < sum(each <= plan.PLANNED for each in kinds) < 60
--- /dev/null
+++ b/tests/bench/soak/test_run.py
@@ -0,0 +1,22 @@
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+import pytest
+
+from bench.soak import checks, plan, run
+
+SECONDS = 4.0
+# One with planned work alone, and one with several kinds of faults.
+SEEDS = (2, 11)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_the_faults_of_a_seed(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    seen = asyncio.run(run.Run(seed, 3, SECONDS, tmp_path).play())
+    events = plan.draw(seed, 3, SECONDS)
+    assert checks.check(seen) == [], events
+    assert len(seen.ran) > 100
