--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -7,6 +7,7 @@
 Options:
   --first=N    First seed; each further run takes the next one [default: 1].
   --seeds=N    Number of runs [default: 5].
+  --kept       Also play the seeds that failed once.
   --jobs=N     Runs at a time [default: 1].
   --nodes=N    Nodes of a run [default: 4].
   --seconds=S  Time in which faults begin [default: 8].
@@ -58,18 +59,21 @@
     """Play the seeds; return 0 only if no promise was broken."""
     arguments = docopt.docopt(__doc__)
     first, seeds = int(arguments["--first"]), int(arguments["--seeds"])
+    played = [*range(first, first + seeds)]
+    if arguments["--kept"]:
+        played += [seed for seed in plan.KEPT_SEEDS if seed not in played]
     count, seconds = int(arguments["--nodes"]), float(arguments["--seconds"])
     with concurrent.futures.ProcessPoolExecutor(int(arguments["--jobs"])) as pool:
         plays = [
             pool.submit(play, seed, count, seconds, arguments["--logs"])
-            for seed in range(first, first + seeds)
+            for seed in played
         ]
         broken = 0
         for each in plays:
             held, line = each.result()
             broken += not held
             print(line, flush=True)
-    print(f"{seeds} runs, {broken} with a promise broken")
+    print(f"{len(played)} runs, {broken} with a promise broken")
     return 1 if broken else 0
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -132,7 +132,11 @@
 
 
 def _not_recovered(seen: history.History) -> list[Violation]:
-    late = [sent for sent in seen.sent if sent.sent_at >= seen.calm_from]
+    late = [
+        sent
+        for sent in seen.sent
+        if sent.sent_at >= seen.calm_from and sent.ending is not history.Ending.LEFT
+    ]
     served = sum(sent.status == 200 for sent in late)
     if len(late) < MIN_RECOVERED_CALLS:
         return [Violation("callers are served after the faults", f"{len(late)} calls")]
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -26,6 +26,10 @@
 TOGETHER_SHARE = 0.35
 # Share of runs with planned work alone, in which nothing at all may be noticed.
 PLANNED_SHARE = 0.3
+# Seeds whose runs failed once, with four nodes and eight seconds, and the cause.
+KEPT_SEEDS = {
+    8: "the check of recovery counted calls whose callers had left",
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/bench/soak/test_checks.py
+++ b/tests/bench/soak/test_checks.py
@@ -143,3 +143,12 @@
     plant(seen)
     seen.disturbed.append(history.Disturbed(None, "kill", NOW - 2.0, NOW + 9.0))
     assert len(checks.check(seen)) == 1
+
+
+def test_calls_whose_callers_left_are_not_owed_an_answer() -> None:
+    seen = _clean()
+    for _ in range(20):
+        ending = history.Ending.LEFT
+        sent = _sent("late", status=0, ending=ending, sent_at=seen.calm_from + 1.0)
+        seen.sent.append(sent)
+    assert checks.check(seen) == []
