Keep a node alive while the store stays away

Cause, found by reading: the time to the next attempt was computed as a power of the number of attempts, which overflows after 1,024 of them, about 13 minutes without the store; the watcher's task then ends the node. A test with 1,200 attempts failed before and holds now.

--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -115,7 +115,7 @@
 
     async def run(self) -> None:
         """Read, and watch by turns, until cancelled."""
-        attempts = 0
+        attempts, backoff_s = 0, MIN_BACKOFF_S
         must_read, fresh = True, False
         while True:
             try:
@@ -135,7 +135,7 @@
                     self._succeeded()
                     self._catalog.apply(changes, time.monotonic())
                 self._on_change()
-                attempts = 0
+                attempts, backoff_s = 0, MIN_BACKOFF_S
                 await asyncio.sleep(turns.pause_s(self._others()))
             except HistoryLost:
                 logger.info(
@@ -145,8 +145,8 @@
                 must_read = fresh = True
             except SourceError as error:
                 self._failed(error)
-                backoff_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2.0**attempts)
                 await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2.0)
                 attempts += 1
                 if attempts >= MAX_ATTEMPTS and not must_read:
                     self._turns.end()
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -239,3 +239,23 @@
         return len(source.calls)
 
     assert 1 < asyncio.run(play()) <= 1 + 2 * watcher.MAX_ATTEMPTS
+
+
+def test_store_that_stays_away_does_not_end_the_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(watcher, "MIN_BACKOFF_S", 0.0)
+    monkeypatch.setattr(watcher, "MAX_BACKOFF_S", 0.0)
+    down = [watcher.SourceError("down")] * 1200
+    source = Script([*down, objects.Published(7, None, ())])
+
+    async def play() -> None:
+        task = asyncio.ensure_future(_watcher(source, catalog.Catalog(2.0)).run())
+        async with asyncio.timeout(10.0):
+            while source.steps:
+                assert not task.done()
+                await asyncio.sleep(0.005)
+        task.cancel()
+
+    asyncio.run(play())
+    assert len(source.calls) >= 1201
