--- a/tests/bench/soak/test_plan.py
+++ b/tests/bench/soak/test_plan.py
@@ -24,3 +24,13 @@
 def test_some_runs_have_planned_work_alone() -> None:
     kinds = [{event.kind for event in plan.draw(seed, 4, 8.0)} for seed in range(100)]
     assert 10 < sum(each <= plan.PLANNED for each in kinds) < 60
+
+
+def test_an_endpoint_is_replaced_only_once_in_a_run() -> None:
+    for seed in range(300):
+        replaced = [
+            event.node
+            for event in plan.draw(seed, 4, 8.0)
+            if event.kind in ("drain", "vanish")
+        ]
+        assert len(replaced) == len(set(replaced))
