Keep one copy of loopback addresses, adapter path and route columns in the soak and its tests

Ruled out: changes of the nodes themselves; this touches bench and tests only, no check and no bound. Change: bench/loopback.py serves tests and soak; bench/soak/__init__.py sets the path; tests use the soak's columns.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -27,10 +27,7 @@
 
 import docopt
 
-FOLDER = pathlib.Path(__file__).resolve().parents[2] / "platform"
-sys.path.insert(0, str(FOLDER))
-
-from bench.soak import checks, plan, run  # noqa: E402
+from bench.soak import checks, plan, run
 
 
 def play(seed: int, count: int, seconds: float, logs: str | None) -> tuple[bool, str]:
--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable
 
 import platform_names
 
@@ -130,6 +131,6 @@
         return f"{self._running},0,{SLOTS},{int(slowness * 100)}"
 
 
-async def _done(work: asyncio.Future[None] | object) -> bool:
-    await work  # type: ignore[misc]
+async def _done(work: Awaitable[None]) -> bool:
+    await work
     return True
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-import os
+import dataclasses
 import pathlib
 import random
 import time
@@ -12,10 +12,11 @@
 
 import platform_names
 
+from bench import loopback
 from bench.soak import callers, endpoints, history, links, nodes, plan, store
 
 DRAIN_S, APPLY_S, GRACE_S, TIMEOUT_S = 2.0, 2.0, 3.0, 1.0
-SERVICES = ("rota", "archive")
+SERVICES = ("front", "back")
 ZONES = ("a", "b")
 CALLERS_PER_NODE = 3
 START_TIMEOUT_S = 15.0
@@ -52,13 +53,10 @@
             ("/list/", True, SERVICES[1]),
         ]
         self._version = 1
-        self._folder = folder
-        net = f"127.{100 + os.getpid() % 100}.{seed % 120}"
-        proxies = f"127.{100 + os.getpid() % 100}.{seed % 120 + 120}"
         self._nodes = []
         self._endpoints = []
         for number in range(count):
-            host = f"{net}.{number + 1}"
+            host, proxy_host = loopback.next_host(), loopback.next_host()
             service = SERVICES[number % len(SERVICES)]
             zone = ZONES[number // len(SERVICES) % len(ZONES)]
             self._nodes.append(
@@ -66,7 +64,6 @@
             )
             address = (host, nodes.ENDPOINT_PORT)
             self._endpoints.append(endpoints.Endpoint(address, self.seen))
-            proxy_host = f"{proxies}.{number + 1}"
             links.Link(host, proxy_host, nodes.PEER_PORT, self._links_by_host)
 
     async def play(self) -> history.History:
@@ -80,8 +77,10 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             self._store.close()
-            for each in (*self._endpoints, *self._links_by_host.values()):
-                each.stop() if isinstance(each, endpoints.Endpoint) else each.close()
+            for endpoint in self._endpoints:
+                endpoint.stop()
+            for link in self._links_by_host.values():
+                link.close()
         return self.seen
 
     async def _start(self, tasks: list[asyncio.Task[None]]) -> None:
@@ -132,13 +131,13 @@
         everywhere = event.kind in plan.STORE_KINDS or planned
         node = None if everywhere else event.node
         fault = history.Disturbed(node, event.kind, first_at, first_at, planned)
-        # Its end is not known yet; until then it lasts.
-        at = len(self.seen.disturbed)
-        lasting = self.seen.ends_at
-        self.seen.disturbed.append(_until(fault, lasting))
-        action = self._actions()[event.kind]
-        await action(event)
-        self.seen.disturbed[at] = _until(fault, time.monotonic())
+        index = len(self.seen.disturbed)
+        # A fault whose action fails lasts to the end.
+        lasting = dataclasses.replace(fault, last_at=self.seen.ends_at)
+        self.seen.disturbed.append(lasting)
+        await self._actions()[event.kind](event)
+        ended = dataclasses.replace(fault, last_at=time.monotonic())
+        self.seen.disturbed[index] = ended
 
     def _actions(
         self,
@@ -256,12 +255,6 @@
         self.seen.withdrawn.append(history.Withdrawn(instance, at))
 
 
-def _until(fault: history.Disturbed, last_at: float) -> history.Disturbed:
-    return history.Disturbed(
-        fault.node, fault.kind, fault.first_at, last_at, fault.planned
-    )
-
-
 async def _wait_until_ready(node: nodes.Node) -> None:
     request = f"GET {platform_names.PATHS.ready} HTTP/1.1\r\nhost: x\r\n\r\n"
     while True:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -8,9 +8,9 @@
 import typing
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+from bench import loopback
 from snipelink.mesh import catalog, channel, node, objects, settings, watcher
 from snipelink.session import answers, http, memory, requests
-from tests import loopback
 
 NAMES = settings.HeaderNames()
 PATHS = node.Paths(ready="/ready", metrics="/metrics")
--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from bench import loopback
 from snipelink import errors
 from snipelink.mesh import channel, endpoint
-from tests import loopback
 from tests.mesh import fleet
 
 ADDRESS = (loopback.next_host(), 21395)
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -6,18 +6,8 @@
 import platform_documents
 import pytest
 
-ROUTE_COLUMNS = [
-    "name",
-    "host",
-    "prefix",
-    "route_type",
-    "timeout_s",
-    "target_latency_s",
-    "priority",
-    "service",
-    "max_attempts",
-    "traffic_split",
-]
+from bench.soak import store
+
 SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
 SERVER = {
     "service": "a",
@@ -36,7 +26,7 @@
     document = {
         "version": "r12",
         "routes": {
-            "columns": ROUTE_COLUMNS,
+            "columns": store.ROUTE_COLUMNS,
             "rows": [
                 ["r1", "Ex.example", "/a/", "unsafe", 1.2, 0.5, 1, "a", 2, None],
                 ["r2", "ex.example", "/b/", "safe", 1, 0.5, 2, None, 2, SPLIT],
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -10,9 +10,9 @@
 import platform_store
 import pytest
 
+from bench import loopback
 from snipelink.mesh import channel, watcher
 from snipelink.session import http, memory, requests
-from tests import loopback
 from tests.platform import test_platform_documents as documents
 
 ADDRESS = (loopback.next_host(), 21390)
