--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -16,6 +16,8 @@
 LAST_RESORT_SHARE = 0.6
 # The same after the store was away: entries are back within about two seconds.
 LAPSED_S = 2.2
+# Lines that one configuration adds to the log for what in it cannot be read.
+MAX_LOGGED_PROBLEMS = 20
 # Changes that are kept for nodes that ask for what they missed.
 MAX_KEPT_CHANGES = 256
 
@@ -66,6 +68,11 @@
         """Version of the configuration in force; 0 before the first."""
         return self.table.configuration.version if self.table else 0
 
+    @property
+    def problem_count(self) -> int:
+        """Parts of the configuration in force that cannot be read."""
+        return len(self.table.configuration.problems) if self.table else 0
+
     def published(self) -> objects.Published:
         """Return all that is known, for another node."""
         configuration = self.table.configuration if self.table else None
@@ -154,6 +161,13 @@
                 }
             },
         )
+        for problem in configuration.problems[:MAX_LOGGED_PROBLEMS]:
+            logger.warning(
+                "part of the configuration is not readable",
+                extra={
+                    "fields": {"version": configuration.version, "problem": problem}
+                },
+            )
         self.table = objects.RouteTable(configuration)
 
     def _set_instance(self, instance: objects.Instance, now: float) -> None:
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -82,6 +82,12 @@
         if not call_id:
             outcome = calls.fail(errors.Kind.BAD_REQUEST, "the request has no identity")
             return self._finish(request, call_id, route.name, outcome, arrived)
+        if route.problem:
+            detail = f"route {route.name} cannot be read: {route.problem}"
+            outcome = calls.fail(
+                errors.Kind.NOT_READY, detail, NO_ENDPOINT_RETRY_AFTER_S
+            )
+            return self._finish(request, call_id, route.name, outcome, arrived)
         call = self._build(request, call_id, route, arrived)
         if self.stops_at is not None and call.deadline > self.stops_at:
             # It may last until its deadline, and must not be cut off before.
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -342,6 +342,7 @@
         values = {
             "catalog_revision": lambda: self._catalog.revision,
             "configuration_version": lambda: self._catalog.version,
+            "configuration_problems": lambda: self._catalog.problem_count,
             "calls_running": lambda: self._runner.slots.running_count,
             "calls_waiting": lambda: self._runner.slots.waiting_count,
             "endpoint_slowness": lambda: self._runner.slots.progress.slowness,
--- a/src/snipelink/mesh/objects.py
+++ b/src/snipelink/mesh/objects.py
@@ -31,6 +31,8 @@
         Rank; 0 is the highest.
     max_attempts : int
         Most endpoints that one call may be sent to.
+    problem : str
+        Why calls of this route cannot be served; empty if they can.
     """
 
     name: str
@@ -42,6 +44,7 @@
     priority: int
     max_attempts: int
     parts: tuple[Part, ...]
+    problem: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,12 +59,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """One published version of routes and limits."""
+    """One published version of routes and limits.
+
+    Attributes
+    ----------
+    problems : tuple of str
+        What in it could not be read.
+    """
 
     version: int
     routes: tuple[Route, ...]
     health_paths_by_service: dict[str, str]
     limits: CallerLimits
+    problems: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -95,6 +96,19 @@
         assert (await client.ask("c1", path="/other/")).status == 404
 
 
+@run
+async def test_route_that_cannot_be_read_is_refused_with_its_reason() -> None:
+    routes = await both_routes("rota", problem="timeout_s is text")
+    routes = (dataclasses.replace(routes[0], problem=""), routes[1])
+    async with fleet.running("rota", routes=routes) as members:
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c1")).status == 200
+        response = await client.ask("c2", path="/claim/1", method="POST", body=b"x")
+        assert response.status == 503
+        assert b"timeout_s is text" in response.body
+        assert arrivals(members, "c2") == 0
+
+
 @run
 async def test_node_without_configuration_answers_unavailable() -> None:
     member = fleet.make_member("rota", fleet.FakeStore())
