Bound the memory of answers without end; let a fault in one task end no node

Cause: a body without a length, or in chunks, was read up to 64 MB a call; three of them end a node with 200 MB. Heads, hints and trailers were cut at 256 KB already. A fault in one of the node's four tasks ended the process. Change: an answer may have 16 MB and all that are being read 64 MB; a task that fails is logged and starts again. Tests against real sockets, before: 'body without length', 'chunks', the shared bound and the planted fault failed; after: all pass.

--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -11,7 +11,7 @@
 
 from snipelink import errors, model
 from snipelink.mesh import channel, settings
-from snipelink.session import answers, http
+from snipelink.session import answers, http, memory
 from snipelink.session import headers as header_rules
 
 # An endpoint on the same machine accepts in about a millisecond; a full one drops
@@ -24,7 +24,10 @@
 MAX_IDLE_ONCE_S = 1.0
 # Share of the idle time named by an endpoint for which a connection is kept.
 IDLE_SHARE = 0.5
-MAX_ANSWER_BYTES = 1 << 26
+# Largest answer, and bytes of all answers that are being read; an endpoint in trouble
+# may send bytes without end, and the smallest machines have 200 MB.
+MAX_ANSWER_BYTES = 1 << 24
+MAX_ANSWERS_BYTES = 1 << 26
 MAX_IDLE_CONNECTIONS = 64
 
 
@@ -73,6 +76,7 @@
         self.address = address
         self._names = names
         self._kept: collections.deque[_Kept] = collections.deque()
+        self._pool = memory.Pool(MAX_ANSWERS_BYTES)
         self.connections_opened = 0
         self.unexpected_answers = 0
 
@@ -87,11 +91,12 @@
             return opened
         stream = opened.ok_value
         reader = answers.AnswerReader(exchange.method, MAX_ANSWER_BYTES)
+        charge = memory.PoolCharge(self._pool)
         kept = False
         try:
             async with asyncio.timeout(exchange.deadline - time.monotonic()):
                 stream.write(exchange.payload)
-                outcome = await self._read(stream, reader, exchange)
+                outcome = await self._read(stream, reader, exchange, charge)
             if isinstance(outcome, Ok) and reader.reusable and reader.is_clean():
                 kept = stream.is_idle
                 if kept:
@@ -102,6 +107,7 @@
         except OSError as error:
             return self._lost(reader, str(error))
         finally:
+            charge.settle()
             if not kept:
                 stream.abort()
 
@@ -115,6 +121,7 @@
         stream: channel.Channel,
         reader: answers.AnswerReader,
         exchange: Exchange,
+        charge: memory.PoolCharge,
     ) -> Result[http.Response, errors.Failure]:
         ended = False
         while True:
@@ -127,6 +134,9 @@
             if ended:
                 return self._lost(reader, "the endpoint closed the connection")
             data = await stream.receive()
+            if not charge.charge(len(data)):
+                detail = "no memory for the answer"
+                return _fail(errors.Kind.ANSWER_TOO_LARGE, detail)
             try:
                 if data:
                     reader.feed(data)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -8,6 +8,8 @@
 import logging
 import random
 import time
+import typing
+from collections.abc import Callable
 
 from snipelink.decide import interest, placement, rhythm, turns
 from snipelink.generated import mesh
@@ -41,9 +43,13 @@
 # Time before the end of the grace period at which the node stops anyway, seconds.
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.05
+# Time after which a task that failed starts again, seconds.
+RESTART_S = 0.2
 # Time between two looks at which nodes are followed and heard, seconds.
 FOLLOW_LOOK_S = 0.2
 
+Work = Callable[[], typing.Awaitable[None]]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Paths:
@@ -152,25 +158,24 @@
         await self._callers.start(own.caller_listen)
         await self._ready_port.start(own.ready_listen)
         await self._start_metrics_port()
+        follow_nodes = functools.partial(
+            self._watcher.follow_nodes, self._newest, self._peers.fetch_published
+        )
+        works_by_name: dict[str, Work] = {
+            "watch the store": self._watcher.run,
+            "ask other nodes": follow_nodes,
+            "poll the endpoint": self._poller.run,
+            "follow loads": self._follow,
+        }
         tasks = [
-            asyncio.ensure_future(self._watcher.run()),
-            asyncio.ensure_future(
-                self._watcher.follow_nodes(self._newest, self._peers.fetch_published)
-            ),
-            asyncio.ensure_future(self._poller.run()),
-            asyncio.ensure_future(self._follow()),
+            asyncio.ensure_future(_keep_running(name, work))
+            for name, work in works_by_name.items()
         ]
-        stopped = asyncio.ensure_future(stop.wait())
         logger.info(
             "node has started",
             extra={"fields": {"node": own.node, "service": own.service}},
         )
-        done, _ = await asyncio.wait(
-            [stopped, *tasks], return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done - {stopped}:
-            # None of these ends by itself; the exception names the fault.
-            task.result()
+        await stop.wait()
         cut = await self._leave()
         for task in tasks:
             task.cancel()
@@ -382,3 +387,13 @@
         }
         for name, read in values.items():
             self._metrics.gauge(f"snipelink_mesh_{name}", name.replace("_", " "), read)
+
+
+async def _keep_running(name: str, work: Work) -> typing.NoReturn:
+    """Run a task until cancelled; a fault of the program ends none of the others."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            logger.exception("task has failed", extra={"fields": {"task": name}})
+        await asyncio.sleep(RESTART_S)
--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -87,3 +87,105 @@
         assert not lost.not_run
 
     asyncio.run(check())
+
+
+# An eighth of the memory of the smallest machines; sockets hold some of it.
+MAX_ENDLESS_BYTES = 25_000_000
+# Bytes that are no answer, sent again and again until the client closes.
+ENDLESS = {
+    "no protocol": (b"", b"x" * 65536),
+    "head": (b"HTTP/1.1 200 OK\r\n", b"a: " + b"b" * 65533 + b"\r\n"),
+    "one header": (b"HTTP/1.1 200 OK\r\na: ", b"b" * 65536),
+    "hints": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2000),
+    "body without length": (b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 65536),
+    "body of a stated length": (
+        b"HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n",
+        b"b" * 65536,
+    ),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"b" * 65536 + b"\r\n",
+    ),
+    "chunk extension": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;",
+        b"b" * 65536,
+    ),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        b"a: " + b"b" * 65533 + b"\r\n",
+    ),
+}
+
+
+async def _send_endless(stream: channel.Channel, name: str) -> int:
+    """Send until the client closes; return the bytes that were sent."""
+    begin, more = ENDLESS[name]
+    stream.write(begin)
+    sent = len(begin)
+    try:
+        while True:
+            stream.write(more)
+            await stream.drain()
+            sent += len(more)
+            await asyncio.sleep(0)
+    except ConnectionError:
+        return sent
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_bytes_without_end_are_cut_at_a_bound(name: str) -> None:
+    sent: list[int] = []
+
+    async def serve(stream: channel.Channel) -> None:
+        await stream.receive()
+        sent.append(await _send_endless(stream, name))
+
+    async def check() -> None:
+        listener = await channel.listen(ADDRESS, serve, 10)
+        client = endpoint.EndpointClient(ADDRESS, fleet.NAMES)
+        payload = endpoint.encode("GET", "/x", [("host", "x")], b"")
+        deadline = time.monotonic() + 10.0
+        exchange = endpoint.Exchange("c", "GET", payload, deadline, True)
+        try:
+            answered = await client.send(exchange)
+            assert answered.is_err()
+            # Deadlines are for endpoints that are slow, not for those that are wrong.
+            assert time.monotonic() < deadline - 5.0
+            async with asyncio.timeout(2.0):
+                while not sent:
+                    await asyncio.sleep(0.01)
+        finally:
+            client.close()
+            listener.close()
+
+    asyncio.run(check())
+    assert sent[0] < MAX_ENDLESS_BYTES
+
+
+def test_answers_without_end_share_one_bound_of_memory(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(endpoint, "MAX_ANSWER_BYTES", 1 << 22)
+    monkeypatch.setattr(endpoint, "MAX_ANSWERS_BYTES", 1 << 23)
+
+    async def serve(stream: channel.Channel) -> None:
+        await stream.receive()
+        await _send_endless(stream, "body without length")
+
+    async def check() -> list[errors.Kind]:
+        listener = await channel.listen(ADDRESS, serve, 10)
+        client = endpoint.EndpointClient(ADDRESS, fleet.NAMES)
+        payload = endpoint.encode("GET", "/x", [("host", "x")], b"")
+        exchange = endpoint.Exchange(
+            "c", "GET", payload, time.monotonic() + 10.0, idempotent=True
+        )
+        try:
+            sent = await asyncio.gather(*(client.send(exchange) for _ in range(8)))
+        finally:
+            client.close()
+            listener.close()
+        return [each.unwrap_err().kind for each in sent]
+
+    kinds = asyncio.run(check())
+    assert errors.Kind.ANSWER_TOO_LARGE in kinds
+    assert set(kinds) <= {errors.Kind.ANSWER_TOO_LARGE, errors.Kind.ANSWER_INVALID}
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -207,6 +207,25 @@
     asyncio.run(check())
 
 
+@run
+async def test_fault_in_one_task_ends_neither_the_node_nor_the_task() -> None:
+    async with fleet.running("rota", "rota") as members:
+        broken = members[0].node
+        follow, failed = broken._exchange.follow, 0
+
+        def fail_twice(*arguments: Any) -> None:
+            nonlocal failed
+            failed += 1
+            if failed <= 2:
+                raise RuntimeError("planted")
+            follow(*arguments)
+
+        broken._exchange.follow = fail_twice  # type: ignore[method-assign]
+        await fleet.wait_until(lambda: failed > 2)
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c1")).status == 200
+
+
 @run
 async def test_late_answer_to_another_request_is_not_delivered() -> None:
     async def answer_twice(
