--- a/src/snipelink/decide/reporting.py
+++ b/src/snipelink/decide/reporting.py
@@ -4,6 +4,10 @@
 report costs the sender and the receiver processor time, and bytes to other failure
 domains are paid for, so nodes hear of what changes a choice: the calls of an endpoint
 only once there are so many that a further one would be crowded.
+
+A change of the published state reaches all nodes, and each of them follows tens of
+others. If all told it at once, each node would hear of it tens of times; told to a few,
+who tell a few others, it reaches hundreds of nodes in three steps.
 """
 
 from __future__ import annotations
@@ -14,6 +18,9 @@
 
 # Time between two reports to the same node, seconds: a poll of the endpoint.
 MIN_INTERVAL_S = 0.02
+# Nodes that are told at once of a newer published state; the others hear of it with the
+# next report.
+REVISION_FANOUT = 4
 # Time after which an unchanged report is repeated, seconds; a fraction of
 # `placement.SILENT_S`, so a lost datagram does not silence a node.
 REPEAT_S = placement.FRESH_S
@@ -35,7 +42,9 @@
     calls : int
         Calls on the endpoint and waiting for it.
     state : tuple
-        All that must be told at once: identity, acceptance, version in force.
+        All that must be told at once: identity, acceptance.
+    revision : int
+        Revision of the published state that the node knows.
     """
 
     calls: int
@@ -43,6 +52,7 @@
     slowness_percent: int
     failing_percent: int
     state: tuple[object, ...]
+    revision: int = 0
 
 
 def is_due(sent: Report, current: Report, age_s: float, *, near: bool) -> bool:
--- a/src/snipelink/mesh/loads.py
+++ b/src/snipelink/mesh/loads.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import dataclasses
-import enum
 import logging
+import random
 import time
 import typing
 from collections.abc import Callable, Collection, Mapping
@@ -32,18 +32,15 @@
 # time until a report that counts them arrives.
 UNREPORTED_S = 0.06
 
+# First byte of a datagram: what the rest is.
+LOAD_KIND = b"L"
+FOLLOW_KIND = b"F"
+
 _encoder = msgspec.msgpack.Encoder()
 _load_decoder = msgspec.msgpack.Decoder(mesh.Load)
 _follow_decoder = msgspec.msgpack.Decoder(mesh.Follow)
 
 
-class Kind(enum.Enum):
-    """First byte of a datagram: what the rest is."""
-
-    LOAD = b"L"
-    FOLLOW = b"F"
-
-
 @dataclasses.dataclass(slots=True)
 class _Follower:
     """A node that is told this node's load, and what it was told last."""
@@ -197,6 +194,8 @@
         Returns this node's load, without a sequence number.
     on_report : callable
         Called with the sender's host and its report.
+    rng : random.Random
+        Chooses who is told first of a newer published state.
     """
 
     def __init__(
@@ -206,12 +205,14 @@
         table: LoadTable,
         current: Callable[[float], mesh.Load],
         on_report: Callable[[str, mesh.Load], None],
+        rng: random.Random,
     ) -> None:
         self._host = host
         self._port = port
         self._table = table
         self._current = current
         self._on_report = on_report
+        self._rng = rng
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._followers_by_host: dict[str, _Follower] = {}
@@ -240,12 +241,14 @@
         now = time.monotonic()
         host = addr[0]
         try:
-            kind = Kind(data[:1])
-            if kind is Kind.FOLLOW:
-                self._on_follow(host, _follow_decoder.decode(data[1:]), now)
+            kind, body = data[:1], memoryview(data)[1:]
+            if kind == FOLLOW_KIND:
+                self._on_follow(host, _follow_decoder.decode(body), now)
                 return
-            load = _load_decoder.decode(data[1:])
-        except (ValueError, msgspec.MsgspecError) as error:
+            if kind != LOAD_KIND:
+                raise msgspec.DecodeError(f"datagram of kind {kind!r}")
+            load = _load_decoder.decode(body)
+        except msgspec.MsgspecError as error:
             self.unreadable_datagrams += 1
             logger.warning(
                 "datagram is not readable",
@@ -279,7 +282,7 @@
             elif now - asked.last_at < again_s:
                 continue
             asked.last_at = now
-            self._send(Kind.FOLLOW, _encoder.encode(mesh.Follow(near)), host)
+            self._send(FOLLOW_KIND, _encoder.encode(mesh.Follow(near)), host)
 
     def is_silent(self, host: str, now: float) -> bool:
         """Whether a machine has long been asked for reports and sends none."""
@@ -298,6 +301,7 @@
         unchanged = report == self._published
         if unchanged and now < self._next_at:
             return
+        told_at_once = self._told_at_once(report)
         self._published = report
         self._next_at = now + reporting.REPEAT_S
         payload = b""
@@ -307,18 +311,29 @@
                 continue
             sent = follower.sent
             age_s = now - follower.sent_at
-            if sent is None or reporting.is_due(
-                sent, report, age_s, near=follower.near
+            if (
+                sent is None
+                or host in told_at_once
+                or reporting.is_due(sent, report, age_s, near=follower.near)
             ):
                 payload = payload or _encoder.encode(load)
                 follower.sent_at, follower.sent = now, report
-                self._send(Kind.LOAD, payload, host)
+                self._send(LOAD_KIND, payload, host)
                 continue
             due_s = reporting.REPEAT_S
             if reporting.is_news(sent, report, near=follower.near):
                 due_s = reporting.MIN_INTERVAL_S
             self._next_at = min(self._next_at, follower.sent_at + due_s)
 
+    def _told_at_once(self, report: reporting.Report) -> set[str]:
+        """Return the followers that are told at once of a newer published state."""
+        known = self._published
+        if known is not None and known.revision >= report.revision:
+            return set()
+        hosts = list(self._followers_by_host)
+        count = min(len(hosts), reporting.REVISION_FANOUT)
+        return set(self._rng.sample(hosts, count))
+
     @property
     def next_at(self) -> float:
         """Monotonic time at which some follower is due for a report."""
@@ -340,25 +355,19 @@
         self._next_at = now
         self.publish(now)
 
-    def _send(self, kind: Kind, payload: bytes, host: str) -> None:
+    def _send(self, kind: bytes, payload: bytes, host: str) -> None:
         if self._transport is None:
             return
-        self._transport.sendto(kind.value + payload, (host, self._port))
+        self._transport.sendto(kind + payload, (host, self._port))
         self.sent_datagrams += 1
 
 
 def _report(load: mesh.Load) -> reporting.Report:
-    state = (
-        load.instance,
-        load.accepting,
-        load.configuration,
-        load.revision,
-        load.source_away,
-    )
     return reporting.Report(
         load.running + load.waiting,
         load.slots,
         load.slowness_percent,
         load.failing_percent,
-        state,
+        (load.instance, load.accepting, load.source_away),
+        load.revision,
     )
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -104,7 +104,7 @@
         self._followed: dict[str, bool] = {}
         self._rng = rng
         self._exchange = loads.LoadExchange(
-            own.host, own.load_port, self._loads, self._load, self._on_report
+            own.host, own.load_port, self._loads, self._load, self._on_report, rng
         )
         running = attempts.Attempts(
             own,
--- a/tests/mesh/test_loads.py
+++ b/tests/mesh/test_loads.py
@@ -1,12 +1,14 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from typing import Any
 
+import msgspec
 import pytest
 
-from snipelink.decide import placement, rhythm
+from snipelink.decide import placement, reporting, rhythm
 from snipelink.generated import mesh
 from snipelink.mesh import loads, objects
 
@@ -120,9 +122,16 @@
         return sent
 
 
-def _exchange(table: loads.LoadTable) -> tuple[loads.LoadExchange, Wire]:
+def _exchange(
+    table: loads.LoadTable, load: mesh.Load | None = None
+) -> tuple[loads.LoadExchange, Wire]:
     exchange = loads.LoadExchange(
-        "10.0.0.9", 7000, table, lambda now: _load(instance="own"), lambda *_: None
+        "10.0.0.9",
+        7000,
+        table,
+        lambda now: load or _load(instance="own"),
+        lambda *_: None,
+        random.Random(1),
     )
     wire = Wire()
     exchange.connection_made(wire)
@@ -140,7 +149,7 @@
     exchange.datagram_received(request, (HOST, 7000))
     ((report, host),) = wire.take()
     assert host == HOST
-    assert report[:1] == loads.Kind.LOAD.value
+    assert report[:1] == loads.LOAD_KIND
     exchange.publish(time.monotonic() + 1.0)
     assert [host for _, host in wire.take()] == [HOST]
     exchange.publish(time.monotonic() + loads.FOLLOWER_S + 0.1)
@@ -177,3 +186,29 @@
     assert exchange.unreadable_datagrams == 1
     assert exchange.follower_count == 0
     assert wire.take() == []
+
+
+def test_newer_published_state_is_told_to_a_few_at_once_and_to_all_soon() -> None:
+    own = _load(instance="own")
+    exchange, wire = _exchange(loads.LoadTable(rhythm.Rhythm()), own)
+    hosts = [f"10.0.1.{index}" for index in range(30)]
+    request = loads.FOLLOW_KIND + msgspec.msgpack.encode(mesh.Follow(True))
+    for host in hosts:
+        exchange.datagram_received(request, (host, 7000))
+    now = time.monotonic()
+    wire.take()
+    own.revision += 1
+    exchange.publish(now + 0.05)
+    assert len(wire.take()) == reporting.REVISION_FANOUT
+    exchange.publish(now + 0.06)
+    assert wire.take() == []
+    assert exchange.next_at <= now + reporting.REPEAT_S
+    exchange.publish(now + 0.06 + reporting.REPEAT_S)
+    assert {host for _, host in wire.take()} == set(hosts)
+
+
+@pytest.mark.parametrize("data", [b"", b"L", b"F", b"X\x00", b"L\xc1", b"L" * 900])
+def test_unreadable_datagram_is_counted_and_ends_nothing(data: bytes) -> None:
+    exchange, _ = _exchange(loads.LoadTable(rhythm.Rhythm()))
+    exchange.datagram_received(data, (HOST, 7000))
+    assert exchange.unreadable_datagrams == 1
