Follow two endpoints of a service in other failure domains in place of four

Ruled out: repeating far reports less often, as a node that a partition cuts off would be taken as heard for longer.

--- a/src/snipelink/decide/interest.py
+++ b/src/snipelink/decide/interest.py
@@ -18,8 +18,9 @@
 # Endpoints of each service that a node follows in its own failure domain; the least
 # loaded of so many is nearly as free as the least loaded of all.
 NEAR_COUNT = 16
-# The same in other failure domains, if its own has that many.
-FAR_COUNT = 4
+# The same in other failure domains, if its own has that many. Their reports are paid
+# for by the byte; nodes of a domain follow different ones, so together they reach many.
+FAR_COUNT = 2
 # Any constant; it makes all nodes order hosts alike.
 ORDER_KEY = "interest"
 
