Keep polls of an endpoint on connections of their own

Cause: polls and calls shared kept connections. A second copy of a poll's answer that came late, on a connection in use again, was taken for the call's answer, as refusals need not name their call: the caller of an order got 503, which promises that it has not run, while it ran. In the other direction a late answer of a call was taken for a poll's. Tests, both failed before (503 in place of 200; KeyError): a fake endpoint that repeats the poll's answer on a connection in use again, and one that answers a poll with a call's answer first.

--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -47,7 +47,7 @@
     Attributes
     ----------
     call_id : str
-        Identity that the answer must echo; empty if it need not.
+        Identity that the answer must echo; empty if the request has none.
     deadline : float
         Monotonic time in seconds by which the answer must be complete.
     idempotent : bool
@@ -151,11 +151,11 @@
 
     def _belongs(self, response: http.Response, call_id: str) -> bool:
         """Whether an answer is for this request; a late one of another is not."""
-        if not call_id:
-            return True
         echoed = header_rules.first(response.headers, self._names.call_id)
         if echoed:
             return echoed == call_id
+        if not call_id:
+            return True
         # Servers that refuse a request need not know whose it was.
         return response.status >= 400
 
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -95,6 +95,9 @@
         self._catalog = catalog.Catalog(own.bounds.drain_s)
         self._loads = loads.LoadTable(self._rhythm)
         self._endpoint = endpoint.EndpointClient(own.endpoint_address, names)
+        # Polls have connections of their own: their answers name no call, so a second
+        # one that comes late could be taken for that of a call.
+        self._poll_client = endpoint.EndpointClient(own.endpoint_address, names)
         self._runner = admission.Runner(
             self._endpoint, names, rng, now, self._on_calls_change, self._rhythm
         )
@@ -120,7 +123,7 @@
         )
         self._callers = callers.CallerPort(self._dispatcher, names, self._limits)
         self._poller = health.Poller(
-            self._endpoint,
+            self._poll_client,
             self._runner,
             self._catalog,
             own,
@@ -195,6 +198,7 @@
         """Take over changed settings."""
         changed, ignored = self._own.take_over(new)
         self._endpoint.address = self._own.endpoint_address
+        self._poll_client.address = self._own.endpoint_address
         self._rank_interest()
         logger.info(
             "settings are reloaded",
@@ -219,6 +223,7 @@
             port.close()
         self._peers.close()
         self._endpoint.close()
+        self._poll_client.close()
         self._exchange.close()
 
     async def _leave(self) -> int:
@@ -378,7 +383,9 @@
             "endpoint_slowness": lambda: self._runner.slots.progress.slowness,
             "slowness_period_seconds": lambda: self._rhythm.period_s or 0.0,
             "endpoint_connections_opened": lambda: self._endpoint.connections_opened,
-            "unexpected_answers": lambda: self._endpoint.unexpected_answers,
+            "unexpected_answers": lambda: (
+                self._endpoint.unexpected_answers + self._poll_client.unexpected_answers
+            ),
             "endpoint_polls": lambda: self._poller.polls,
             "platform_reads": lambda: self._watcher.reads,
             "platform_reads_failed": lambda: self._watcher.failed_reads,
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -50,7 +50,11 @@
 
 @dataclasses.dataclass(eq=False)
 class FakeEndpoint:
-    """Endpoint that answers as a script says; polls are always answered."""
+    """Endpoint that answers as a script says; polls are always answered.
+
+    With `repeats_polls`, it says once more that it is not well, late, on each
+    connection that carried a poll and is in use again.
+    """
 
     host: str
     instance: str
@@ -62,6 +66,7 @@
     running: int = 0
     seen: list[Seen] = dataclasses.field(default_factory=list)
     given_up: int = 0
+    repeats_polls: bool = False
     listener: channel.Listener | None = None
 
     async def start(self) -> None:
@@ -98,6 +103,7 @@
         reader = requests.RequestReader(
             objects.CallerLimits(), memory.PoolCharge(memory.Pool(1 << 20))
         )
+        polled = False
         while True:
             request = reader.next_request()
             if request is None:
@@ -110,7 +116,10 @@
                 fields = [(NAMES.instance, self.instance), (NAMES.load, self.load())]
                 response = http.Response(200, fields, b"")
                 stream.write(http.encode_response(response, "GET", True))
+                polled = True
                 continue
+            if polled and self.repeats_polls:
+                stream.write(http.encode_response(http.Response(503, []), "GET", True))
             self.seen.append(Seen(self.instance, request))
             self.running += 1
             try:
--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -89,6 +89,26 @@
     asyncio.run(check())
 
 
+def test_answer_that_names_a_call_is_not_taken_for_that_of_a_poll() -> None:
+    async def serve(stream: channel.Channel) -> None:
+        while await stream.receive():
+            own = f"HTTP/1.1 200 OK\r\n{fleet.NAMES.instance}: i-1"
+            own += "\r\ncontent-length: 0\r\n\r\n"
+            stream.write(_answer("late") + own.encode())
+
+    async def check() -> None:
+        listener = await channel.listen(ADDRESS, serve, 10)
+        client = endpoint.EndpointClient(ADDRESS, fleet.NAMES)
+        try:
+            answered = (await client.send(_exchange(""))).unwrap()
+        finally:
+            client.close()
+            listener.close()
+        assert dict(answered.headers)[fleet.NAMES.instance] == "i-1"
+
+    asyncio.run(check())
+
+
 # An eighth of the memory of the smallest machines; sockets hold some of it.
 MAX_ENDLESS_BYTES = 25_000_000
 # Bytes that are no answer, sent again and again until the client closes.
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -207,6 +207,20 @@
     asyncio.run(check())
 
 
+@run
+async def test_second_answer_to_a_poll_is_not_taken_for_that_of_a_call() -> None:
+    routes = await both_routes("rota")
+    async with fleet.running("rota", routes=routes) as members:
+        members[0].endpoint.repeats_polls = True
+        for index in range(10):
+            client = await fleet.Client.open(members[0])
+            response = await client.ask(
+                f"c{index}", path="/claim/1", method="POST", body=b"x"
+            )
+            assert response.status == 200
+            await asyncio.sleep(0.05)
+
+
 @run
 async def test_fault_in_one_task_ends_neither_the_node_nor_the_task() -> None:
     async with fleet.running("rota", "rota") as members:
