--- a/src/snipelink/decide/reporting.py
+++ b/src/snipelink/decide/reporting.py
@@ -16,8 +16,11 @@
 
 from snipelink.decide import placement
 
-# Time between two reports to the same node, seconds: a poll of the endpoint.
+# Time between two reports to the same node, seconds, where the second one tells of an
+# endpoint that changed its speed or ended, and where it tells of more or fewer calls:
+# these change with every call, and the sender of a call counts it itself.
 MIN_INTERVAL_S = 0.02
+CALLS_INTERVAL_S = 0.05
 # Nodes that are told at once of a newer published state; the others hear of it with the
 # next report.
 REVISION_FANOUT = 4
@@ -55,23 +58,21 @@
     revision: int = 0
 
 
-def is_due(sent: Report, current: Report, age_s: float, *, near: bool) -> bool:
-    """Whether a node should be told again, `age_s` seconds after the last time."""
-    if age_s < MIN_INTERVAL_S:
-        return False
-    return age_s >= REPEAT_S or is_news(sent, current, near=near)
+def due_s(sent: Report, current: Report, *, near: bool) -> float:
+    """Return the seconds after the last report at which a node is told again."""
+    if _is_urgent(sent, current):
+        return MIN_INTERVAL_S
+    # Fewer calls than these are all alike to `placement`.
+    spare = int(placement.COMFORTABLE_SHARE * current.slots) - 1
+    change = abs(max(current.calls, spare) - max(sent.calls, spare))
+    least = 1 if near else max(2.0, FAR_CALLS_SHARE * current.slots)
+    return CALLS_INTERVAL_S if change >= least else REPEAT_S
 
 
-def is_news(sent: Report, current: Report, *, near: bool) -> bool:
-    """Whether a report differs from the one sent so much that it moves calls."""
+def _is_urgent(sent: Report, current: Report) -> bool:
     if sent.state != current.state:
         return True
     slowness = abs(current.slowness_percent - sent.slowness_percent)
     if slowness >= SLOWNESS_SHARE * max(1, sent.slowness_percent):
         return True
-    if abs(current.failing_percent - sent.failing_percent) >= FAILING_PERCENT:
-        return True
-    # Fewer calls than these are all alike to `placement`.
-    spare = int(placement.COMFORTABLE_SHARE * current.slots) - 1
-    change = abs(max(current.calls, spare) - max(sent.calls, spare))
-    return change >= (1 if near else max(2.0, FAR_CALLS_SHARE * current.slots))
+    return abs(current.failing_percent - sent.failing_percent) >= FAILING_PERCENT
--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -95,8 +95,9 @@
     ) -> placement.Candidate | None:
         """Return the endpoint on which a call should run, of those not tried."""
         candidates = []
+        reported = self._loads.facts_by_instance
         for instance in self._catalog.usable(call.service, now):
-            if instance.id in tried:
+            if instance.id in tried or instance.id not in reported:
                 continue
             near = instance.failure_domain == self._own.failure_domain
             candidate = self._loads.candidate(instance, near=near, now=now)
--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 import logging
-from collections.abc import Sequence
+from collections.abc import Collection
 
 from snipelink.mesh import objects
 
@@ -125,7 +125,7 @@
         """Note that the platform's store is away, or was until now."""
         self._lapses_until = now + LAPSED_S
 
-    def usable(self, service: str, now: float) -> Sequence[objects.Instance]:
+    def usable(self, service: str, now: float) -> Collection[objects.Instance]:
         """Return the endpoints of a service that may receive calls.
 
         Those that leave or were just removed are returned only if there is no other.
--- a/src/snipelink/mesh/loads.py
+++ b/src/snipelink/mesh/loads.py
@@ -30,7 +30,7 @@
 MAX_DATAGRAM_BYTES = 1024
 # Calls sent to an endpoint are added to its reported load for so long, seconds: the
 # time until a report that counts them arrives.
-UNREPORTED_S = 0.06
+UNREPORTED_S = 0.08
 
 # First byte of a datagram: what the rest is.
 LOAD_KIND = b"L"
@@ -112,12 +112,14 @@
                 return False
         else:
             known = None
-        progress = work.Progress(now, self._rhythm)
-        sent_at: list[float] = []
+        slowness = load.slowness_percent / 100.0
         if known is not None and known.load.instance == load.instance:
-            progress, sent_at = known.progress, known.sent_at
-        progress.set_slowness(load.slowness_percent / 100.0, now)
-        fact = Fact(load, host, now, progress, sent_at)
+            known.load, known.received_at = load, now
+            known.progress.set_slowness(slowness, now)
+            return True
+        progress = work.Progress(now, self._rhythm)
+        progress.set_slowness(slowness, now)
+        fact = Fact(load, host, now, progress)
         self.facts_by_host[host] = fact
         if load.instance:
             self.facts_by_instance[load.instance] = fact
@@ -310,19 +312,14 @@
                 del self._followers_by_host[host]
                 continue
             sent = follower.sent
-            age_s = now - follower.sent_at
-            if (
-                sent is None
-                or host in told_at_once
-                or reporting.is_due(sent, report, age_s, near=follower.near)
-            ):
+            due_s = 0.0
+            if sent is not None and host not in told_at_once:
+                due_s = reporting.due_s(sent, report, near=follower.near)
+            if now - follower.sent_at >= due_s:
                 payload = payload or _encoder.encode(load)
                 follower.sent_at, follower.sent = now, report
                 self._send(LOAD_KIND, payload, host)
                 continue
-            due_s = reporting.REPEAT_S
-            if reporting.is_news(sent, report, near=follower.near):
-                due_s = reporting.MIN_INTERVAL_S
             self._next_at = min(self._next_at, follower.sent_at + due_s)
 
     def _told_at_once(self, report: reporting.Report) -> set[str]:
--- a/src/snipelink/observe/logs.py
+++ b/src/snipelink/observe/logs.py
@@ -169,6 +169,9 @@
     lines_per_s, burst : float
         Lines of each message id per second, and at once.
     """
+    # Records carry none of these, and looking for them costs a third of a line.
+    logging._srcfile = None
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     handler = RateLimitedHandler(stream, lines_per_s=lines_per_s, burst=burst)
     handler.setFormatter(JsonFormatter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- a/tests/decide/test_reporting.py
+++ b/tests/decide/test_reporting.py
@@ -35,16 +35,25 @@
 def test_report_is_due_when_it_changes_a_choice(
     changes: dict[str, object], near: bool, due: bool
 ) -> None:
-    assert reporting.is_due(_report(), _report(**changes), 0.1, near=near) is due
+    due_s = reporting.due_s(_report(), _report(**changes), near=near)
+    assert (due_s <= 0.1) is due
 
 
 def test_unchanged_report_is_repeated() -> None:
-    assert reporting.is_due(_report(), _report(), reporting.REPEAT_S, near=False)
+    due_s = reporting.due_s(_report(), _report(), near=False)
+    assert due_s == reporting.REPEAT_S <= placement.SILENT_S / 2
 
 
 def test_change_waits_for_the_shortest_interval() -> None:
     changed = _report(state=("i-1", False))
-    assert not reporting.is_due(_report(), changed, 0.01, near=True)
+    assert reporting.due_s(_report(), changed, near=True) > 0.01
+
+
+def test_end_of_an_endpoint_is_told_before_its_calls() -> None:
+    ended, busy = _report(state=("i-1", False)), _report(calls=9)
+    assert reporting.due_s(_report(), ended, near=True) < reporting.due_s(
+        _report(), busy, near=True
+    )
 
 
 @pytest.mark.parametrize("slots", [1, 2, 4, 5, 9, 12])
@@ -54,7 +63,7 @@
     sent = _report(calls=0, slots=slots)
     for calls in range(2 * slots):
         current = _report(calls=calls, slots=slots)
-        if reporting.is_news(sent, current, near=True):
+        if reporting.due_s(sent, current, near=True) < reporting.REPEAT_S:
             continue
         told, now = (
             placement.expected_s(_candidate(count, slots), 0.2, 0.2)
