--- a/tests/mesh/test_uploads.py
+++ b/tests/mesh/test_uploads.py
@@ -31,6 +31,19 @@
     )
 
 
+async def _client_with_head_timeout(
+    members: list[fleet.Member], timeout_s: float
+) -> fleet.Client:
+    """Open a caller's connection once the limit of heads is in force."""
+    routes = await _upload_routes()
+    fleet.publish(
+        members,
+        fleet.configuration(*routes, version=2, header_timeout_s=timeout_s),
+    )
+    await fleet.wait_until(lambda: fleet.is_known(members), 1.0)
+    return await fleet.Client.open(members[0])
+
+
 @test_node.run
 async def test_body_reaches_the_endpoint_unchanged_and_once() -> None:
     async with fleet.running(
@@ -61,12 +74,7 @@
 @test_node.run
 async def test_slow_body_is_read_while_it_makes_progress() -> None:
     async with fleet.running("rota", routes=await _upload_routes()) as members:
-        limits = {"header_timeout_s": 0.3}
-        fleet.publish(
-            members, fleet.configuration(*await _upload_routes(), version=2, **limits)
-        )
-        await fleet.wait_until(lambda: fleet.is_known(members), 1.0)
-        client = await fleet.Client.open(members[0])
+        client = await _client_with_head_timeout(members, 0.3)
         client.stream.write(_head("c1", len(BODY)))
         for start in range(0, len(BODY), 60_000):
             await asyncio.sleep(0.15)
@@ -79,12 +87,7 @@
 @test_node.run
 async def test_body_that_stalls_is_refused_as_not_run() -> None:
     async with fleet.running("rota", routes=await _upload_routes()) as members:
-        limits = {"header_timeout_s": 0.3}
-        fleet.publish(
-            members, fleet.configuration(*await _upload_routes(), version=2, **limits)
-        )
-        await fleet.wait_until(lambda: fleet.is_known(members), 1.0)
-        client = await fleet.Client.open(members[0])
+        client = await _client_with_head_timeout(members, 0.3)
         client.stream.write(_head("c1", len(BODY)) + BODY[:1000])
         response = await client.receive(2.0)
         assert response is not None
