Wait in a planned stop for answers that are still being sent

Cause: a call left the count of calls in flight when its answer had been given to the event loop. With a slow reader most of it waits in the process, which ended all the same, with the answer cut halfway. Evidence: test_stop_waits_for_answers_that_are_still_being_sent, before: 'assert not True', the node had ended with 15 MB unread; after: passes. Change: connections with unsent bytes, of callers and of other nodes, keep the stop waiting up to the end of the grace time and count as cut off then.

--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -98,6 +98,13 @@
         """Whether the connection is gone in both directions."""
         return self._lost
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes that were written wait for the peer to take earlier ones."""
+        if self._transport is None or self._lost:
+            return False
+        return self._transport.get_write_buffer_size() > 0
+
     async def receive(self) -> bytes:
         """Return the next bytes; empty at the end of the stream."""
         while not self._buffer:
@@ -220,14 +227,21 @@
     def __init__(self, serve: Callable[[Channel], typing.Awaitable[None]]) -> None:
         self._serve = serve
         self.tasks: set[asyncio.Task[None]] = set()
+        self.channels: set[Channel] = set()
         self.server: asyncio.Server | None = None
 
+    @property
+    def unsent_count(self) -> int:
+        """Connections on which bytes that were written wait to be sent."""
+        return sum(channel.has_unsent for channel in self.channels)
+
     def make(self) -> Channel:
         """Return the channel of a connection that is being accepted."""
         return _Accepted(self)
 
     def start(self, channel: Channel) -> None:
         """Serve an accepted connection."""
+        self.channels.add(channel)
         task = asyncio.ensure_future(self._run(channel))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -259,6 +273,10 @@
         super().connection_made(transport)
         self._listener.start(self)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self._listener.channels.discard(self)
+
 
 def _tune(connection: socket.socket) -> None:
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -246,12 +246,20 @@
             if now >= stops_at:
                 break
             quiet = now - self._callers.last_request_at >= QUIET_S
-            if now - started >= MIN_LEAVE_S and quiet and not self._calls_in_flight():
+            if now - started >= MIN_LEAVE_S and quiet and not self._unfinished():
                 break
-        cut = self._calls_in_flight()
+        cut = self._unfinished()
         self.close()
         return cut
 
+    def _unfinished(self) -> int:
+        """Return the calls that run, and the answers that are still being sent.
+
+        What a process has not handed to the kernel when it ends is lost.
+        """
+        unsent = self._callers.unsent_count + self._peer_port.unsent_count
+        return self._calls_in_flight() + unsent
+
     def _calls_in_flight(self) -> int:
         return self._callers.requests_in_flight + self._peer_port.calls_in_flight
 
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -177,6 +177,11 @@
         """Accept connections."""
         self._listener = await channel.listen(address, self._serve, ACCEPT_BACKLOG)
 
+    @property
+    def unsent_count(self) -> int:
+        """Connections on which an answer waits for its reader."""
+        return self._listener.unsent_count if self._listener is not None else 0
+
     def close(self) -> None:
         """Refuse further connections and end the open ones."""
         if self._listener is not None:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -308,7 +308,7 @@
 
     def __init__(self, stream: channel.Channel) -> None:
         self.stream = stream
-        self._reader = answers.AnswerReader("GET", 1 << 20)
+        self._reader = answers.AnswerReader("GET", 1 << 24)
 
     @classmethod
     async def open(cls, member: Member) -> Client:
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -441,6 +441,40 @@
             assert await leaving.task == 0
 
 
+def test_stop_waits_for_answers_that_are_still_being_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the process had not handed to the kernel was lost when it ended."""
+    monkeypatch.setattr(fleet, "BOUNDS", dataclasses.replace(fleet.BOUNDS, grace_s=6.0))
+    body = b"x" * (15 << 20)
+
+    async def answer_long(
+        endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+    ) -> None:
+        stream.write(endpoint.response(request, body=body))
+        await stream.drain()
+
+    async def check() -> None:
+        async with fleet.running("rota", "rota") as members:
+            leaving = members[0]
+            for member in members:
+                member.endpoint.script = answer_long
+            client = await fleet.Client.open(leaving)
+            client.send("c1")
+            await fleet.wait_until(lambda: arrivals(members, "c1") == 1)
+            leaving.stop.set()
+            # The caller reads slowly, as over a link that is in use.
+            await asyncio.sleep(node.MIN_LEAVE_S + 0.5)
+            assert leaving.task is not None
+            assert not leaving.task.done()
+            response = await client.receive()
+            assert response is not None
+            assert response.body == body
+            assert await leaving.task == 0
+
+    asyncio.run(check())
+
+
 @run
 async def test_node_that_stops_refuses_what_may_outlast_it() -> None:
     """Such a request would be cut off at the end of the grace time."""
