Deliver answers that had arrived when a stalled node wakes up

Ready answers have to be delivered, also late. Cause: after a stall the timer of a deadline and the bytes of the answer are due in the same turn of the event loop, and the timer cancelled the read. Evidence: test_answer_that_came_in_time_is_delivered_after_a_stall, before: Failure(kind=DEADLINE_UNKNOWN, detail='no answer in time'); after: passes. Change: one function reads until a deadline, for endpoints and for other nodes; bytes that lie unread at the deadline are read before the call is given up.

--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -7,6 +7,8 @@
 import typing
 from collections.abc import Callable
 
+from snipelink import clock
+
 # A silent peer is noticed by the kernel after about three seconds; connections may
 # go silent without a reset while new ones work.
 KEEPALIVE_IDLE_S = 1
@@ -15,6 +17,9 @@
 USER_TIMEOUT_MS = 3000
 # Bytes received and not yet taken above which the peer is made to wait.
 MAX_UNREAD_BYTES = 262144
+# Time to read what had arrived before a deadline that has passed, seconds: some turns
+# of the event loop.
+READ_UNREAD_S = 0.05
 
 Address = tuple[str, int]
 T = typing.TypeVar("T")
@@ -98,6 +103,11 @@
         """Whether the connection is gone in both directions."""
         return self._lost
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes were received that nobody has taken yet."""
+        return bool(self._buffer)
+
     @property
     def has_unsent(self) -> bool:
         """Whether bytes that were written wait for the peer to take earlier ones."""
@@ -190,6 +200,31 @@
     return channel
 
 
+async def read_by(
+    deadline: float,
+    stream: Channel,
+    read: Callable[[], typing.Coroutine[typing.Any, typing.Any, T]],
+) -> T:
+    """Return what `read` takes from `stream` until a deadline.
+
+    After a stall of the process the deadline's timer is due in the same turn of the
+    event loop as bytes that arrived long before; these are read first.
+
+    Raises
+    ------
+    TimeoutError
+        If the deadline passes.
+    """
+    try:
+        async with asyncio.timeout(deadline - clock.now()):
+            return await read()
+    except TimeoutError:
+        if not stream.has_unread:
+            raise
+    async with asyncio.timeout(READ_UNREAD_S):
+        return await read()
+
+
 async def run_while_open(
     stream: Channel, work: typing.Coroutine[typing.Any, typing.Any, T]
 ) -> T | None:
--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
 import dataclasses
+import functools
 
 from result import Err, Ok, Result
 
@@ -93,9 +93,9 @@
         charge = memory.PoolCharge(self._pool)
         kept = False
         try:
-            async with asyncio.timeout(exchange.deadline - clock.now()):
-                stream.write(exchange.payload)
-                outcome = await self._read(stream, reader, exchange, charge)
+            stream.write(exchange.payload)
+            read = functools.partial(self._read, stream, reader, exchange, charge)
+            outcome = await channel.read_by(exchange.deadline, stream, read)
             if isinstance(outcome, Ok) and reader.reusable and reader.is_clean():
                 kept = stream.is_idle
                 if kept:
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import logging
 
 import msgspec
@@ -68,8 +69,8 @@
         try:
             payload = _encode_call(call, instance, clock.now())
             connection.send(frames.Kind.CALL, payload)
-            async with asyncio.timeout(call.deadline - clock.now()):
-                outcome = await self._reply(connection, call)
+            read = functools.partial(self._reply, connection, call)
+            outcome = await channel.read_by(call.deadline, connection.stream, read)
             kept = connection.is_idle
             if kept:
                 self._release(host, connection)
--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -1,6 +1,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Iterator
 
 import pytest
 
@@ -88,6 +93,41 @@
     asyncio.run(check())
 
 
+@contextlib.contextmanager
+def _server(answer: bytes, work_s: float) -> Iterator[None]:
+    """Answer one request from a thread, which goes on while the event loop stalls."""
+
+    def serve(listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65536)
+            time.sleep(work_s)
+            connection.sendall(answer)
+            connection.recv(1)
+
+    with socket.create_server(ADDRESS) as listener:
+        thread = threading.Thread(target=serve, args=(listener,))
+        thread.start()
+        yield
+        thread.join()
+
+
+def test_answer_that_came_in_time_is_delivered_after_a_stall() -> None:
+    """The deadline of the call and its answer were due in one turn; the first won."""
+
+    async def check() -> None:
+        client = endpoint.EndpointClient(ADDRESS, fleet.NAMES)
+        sending = asyncio.ensure_future(client.send(_exchange("c")))
+        await asyncio.sleep(0.05)
+        time.sleep(0.7)
+        answered = await sending
+        client.close()
+        assert answered.unwrap().status == 200
+
+    with _server(_answer("c"), work_s=0.1):
+        asyncio.run(check())
+
+
 def test_answer_that_names_a_call_is_not_taken_for_that_of_a_poll() -> None:
     async def serve(stream: channel.Channel) -> None:
         while await stream.receive():
