Count further attempts and the state of the retry budget

What callers saw: nothing. Change: counter snipelink_mesh_further_attempts_total by service, reason (slow, failed) and verdict (granted, refused); gauges by service of the allowance in force, of what was spent of it and of all that was granted in the last window; the line 'no budget for a further attempt' has these fields, and is now also written for a call that turned slow.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import dataclasses
+import enum
 import logging
 import random
+from collections.abc import Callable, Mapping
 
 from snipelink import clock
 from snipelink.decide import placement, second, work
@@ -25,14 +27,22 @@
 RATIO_SHARE = 0.15
 
 
+class Reason(enum.Enum):
+    """Why a call should be sent to a further endpoint."""
+
+    SLOW = "slow"
+    FAILED = "failed"
+
+
 @dataclasses.dataclass(slots=True)
 class _Attempt:
-    """One attempt that runs."""
+    """One attempt that runs; `refused` if the budget refused a second beside it."""
 
     task: asyncio.Task[calls.Outcome]
     instance: str
     started: float
     started_work_s: float
+    refused: bool = False
 
 
 class Attempts:
@@ -79,6 +89,29 @@
         self._metrics = recorded
         self._rng = rng
         self._budgets_by_service: dict[str, budget.Budget] = {}
+        self._further = recorded.counter(
+            "snipelink_mesh_further_attempts_total",
+            "Further attempts that calls were in need of, and the budget's verdict.",
+            ("service", "reason", "verdict"),
+        )
+        recorded.gauge(
+            "snipelink_mesh_retry_allowance",
+            "Further attempts that this node may make in a window without deposits.",
+            lambda: self._by_service(lambda state: state.allowance),
+            ("service",),
+        )
+        recorded.gauge(
+            "snipelink_mesh_retry_allowance_spent",
+            "Further attempts of the last window that the allowance paid.",
+            lambda: self._by_service(lambda state: state.spent_of_allowance),
+            ("service",),
+        )
+        recorded.gauge(
+            "snipelink_mesh_retries_granted",
+            "Further attempts of the last window.",
+            lambda: self._by_service(lambda state: state.granted),
+            ("service",),
+        )
         self.estimates = work.Estimates()
 
     def on_catalog_change(self) -> None:
@@ -86,9 +119,32 @@
         for each in self._budgets_by_service.values():
             each.set_allowance(self._allowance())
 
-    def may_spend(self, service: str, now: float) -> bool:
-        """Take one further attempt from the budget; false if there is none."""
-        return self._budget(service).try_spend(now)
+    def may_spend(
+        self, call: calls.Call, reason: Reason, now: float, *, is_again: bool = False
+    ) -> bool:
+        """Take one further attempt from the budget; false if there is none.
+
+        With `is_again`, a refusal is neither counted nor logged: a running call asks
+        many times a second, and its first refusal tells all.
+        """
+        known = self._budget(call.service)
+        granted = known.try_spend(now)
+        if granted:
+            self._further.increment(call.service, reason.value, "granted")
+        elif not is_again:
+            self._further.increment(call.service, reason.value, "refused")
+            state = known.state(now)
+            log(
+                call,
+                "no budget for a further attempt",
+                now,
+                reason=reason.value,
+                allowance=round(state.allowance, 3),
+                earned=round(state.earned, 3),
+                spent_of_allowance=state.spent_of_allowance,
+                granted=state.granted,
+            )
+        return granted
 
     def choose(
         self, call: calls.Call, tried: set[str], now: float
@@ -170,7 +226,8 @@
             left_s, elsewhere_s, call.target_at, call.deadline, now
         ):
             return None
-        if not self._budget(call.service).try_spend(now):
+        if not self.may_spend(call, Reason.SLOW, now, is_again=first.refused):
+            first.refused = True
             return None
         tried.add(other.instance)
         log(
@@ -196,6 +253,15 @@
         done_s = fact.progress.work_until(now)
         return _Attempt(task, chosen.instance, now, done_s)
 
+    def _by_service(
+        self, read: Callable[[budget.State], float]
+    ) -> Mapping[tuple[str, ...], float]:
+        now = clock.now()
+        return {
+            (service,): read(known.state(now))
+            for service, known in self._budgets_by_service.items()
+        }
+
     def _budget(self, service: str) -> budget.Budget:
         known = self._budgets_by_service.get(service)
         if known is None:
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -182,8 +182,8 @@
             now = clock.now()
             if not self._may_repeat(call, latest, arrivals, refusals, now):
                 return outcome
-            if arrivals and not self._attempts.may_spend(call.service, now):
-                attempts.log(call, "no budget for a further attempt", now)
+            failed = attempts.Reason.FAILED
+            if arrivals and not self._attempts.may_spend(call, failed, now):
                 return outcome
             attempts.log(
                 call,
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import threading
 
 LIFETIME_S = 10.0
@@ -11,6 +12,26 @@
 ROUNDING = 1e-9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """Figures of a budget at one time.
+
+    Attributes
+    ----------
+    allowance : float
+        Attempts that may be spent in any window without deposits.
+    earned : float
+        Attempts that deposits and the reserve would pay now.
+    spent_of_allowance, granted : int
+        Attempts of the last window that the allowance paid, and all of them.
+    """
+
+    allowance: float
+    earned: float
+    spent_of_allowance: int
+    granted: int
+
+
 class Budget:
     """Allows further attempts in proportion to answered calls.
 
@@ -39,6 +60,7 @@
         self._window_s = window_s
         self._allowance = allowance
         self._allowed_at: collections.deque[float] = collections.deque()
+        self._granted_at: collections.deque[float] = collections.deque()
         self._lock = threading.Lock()
         self._reserve = RESERVE if ratio > 0 else 0.0
         self._batches: collections.deque[list[float]] = collections.deque()
@@ -61,10 +83,11 @@
             self._expire(now)
             if self._sum + self._reserve >= 1.0 - ROUNDING:
                 self._take(1.0)
-                return True
-            if len(self._allowed_at) + 1 > self._allowance + ROUNDING:
+            elif len(self._allowed_at) + 1 <= self._allowance + ROUNDING:
+                self._allowed_at.append(now)
+            else:
                 return False
-            self._allowed_at.append(now)
+            self._granted_at.append(now)
             return True
 
     def set_allowance(self, allowance: float) -> None:
@@ -79,9 +102,21 @@
             allowed = max(0.0, self._allowance - len(self._allowed_at))
             return self._sum + self._reserve + allowed
 
+    def state(self, now: float) -> State:
+        """Return what is in force now, and what was granted in the last window."""
+        with self._lock:
+            self._expire(now)
+            return State(
+                self._allowance,
+                self._sum + self._reserve,
+                len(self._allowed_at),
+                len(self._granted_at),
+            )
+
     def _expire(self, now: float) -> None:
-        while self._allowed_at and now - self._allowed_at[0] >= self._window_s:
-            self._allowed_at.popleft()
+        for times in (self._allowed_at, self._granted_at):
+            while times and now - times[0] >= self._window_s:
+                times.popleft()
         batches = self._batches
         while batches and now - batches[0][0] >= self._window_s:
             tokens = batches.popleft()[1]
--- /dev/null
+++ b/tests/mesh/test_attempts.py
@@ -0,0 +1,191 @@
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import random
+import typing
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from snipelink import clock, errors
+from snipelink.decide import rhythm
+from snipelink.generated import mesh
+from snipelink.mesh import admission, attempts, calls, catalog, loads, objects, peers
+from snipelink.mesh import settings as settings_module
+from snipelink.observe import metrics
+from snipelink.session import http
+from tests.mesh import fleet
+
+DRAIN_S = 2.0
+SERVICE = "rota"
+
+Script = Callable[[calls.Call, str], Awaitable[calls.Outcome]]
+
+
+@dataclasses.dataclass
+class FakeClient:
+    """Stands for the connections to endpoints; a script says what comes of calls."""
+
+    script: Script
+    sent: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+
+    async def call(self, host: str, instance: str, call: calls.Call) -> calls.Outcome:
+        self.sent.append((call.call_id, instance))
+        return await self.script(call, instance)
+
+
+@dataclasses.dataclass
+class Subject:
+    """Attempts of a node, with what surrounds them."""
+
+    attempts: attempts.Attempts
+    catalog: catalog.Catalog
+    client: FakeClient
+    metrics: metrics.Metrics
+
+    def publish(self, count: int, now: float) -> None:
+        """Publish endpoints on as many machines, all of which report their load."""
+        instances = tuple(_instance(index) for index in range(count))
+        revision = self.catalog.revision + 1
+        self.catalog.sync(objects.Published(revision, None, instances), now)
+        self.attempts.on_catalog_change()
+
+
+def _instance(index: int) -> objects.Instance:
+    return objects.Instance(f"i-{index}", SERVICE, f"10.0.0.{index}", "a", False)
+
+
+def _load(instance: str) -> mesh.Load:
+    return mesh.Load(instance, 1, 1, 0, 0, 9, 100, 0, True, 1, 1, False)
+
+
+def _call(call_id: str = "c1", **changes: Any) -> calls.Call:
+    now = clock.now()
+    values: dict[str, Any] = {
+        "call_id": call_id,
+        "service": SERVICE,
+        "operation": "view",
+        "method": "GET",
+        "target": "/view/1",
+        "headers": [],
+        "body": b"",
+        "arrived": now,
+        "target_at": now + 0.2,
+        "deadline": now + 1.0,
+        "priority": 2,
+        "idempotent": True,
+        "work_s": 0.05,
+        "max_attempts": 2,
+    }
+    return calls.Call(**(values | changes))
+
+
+async def _answer(call: calls.Call, instance: str) -> calls.Outcome:
+    return calls.Outcome(http.Response(200, [], b""), reached=True)
+
+
+async def _fail(call: calls.Call, instance: str) -> calls.Outcome:
+    return calls.fail(errors.Kind.CONNECTION_LOST, "reset", reached=True)
+
+
+def _slow_on(*slow: str) -> Script:
+    async def run(call: calls.Call, instance: str) -> calls.Outcome:
+        if instance in slow:
+            await asyncio.sleep(0.7)
+        return await _answer(call, instance)
+
+    return run
+
+
+def _subject(script: Script = _answer, *, known: int = 2, **bounds: float) -> Subject:
+    now = clock.now()
+    own = settings_module.Settings(
+        node="n",
+        host="10.0.1.1",
+        failure_domain="a",
+        service=SERVICE,
+        endpoint_address=("10.0.1.1", 1),
+        caller_listen=("10.0.1.1", 2),
+        peer_listen=("10.0.1.1", 3),
+        ready_listen=("10.0.1.1", 4),
+        metrics_listen=("10.0.1.1", 5),
+        peer_port=3,
+        load_port=3,
+        bounds=dataclasses.replace(fleet.BOUNDS, **bounds),
+    )
+    table = loads.LoadTable(rhythm.Rhythm())
+    for index in range(known):
+        instance = _instance(index)
+        table.update(_load(instance.id), instance.host, now)
+    published = catalog.Catalog(DRAIN_S)
+    client = FakeClient(script)
+    recorded = metrics.Metrics()
+    tested = attempts.Attempts(
+        own,
+        published,
+        table,
+        typing.cast(admission.Runner, None),
+        typing.cast(peers.PeerClient, client),
+        recorded,
+        random.Random(1),
+    )
+    subject = Subject(tested, published, client, recorded)
+    subject.publish(known, now)
+    return subject
+
+
+def _counted(subject: Subject) -> dict[tuple[str, ...], float]:
+    name = "snipelink_mesh_further_attempts_total"
+    return subject.metrics.counter(name, "").values()
+
+
+async def _run(subject: Subject, call: calls.Call) -> tuple[calls.Outcome, int]:
+    tried: set[str] = set()
+    chosen = subject.attempts.choose(call, tried, clock.now())
+    assert chosen is not None
+    tried.add(chosen.instance)
+    return await subject.attempts.run(call, chosen, tried, 0)
+
+
+def test_refusal_of_a_further_attempt_tells_what_was_spent(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against repeats of which logs and metrics tell nothing."""
+    subject = _subject(retry_ratio=0.0, retry_allowance=20.0)
+    caplog.set_level(logging.INFO)
+    call, now = _call(), clock.now()
+    failed = attempts.Reason.FAILED
+    granted = [subject.attempts.may_spend(call, failed, now) for _ in range(50)]
+    spent = granted.count(True)
+    assert 0 < spent < 50
+    assert _counted(subject) == {
+        (SERVICE, "failed", "granted"): spent,
+        (SERVICE, "failed", "refused"): 50 - spent,
+    }
+    fields = caplog.records[-1].__dict__["fields"]
+    assert fields["reason"] == "failed"
+    assert fields["spent_of_allowance"] == fields["granted"] == spent
+    assert spent <= fields["allowance"] < spent + 1
+    text = subject.metrics.exposition()
+    label = f'{{service="{SERVICE}"}}'
+    assert f"snipelink_mesh_retries_granted{label} {spent}\n" in text
+    assert f"snipelink_mesh_retry_allowance_spent{label} {spent}\n" in text
+    assert f"snipelink_mesh_retry_allowance{label} {spent}" in text
+
+
+def test_slow_call_counts_one_refusal_however_often_it_asks() -> None:
+    """Guards against a count of refusals that tells looks instead of calls."""
+    subject = _subject(_slow_on("i-0", "i-1"), retry_ratio=0.0, retry_allowance=0.0)
+    asyncio.run(_run(subject, _call(target_at=clock.now() + 0.05)))
+    assert _counted(subject) == {(SERVICE, "slow", "refused"): 1}
+    assert len(subject.client.sent) == 1
+
+
+def test_second_attempt_counts_as_granted() -> None:
+    subject = _subject(_slow_on("i-0", "i-1"), retry_ratio=0.0, retry_allowance=40.0)
+    asyncio.run(_run(subject, _call(target_at=clock.now() + 0.05)))
+    assert _counted(subject) == {(SERVICE, "slow", "granted"): 1}
+    assert len(subject.client.sent) == 2
--- a/tests/retry/test_budget.py
+++ b/tests/retry/test_budget.py
@@ -71,3 +71,11 @@
     assert tested.try_spend(0.0)
     assert not tested.try_spend(1.9)
     assert tested.try_spend(2.0)
+
+
+def test_state_counts_what_was_granted_in_the_last_window() -> None:
+    tested = budget.Budget(0.1, allowance=2.0)
+    assert [tested.try_spend(1.0) for _ in range(4)] == [True, True, True, False]
+    state = tested.state(10.9)
+    assert (state.granted, state.spent_of_allowance, state.earned) == (3, 2, 0.0)
+    assert tested.state(11.0).granted == tested.state(11.0).spent_of_allowance == 0
