Move the retry budgets of a mesh node into a class of their own

Cause: which part of the budget a node may use was worked out inside Attempts, which needs connections; a fleet of such budgets could not be simulated. What callers saw: nothing. Change: mesh/retries.py holds the budgets by service, with the present time as an argument. The published number of machines is told before the routes are looked at, also while there are none. Behaviour is as before.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -11,7 +11,15 @@
 
 from snipelink import clock
 from snipelink.decide import placement, second, work
-from snipelink.mesh import admission, calls, catalog, loads, peers, settings
+from snipelink.mesh import (
+    admission,
+    calls,
+    catalog,
+    loads,
+    peers,
+    retries,
+    settings,
+)
 from snipelink.observe import metrics
 from snipelink.retry import budget
 
@@ -20,11 +28,6 @@
 # Time between two looks at a call that runs, seconds; a fraction of the time for
 # which an endpoint is slow.
 LOOK_S = 0.05
-# Share of the retry budget that is used, of its allowance and of its ratio: calls that
-# a repeated call makes count as repeats at the services they go to, and calls of
-# endpoints do not count as requests there.
-ALLOWANCE_SHARE = 0.3
-RATIO_SHARE = 0.15
 
 
 class Reason(enum.Enum):
@@ -88,7 +91,7 @@
         self._client = client
         self._metrics = recorded
         self._rng = rng
-        self._budgets_by_service: dict[str, budget.Budget] = {}
+        self._retries = retries.Retries(own)
         self._further = recorded.counter(
             "snipelink_mesh_further_attempts_total",
             "Further attempts that calls were in need of, and the budget's verdict.",
@@ -114,10 +117,9 @@
         )
         self.estimates = work.Estimates()
 
-    def on_catalog_change(self) -> None:
+    def on_catalog_change(self, now: float) -> None:
         """Share the retry budget among the machines that are now published."""
-        for each in self._budgets_by_service.values():
-            each.set_allowance(self._allowance())
+        self._retries.on_published(len(self._catalog.instances_by_id), now)
 
     def may_spend(
         self, call: calls.Call, reason: Reason, now: float, *, is_again: bool = False
@@ -127,13 +129,12 @@
         With `is_again`, a refusal is neither counted nor logged: a running call asks
         many times a second, and its first refusal tells all.
         """
-        known = self._budget(call.service)
-        granted = known.try_spend(now)
+        granted = self._retries.try_spend(call.service, now)
         if granted:
             self._further.increment(call.service, reason.value, "granted")
         elif not is_again:
             self._further.increment(call.service, reason.value, "refused")
-            state = known.state(now)
+            state = self._retries.state(call.service, now)
             log(
                 call,
                 "no budget for a further attempt",
@@ -256,26 +257,8 @@
     def _by_service(
         self, read: Callable[[budget.State], float]
     ) -> Mapping[tuple[str, ...], float]:
-        now = clock.now()
-        return {
-            (service,): read(known.state(now))
-            for service, known in self._budgets_by_service.items()
-        }
-
-    def _budget(self, service: str) -> budget.Budget:
-        known = self._budgets_by_service.get(service)
-        if known is None:
-            ratio = self._own.bounds.retry_ratio * RATIO_SHARE
-            known = budget.Budget(
-                ratio, self._allowance(), self._own.bounds.retry_window_s
-            )
-            self._budgets_by_service[service] = known
-        return known
-
-    def _allowance(self) -> float:
-        nodes = max(1, len(self._catalog.instances_by_id))
-        # Each node has its part; none knows what the others spend.
-        return self._own.bounds.retry_allowance * ALLOWANCE_SHARE / nodes
+        states = self._retries.states(clock.now())
+        return {(service,): read(state) for service, state in states}
 
     def _record(
         self, call: calls.Call, attempt: _Attempt, outcome: calls.Outcome, now: float
@@ -283,7 +266,7 @@
         kind = outcome.failure.kind if outcome.failure else None
         self._metrics.record_attempt(attempt.instance, now - attempt.started, kind)
         if outcome.is_success:
-            self._budget(call.service).deposit(now)
+            self._retries.on_answer(call.service, now)
         if outcome.work_s > 0.0:
             self.estimates.record(call.service, call.operation, outcome.work_s)
 
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -108,8 +108,9 @@
             outcome = await self._run(call)
         return self._finish(request, call_id, route.name, outcome, arrived, call)
 
-    def on_catalog_change(self) -> None:
+    def on_catalog_change(self, now: float) -> None:
         """Forget what belongs to routes that are no longer published."""
+        self._attempts.on_catalog_change(now)
         table = self._catalog.table
         if table is None:
             return
@@ -119,7 +120,6 @@
         self._attempts.estimates.retain(
             {(part.service, route.name) for route in routes for part in route.parts}
         )
-        self._attempts.on_catalog_change()
 
     def _build(
         self, request: http.Request, call_id: str, route: objects.Route, now: float
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -309,7 +309,7 @@
 
     def _on_catalog(self) -> None:
         now = clock.now()
-        self._dispatcher.on_catalog_change()
+        self._dispatcher.on_catalog_change(now)
         self._rank_interest()
         self._update_leaving(now)
         self._runner.admit(now)
--- /dev/null
+++ b/src/snipelink/mesh/retries.py
@@ -0,0 +1,63 @@
+"""Retry budgets of one node, a part of what all nodes together may use."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from snipelink.mesh import settings
+from snipelink.retry import budget
+
+# Share of the retry budget that is used, of its allowance and of its ratio: calls that
+# a repeated call makes count as repeats at the services they go to, and calls of
+# endpoints do not count as requests there.
+ALLOWANCE_SHARE = 0.3
+RATIO_SHARE = 0.15
+
+
+class Retries:
+    """Budget of further attempts for each service, at one node.
+
+    Each node has its part of the allowance; none knows what the others spend.
+
+    Parameters
+    ----------
+    own : Settings
+        Bounds of the retries of all nodes.
+    """
+
+    def __init__(self, own: settings.Settings) -> None:
+        self._own = own
+        self._machines = 0
+        self._budgets_by_service: dict[str, budget.Budget] = {}
+
+    def on_published(self, machines: int, now: float) -> None:
+        """Share the allowance among the machines that are now published."""
+        self._machines = machines
+
+    def try_spend(self, service: str, now: float) -> bool:
+        """Take one further attempt; return whether the budget allows it."""
+        return self._budget(service, now).try_spend(now)
+
+    def on_answer(self, service: str, now: float) -> None:
+        """Record a call that was answered, whichever attempt was."""
+        self._budget(service, now).deposit(now)
+
+    def state(self, service: str, now: float) -> budget.State:
+        """Return the figures of one service."""
+        return self._budget(service, now).state(now)
+
+    def states(self, now: float) -> Iterator[tuple[str, budget.State]]:
+        """Yield the figures of each service that had calls."""
+        for service in list(self._budgets_by_service):
+            yield service, self.state(service, now)
+
+    def _budget(self, service: str, now: float) -> budget.Budget:
+        bounds = self._own.bounds
+        known = self._budgets_by_service.get(service)
+        if known is None:
+            ratio = bounds.retry_ratio * RATIO_SHARE
+            known = budget.Budget(ratio, 0.0, bounds.retry_window_s)
+            self._budgets_by_service[service] = known
+        allowance = bounds.retry_allowance * ALLOWANCE_SHARE
+        known.set_allowance(allowance / max(1, self._machines))
+        return known
--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -51,7 +51,7 @@
         instances = tuple(_instance(index) for index in range(count))
         revision = self.catalog.revision + 1
         self.catalog.sync(objects.Published(revision, None, instances), now)
-        self.attempts.on_catalog_change()
+        self.attempts.on_catalog_change(now)
 
 
 def _instance(index: int) -> objects.Instance:
