Keep the part of the retry budget while entries are missing

Cause: each node divided the allowance of all nodes by the number of endpoints that were published at the moment. While entries lapse with the store away, many vanish at once and come back within about two seconds; each node then took a multiple of its part. What callers saw: nothing. Change: decide/allowance.py remembers the largest fleet of the last minute and divides by it. Machines are counted instead of endpoints, so that one whose endpoint was just replaced and is listed twice does not count twice. Why it works: a short list is followed by the whole one within seconds, so the remembered number is the true one. A fleet that stays smaller is believed after a minute; until then its nodes use less than they may.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -119,7 +119,9 @@
 
     def on_catalog_change(self, now: float) -> None:
         """Share the retry budget among the machines that are now published."""
-        self._retries.on_published(len(self._catalog.instances_by_id), now)
+        # A machine whose endpoint was just replaced may be listed twice.
+        hosts = {each.host for each in self._catalog.instances_by_id.values()}
+        self._retries.on_published(len(hosts), now)
 
     def may_spend(
         self, call: calls.Call, reason: Reason, now: float, *, is_again: bool = False
--- a/src/snipelink/mesh/retries.py
+++ b/src/snipelink/mesh/retries.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 
+from snipelink.decide import allowance
 from snipelink.mesh import settings
 from snipelink.retry import budget
 
@@ -27,12 +28,12 @@
 
     def __init__(self, own: settings.Settings) -> None:
         self._own = own
-        self._machines = 0
+        self._part = allowance.Part()
         self._budgets_by_service: dict[str, budget.Budget] = {}
 
     def on_published(self, machines: int, now: float) -> None:
         """Share the allowance among the machines that are now published."""
-        self._machines = machines
+        self._part.on_published(machines, now)
 
     def try_spend(self, service: str, now: float) -> bool:
         """Take one further attempt; return whether the budget allows it."""
@@ -58,6 +59,6 @@
             ratio = bounds.retry_ratio * RATIO_SHARE
             known = budget.Budget(ratio, 0.0, bounds.retry_window_s)
             self._budgets_by_service[service] = known
-        allowance = bounds.retry_allowance * ALLOWANCE_SHARE
-        known.set_allowance(allowance / max(1, self._machines))
+        total = bounds.retry_allowance * ALLOWANCE_SHARE
+        known.set_allowance(self._part.of(total, now))
         return known
--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -189,3 +189,17 @@
     asyncio.run(_run(subject, _call(target_at=clock.now() + 0.05)))
     assert _counted(subject) == {(SERVICE, "slow", "granted"): 1}
     assert len(subject.client.sent) == 2
+
+
+def test_machine_that_is_listed_twice_counts_once() -> None:
+    """Guards against a smaller part while the endpoints of machines are replaced."""
+    subject = _subject(retry_ratio=0.0, retry_allowance=40.0)
+    now = clock.now()
+    twice = tuple(
+        dataclasses.replace(_instance(index % 2), id=f"j-{index}") for index in range(4)
+    )
+    subject.catalog.sync(objects.Published(9, None, twice), now)
+    subject.attempts.on_catalog_change(now)
+    failed = attempts.Reason.FAILED
+    granted = sum(subject.attempts.may_spend(_call(), failed, now) for _ in range(50))
+    assert granted == 6
