Let a process earn its part of the retry budget

Cause: a process that started had its whole part of the allowance and a reserve of one attempt for each service at once. Machines that were killed again within a window spent it each time, and while the first list was short a node divided by too few machines. What callers saw: nothing. Change: the part of the allowance and of the reserve that is not earned by answers grows from 2.5 s after the first list up to the whole part one window later. What answers earn can be spent from the start. The budgets of snipelink-node are as before. Why it works: in any window a machine uses at most what was earned before it and what its processes earn in it, two parts; the shares of allowance and reserve are half of the allowance together, so two parts of all machines are the whole.

--- a/src/snipelink/mesh/retries.py
+++ b/src/snipelink/mesh/retries.py
@@ -13,6 +13,9 @@
 # endpoints do not count as requests there.
 ALLOWANCE_SHARE = 0.3
 RATIO_SHARE = 0.15
+# Share of the allowance that the reserves of all nodes have without deposits. With the
+# share above it is half of the allowance, as kills can double what is used in a window.
+RESERVE_SHARE = 0.2
 
 
 class Retries:
@@ -57,8 +60,9 @@
         known = self._budgets_by_service.get(service)
         if known is None:
             ratio = bounds.retry_ratio * RATIO_SHARE
-            known = budget.Budget(ratio, 0.0, bounds.retry_window_s)
+            known = budget.Budget(ratio, 0.0, bounds.retry_window_s, reserve=0.0)
             self._budgets_by_service[service] = known
-        total = bounds.retry_allowance * ALLOWANCE_SHARE
-        known.set_allowance(self._part.of(total, now))
+        part = self._part.of(bounds.retry_allowance, bounds.retry_window_s, now)
+        known.set_allowance(part * ALLOWANCE_SHARE)
+        known.grant_reserve(part * RESERVE_SHARE)
         return known
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -51,10 +51,16 @@
         Attempts that may be spent in any window without deposits.
     window_s : float
         Length of a window, seconds.
+    reserve : float
+        Attempts that are kept from the start; further ones must be earned or granted.
     """
 
     def __init__(
-        self, ratio: float, allowance: float = 0.0, window_s: float = LIFETIME_S
+        self,
+        ratio: float,
+        allowance: float = 0.0,
+        window_s: float = LIFETIME_S,
+        reserve: float = RESERVE,
     ) -> None:
         self._ratio = ratio
         self._window_s = window_s
@@ -62,7 +68,7 @@
         self._allowed_at: collections.deque[float] = collections.deque()
         self._granted_at: collections.deque[float] = collections.deque()
         self._lock = threading.Lock()
-        self._reserve = RESERVE if ratio > 0 else 0.0
+        self._granted_reserve = self._reserve = reserve if ratio > 0 else 0.0
         self._batches: collections.deque[list[float]] = collections.deque()
         self._sum = 0.0
 
@@ -95,6 +101,14 @@
         with self._lock:
             self._allowance = allowance
 
+    def grant_reserve(self, granted: float) -> None:
+        """Raise what has been granted to the reserve without deposits, once for all."""
+        with self._lock:
+            added = min(granted, RESERVE) - self._granted_reserve
+            if self._ratio > 0 and added > 0.0:
+                self._granted_reserve += added
+                self._reserve = min(RESERVE, self._reserve + added)
+
     def available(self, now: float) -> float:
         """Return the attempts that could be spent now."""
         with self._lock:
--- a/tests/mesh/test_retries.py
+++ b/tests/mesh/test_retries.py
@@ -1,6 +1,10 @@
 from __future__ import annotations
 
 import dataclasses
+import random
+
+import hypothesis
+import hypothesis.strategies as st
 
 from snipelink.mesh import retries
 from snipelink.mesh import settings as settings_module
@@ -58,6 +62,37 @@
     assert sum(_granted(node, GROWN_S + 1.0) for node in nodes) <= EXTRA
 
 
+def test_short_list_at_the_start_does_not_raise_the_part_of_a_node() -> None:
+    """Guards against a multiple of the allowance when all nodes start at once."""
+    nodes = [_retries(ratio=0.0) for _ in range(MACHINES)]
+    for node in nodes:
+        node.on_published(1, 0.0)
+    granted = sum(_granted(node, 2.0) for node in nodes)
+    for node in nodes:
+        node.on_published(MACHINES, 2.2)
+    assert granted + sum(_granted(node, 9.0) for node in nodes) <= EXTRA
+
+
+def test_process_that_starts_again_and_again_has_no_new_allowance() -> None:
+    """Guards against kills that multiply the allowance within one window."""
+    granted = 0
+    for start in range(8):
+        node = _retries(ratio=0.0, extra=EXTRA)
+        node.on_published(MACHINES, float(start))
+        granted += _granted(node, start + 0.9)
+    assert granted <= EXTRA / MACHINES
+
+
+def test_process_that_starts_again_and_again_has_no_new_reserve() -> None:
+    """Guards against kills each of which gives every service one attempt."""
+    granted = 0
+    for start in range(8):
+        node = _retries(extra=0.0)
+        node.on_published(MACHINES, float(start))
+        granted += _granted(node, start + 0.9)
+    assert granted <= 1
+
+
 def test_answers_earn_attempts_from_the_start() -> None:
     """Guards against a fresh process that repeats nothing though it answers calls."""
     node = _retries()
@@ -74,3 +109,96 @@
     part = int(EXTRA * retries.ALLOWANCE_SHARE / MACHINES)
     assert _granted(node, GROWN_S) == part + 1
     assert _granted(node, GROWN_S + WINDOW_S) == part
+
+
+@dataclasses.dataclass
+class _Fleet:
+    """Budgets of all machines, and what was asked and granted."""
+
+    rng: random.Random
+    nodes: list[retries.Retries] = dataclasses.field(default_factory=list)
+    requested_at: list[float] = dataclasses.field(default_factory=list)
+    granted_at: list[float] = dataclasses.field(default_factory=list)
+
+    def start(self, published: int, now: float) -> None:
+        self.nodes = [_retries() for _ in range(MACHINES)]
+        for index in range(MACHINES):
+            self.restart(index, published, now)
+
+    def restart(self, index: int, published: int, now: float) -> None:
+        """Start a process that knows nothing but what is published."""
+        self.nodes[index] = _retries()
+        self.nodes[index].on_published(published, now)
+
+    def publish(self, published: int, now: float) -> None:
+        for node in self.nodes:
+            node.on_published(published, now)
+
+    def call(self, count: int, failing: float, now: float) -> None:
+        """Make calls at random nodes, of which a share fails until repeated."""
+        for _ in range(count):
+            self.requested_at.append(now)
+            node = self.rng.choice(self.nodes)
+            if self.rng.random() < failing:
+                if not node.try_spend(SERVICE, now):
+                    continue
+                self.granted_at.append(now)
+            node.on_answer(SERVICE, now)
+
+    def excess(self) -> float:
+        """Return the most granted in a window beyond what the rule allows."""
+        worst = -EXTRA
+        for start in self.granted_at:
+            granted = _count(self.granted_at, start, start + WINDOW_S)
+            requests = max(
+                _count(self.requested_at, start - before, start - before + WINDOW_S)
+                for before in (0.0, WINDOW_S / 2, WINDOW_S)
+            )
+            worst = max(worst, granted - RATIO * requests - EXTRA)
+        return worst
+
+
+def _count(times: list[float], start: float, end: float) -> int:
+    return sum(start <= at < end for at in times)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["calls", "failures", "kill", "kill-all", "lapse", "pause"]),
+        st.integers(1, 6),
+        st.sampled_from([0.1, 0.5, 1.0, 2.0, 2.5, 5.0, 9.0]),
+    ),
+    min_size=1,
+    max_size=25,
+)
+
+
+@hypothesis.given(STEPS, st.integers(0, 2**16), st.integers(1, MACHINES))
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+def test_repeats_of_all_nodes_stay_within_the_bound_in_any_window(
+    steps: list[tuple[str, int, float]], seed: int, first_published: int
+) -> None:
+    """Guards against repeats beyond the rule, over kills, starts and lapses.
+
+    Entries that lapsed are back after two seconds, and a list that was short at the
+    start is whole by then.
+    """
+    tested = _Fleet(random.Random(seed))
+    now = 0.0
+    tested.start(first_published, now)
+    published, whole_at = first_published, 2.0
+    for kind, size, pause_s in steps:
+        if kind in ("calls", "failures"):
+            tested.call(30 * size, 1.0 if kind == "failures" else 0.05, now)
+        elif kind == "kill":
+            tested.restart(size - 1, published, now)
+        elif kind == "kill-all":
+            tested.start(published, now)
+        elif kind == "lapse":
+            published, whole_at = size, now + 2.0
+            tested.publish(published, now)
+        if now + pause_s >= whole_at and published < MACHINES:
+            published = MACHINES
+            tested.publish(published, whole_at)
+        now += pause_s
+    assert tested.excess() <= 0.0
