Pay the repeats of a window with its own answers

Cause: an answer paid for further attempts of the ten seconds after it, so a window of failures spent what it earned and what the calm window before it had earned. What callers saw: nothing. Change: budgets of mesh nodes also bound the attempts of any window that ends with one by the deposits of that window. Budgets of snipelink-node are as before. What is granted at once, and what is granted in the long run where it is always needed, are the same (test_attempts_that_are_needed_all_the_time_are_the_same_share).

--- a/src/snipelink/mesh/retries.py
+++ b/src/snipelink/mesh/retries.py
@@ -60,7 +60,9 @@
         known = self._budgets_by_service.get(service)
         if known is None:
             ratio = bounds.retry_ratio * RATIO_SHARE
-            known = budget.Budget(ratio, 0.0, bounds.retry_window_s, reserve=0.0)
+            known = budget.Budget(
+                ratio, 0.0, bounds.retry_window_s, reserve=0.0, own_window=True
+            )
             self._budgets_by_service[service] = known
         part = self._part.of(bounds.retry_allowance, bounds.retry_window_s, now)
         known.set_allowance(part * ALLOWANCE_SHARE)
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -53,6 +53,10 @@
         Length of a window, seconds.
     reserve : float
         Attempts that are kept from the start; further ones must be earned or granted.
+    own_window : bool
+        Whether the attempts of any window that ends with one are at most ``ratio``
+        times the deposits of that window alone, plus one, plus ``allowance``. Otherwise
+        what was earned in a window without failures doubles what the next one spends.
     """
 
     def __init__(
@@ -61,8 +65,11 @@
         allowance: float = 0.0,
         window_s: float = LIFETIME_S,
         reserve: float = RESERVE,
+        *,
+        own_window: bool = False,
     ) -> None:
         self._ratio = ratio
+        self._own_window = own_window
         self._window_s = window_s
         self._allowance = allowance
         self._allowed_at: collections.deque[float] = collections.deque()
@@ -71,6 +78,9 @@
         self._granted_reserve = self._reserve = reserve if ratio > 0 else 0.0
         self._batches: collections.deque[list[float]] = collections.deque()
         self._sum = 0.0
+        # Tokens of the deposits of the last window, spent or not, by time.
+        self._earned: collections.deque[list[float]] = collections.deque()
+        self._earned_sum = 0.0
 
     def deposit(self, now: float) -> None:
         """Record a call that was answered, whichever attempt was."""
@@ -82,12 +92,14 @@
                 self._expire(now)
                 batches.append([now, self._ratio])
             self._sum += self._ratio
+            if self._own_window:
+                self._note_earned(now)
 
     def try_spend(self, now: float) -> bool:
         """Take one attempt; return whether the budget allows it."""
         with self._lock:
             self._expire(now)
-            if self._sum + self._reserve >= 1.0 - ROUNDING:
+            if self._is_paid():
                 self._take(1.0)
             elif len(self._allowed_at) + 1 <= self._allowance + ROUNDING:
                 self._allowed_at.append(now)
@@ -127,7 +139,28 @@
                 len(self._granted_at),
             )
 
+    def _is_paid(self) -> bool:
+        """Whether deposits and the reserve pay one more attempt."""
+        if self._sum + self._reserve < 1.0 - ROUNDING:
+            return False
+        if not self._own_window:
+            return True
+        paid = len(self._granted_at) - len(self._allowed_at)
+        return paid + 1 <= self._earned_sum + RESERVE + ROUNDING
+
+    def _note_earned(self, now: float) -> None:
+        if self._earned and now - self._earned[-1][0] < BATCH_S:
+            self._earned[-1][1] += self._ratio
+        else:
+            self._earned.append([now, self._ratio])
+        self._earned_sum += self._ratio
+
     def _expire(self, now: float) -> None:
+        earned = self._earned
+        while earned and now - earned[0][0] >= self._window_s:
+            self._earned_sum -= earned.popleft()[1]
+        if not earned:
+            self._earned_sum = 0.0
         for times in (self._allowed_at, self._granted_at):
             while times and now - times[0] >= self._window_s:
                 times.popleft()
--- a/tests/mesh/test_retries.py
+++ b/tests/mesh/test_retries.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
 from snipelink.mesh import retries
 from snipelink.mesh import settings as settings_module
@@ -202,3 +203,86 @@
             tested.publish(published, whole_at)
         now += pause_s
     assert tested.excess() <= 0.0
+
+
+@dataclasses.dataclass
+class _Site:
+    """Fleet whose calls of one service make calls of another.
+
+    The figures are those of arrieta-mesh: calls a second of requesters for `rota` and
+    `archive`, and calls of `archive` that a run at `rota` makes in the mean.
+    """
+
+    rng: random.Random
+    nodes: list[retries.Retries]
+    requested_at: list[float] = dataclasses.field(default_factory=list)
+    repeated_at: list[float] = dataclasses.field(default_factory=list)
+
+    ROTA_PER_S = 53
+    ARCHIVE_PER_S = 23
+    CALLS_OF_RUN = 1.1
+
+    def second(self, needed: float, now: float) -> None:
+        """Make the calls of a second; a share needs a further attempt each."""
+        rota = [
+            (now + index / self.ROTA_PER_S, True) for index in range(self.ROTA_PER_S)
+        ]
+        archive = [
+            (now + index / self.ARCHIVE_PER_S, False)
+            for index in range(self.ARCHIVE_PER_S)
+        ]
+        for at, is_rota in sorted(rota + archive):
+            if is_rota:
+                self._call_rota(needed, at)
+            else:
+                self.requested_at.append(at)
+                self._call_archive(needed, at, is_repeat=False)
+
+    def _call_rota(self, needed: float, now: float) -> None:
+        node = self.rng.choice(self.nodes)
+        is_repeated = self.rng.random() < needed and node.try_spend("rota", now)
+        node.on_answer("rota", now)
+        for is_repeat in (False, True)[: 1 + is_repeated]:
+            # Two calls or none, as the mean says.
+            for _ in range(2 * (self.rng.random() < self.CALLS_OF_RUN / 2)):
+                self._call_archive(needed, now, is_repeat=is_repeat)
+
+    def _call_archive(self, needed: float, now: float, *, is_repeat: bool) -> None:
+        if is_repeat:
+            self.repeated_at.append(now)
+        node = self.rng.choice(self.nodes)
+        if self.rng.random() < needed and node.try_spend("archive", now):
+            self.repeated_at.append(now)
+        node.on_answer("archive", now)
+
+
+@pytest.mark.parametrize("event", ["none", "kill", "kills", "lapse"])
+@pytest.mark.parametrize("needed_before", [0.0, 1.0])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_repeats_and_the_calls_that_they_make_stay_within_the_bound(
+    event: str, needed_before: float, seed: int
+) -> None:
+    """Guards against repeats at a service that other services call.
+
+    Calls that a repeated run makes count as repeats there, and calls of endpoints do
+    not count as requests. Needs of a second attempt start, or have been, at second 30.
+    """
+    rng = random.Random(seed)
+    site = _Site(rng, [_retries() for _ in range(MACHINES)])
+    for node in site.nodes:
+        node.on_published(MACHINES, 0.0)
+    kill_seconds = {"kill": [33], "kills": [32, 34, 36, 38]}.get(event, [])
+    for second in range(10, 45):
+        now = float(second)
+        if second in kill_seconds:
+            site.nodes = [_retries() for _ in range(MACHINES)]
+            for node in site.nodes:
+                node.on_published(MACHINES, now)
+        if event == "lapse" and second in (33, 35):
+            for node in site.nodes:
+                node.on_published(1 if second == 33 else MACHINES, now)
+        site.second(needed_before if second < 30 else 1.0, now)
+    for start in range(20, 35):
+        repeats = _count(site.repeated_at, start, start + WINDOW_S)
+        requests = _count(site.requested_at, start, start + WINDOW_S)
+        assert repeats <= RATIO * requests + EXTRA
--- a/tests/retry/test_budget.py
+++ b/tests/retry/test_budget.py
@@ -39,6 +39,54 @@
             assert last - first + 1 <= ratio * earned + 1 + 1e-6
 
 
+@hypothesis.given(STEPS, st.sampled_from([0.02, 0.1, 0.5]))
+@hypothesis.settings(max_examples=200, derandomize=True, deadline=None)
+def test_attempts_of_a_window_are_earned_in_it(
+    steps: list[tuple[float, int, int]], ratio: float
+) -> None:
+    """Guards against a window that also spends what the one before it has earned."""
+    subject = budget.Budget(ratio, own_window=True)
+    now = 0.0
+    deposits: list[float] = []
+    spends: list[float] = []
+    for delay, deposit_count, spend_count in steps:
+        now += delay
+        for _ in range(deposit_count):
+            subject.deposit(now)
+            deposits.append(now)
+        spends += [now for _ in range(spend_count) if subject.try_spend(now)]
+    for end in spends:
+        start = end - budget.LIFETIME_S
+        spent = sum(start < t <= end for t in spends)
+        earned = sum(start < t <= end for t in deposits)
+        assert spent <= ratio * earned + 1 + 1e-6
+
+
+def test_window_does_not_spend_what_the_one_before_it_has_earned_as_well() -> None:
+    """Guards against twice the ratio in a window of failures after a calm one."""
+    subject = budget.Budget(0.1, own_window=True)
+    for step in range(100):
+        subject.deposit(step * 0.1)
+    spent = 0
+    for step in range(100, 200):
+        subject.deposit(step * 0.1)
+        spent += subject.try_spend(step * 0.1)
+    assert spent <= 0.1 * 100 + 1
+
+
+def test_attempts_that_are_needed_all_the_time_are_the_same_share() -> None:
+    """Guards against a long-run budget below the ratio."""
+    granted = {}
+    for own_window in (False, True):
+        subject = budget.Budget(0.03, own_window=own_window)
+        granted[own_window] = 0
+        for step in range(20_000):
+            now = step * 0.02
+            subject.deposit(now)
+            granted[own_window] += subject.try_spend(now)
+    assert granted[True] >= 0.99 * granted[False] >= 0.99 * 0.03 * 20_000 - 1
+
+
 def test_without_answers_the_budget_ends() -> None:
     """Guards against retries that go on while nothing is answered."""
     subject = budget.Budget(0.1)
