Check that each arrival beyond the first is charged to the retry budget

What callers saw: nothing. Evidence: by reading, each outcome that may have been sent to an endpoint has reached=True; only a refusal by a node, or a connection that was not opened, has not. The new test plays such outcomes, rejections, resets, failures and silence through the dispatcher and finds no fault; it passes on the code before, too. It fails, as it should, when a repeat is not charged (assert 2 <= (1 + 0)), when a second attempt is not charged (assert 3 <= (1 + 0)), and when either limit of attempts is off by one (assert 2 <= 1).

--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import logging
 import random
@@ -8,12 +9,23 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import hypothesis
+import hypothesis.strategies as st
 import pytest
 
 from snipelink import clock, errors
 from snipelink.decide import rhythm
 from snipelink.generated import mesh
-from snipelink.mesh import admission, attempts, calls, catalog, loads, objects, peers
+from snipelink.mesh import (
+    admission,
+    attempts,
+    calls,
+    catalog,
+    dispatch,
+    loads,
+    objects,
+    peers,
+)
 from snipelink.mesh import settings as settings_module
 from snipelink.observe import metrics
 from snipelink.session import http
@@ -24,6 +36,17 @@
 AGE_S = 30.0
 SERVICE = "rota"
 
+# What comes of an attempt: failures before and after it was sent, and answers.
+REFUSED = "refused by the node"
+UNREACHABLE = "not connected"
+REJECTED = "refused by the endpoint"
+RESET = "reset"
+FAILED = "status 500"
+SILENT = "silent until the deadline"
+OK = "answered"
+KINDS = (REFUSED, UNREACHABLE, REJECTED, RESET, FAILED, SILENT, OK)
+REMAINING_MS = 400
+
 Script = Callable[[calls.Call, str], Awaitable[calls.Outcome]]
 
 
@@ -43,6 +66,7 @@
 class Subject:
     """Attempts of a node, with what surrounds them."""
 
+    own: settings_module.Settings
     attempts: attempts.Attempts
     catalog: catalog.Catalog
     client: FakeClient
@@ -55,6 +79,11 @@
         self.catalog.sync(objects.Published(revision, None, instances), now)
         self.attempts.on_catalog_change(now)
 
+    def further_attempts(self) -> dict[tuple[str, ...], float]:
+        """Return the counts by service, reason and verdict."""
+        name = "snipelink_mesh_further_attempts_total"
+        return self.metrics.counter(name, "").values()
+
 
 def _instance(index: int) -> objects.Instance:
     return objects.Instance(f"i-{index}", SERVICE, f"10.0.0.{index}", "a", False)
@@ -134,16 +163,11 @@
         recorded,
         random.Random(1),
     )
-    subject = Subject(tested, published, client, recorded)
+    subject = Subject(own, tested, published, client, recorded)
     subject.publish(known, now - AGE_S)
     return subject
 
 
-def _counted(subject: Subject) -> dict[tuple[str, ...], float]:
-    name = "snipelink_mesh_further_attempts_total"
-    return subject.metrics.counter(name, "").values()
-
-
 async def _run(subject: Subject, call: calls.Call) -> tuple[calls.Outcome, int]:
     tried: set[str] = set()
     chosen = subject.attempts.choose(call, tried, clock.now())
@@ -163,7 +187,7 @@
     granted = [subject.attempts.may_spend(call, failed, now) for _ in range(50)]
     spent = granted.count(True)
     assert 0 < spent < 50
-    assert _counted(subject) == {
+    assert subject.further_attempts() == {
         (SERVICE, "failed", "granted"): spent,
         (SERVICE, "failed", "refused"): 50 - spent,
     }
@@ -182,14 +206,14 @@
     """Guards against a count of refusals that tells looks instead of calls."""
     subject = _subject(_slow_on("i-0", "i-1"), retry_ratio=0.0, retry_allowance=0.0)
     asyncio.run(_run(subject, _call(target_at=clock.now() + 0.05)))
-    assert _counted(subject) == {(SERVICE, "slow", "refused"): 1}
+    assert subject.further_attempts() == {(SERVICE, "slow", "refused"): 1}
     assert len(subject.client.sent) == 1
 
 
 def test_second_attempt_counts_as_granted() -> None:
     subject = _subject(_slow_on("i-0", "i-1"), retry_ratio=0.0, retry_allowance=40.0)
     asyncio.run(_run(subject, _call(target_at=clock.now() + 0.05)))
-    assert _counted(subject) == {(SERVICE, "slow", "granted"): 1}
+    assert subject.further_attempts() == {(SERVICE, "slow", "granted"): 1}
     assert len(subject.client.sent) == 2
 
 
@@ -205,3 +229,108 @@
     failed = attempts.Reason.FAILED
     granted = sum(subject.attempts.may_spend(_call(), failed, now) for _ in range(50))
     assert granted == 6
+
+
+@dataclasses.dataclass
+class _Endpoints:
+    """Endpoints that count arrivals; the next attempts come to what is listed."""
+
+    kinds: list[str]
+    arrivals: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    deadlines: list[float] = dataclasses.field(default_factory=list)
+
+    async def run(self, call: calls.Call, instance: str) -> calls.Outcome:
+        kind = self.kinds.pop(0) if self.kinds else OK
+        self.deadlines.append(call.deadline)
+        if kind == REFUSED:
+            return calls.fail(errors.Kind.OVERLOADED, kind)
+        if kind == UNREACHABLE:
+            return calls.fail(errors.Kind.UNREACHABLE, kind)
+        self.arrivals[call.call_id] += 1
+        if kind == REJECTED:
+            return calls.fail(errors.Kind.OVERLOADED, kind, reached=True)
+        if kind == RESET:
+            return calls.fail(errors.Kind.CONNECTION_LOST, kind, reached=True)
+        if kind == SILENT:
+            await asyncio.sleep(max(0.0, call.deadline - clock.now()))
+            return calls.fail(errors.Kind.DEADLINE_UNKNOWN, kind, reached=True)
+        status = 500 if kind == FAILED else 200
+        return calls.Outcome(http.Response(status, [], b""), reached=True)
+
+
+def _dispatcher(
+    subject: Subject, *, idempotent: bool, max_attempts: int
+) -> dispatch.Dispatcher:
+    route = fleet.route(
+        SERVICE,
+        idempotent=idempotent,
+        max_attempts=max_attempts,
+        target_s=0.1,
+    )
+    subject.catalog.sync(
+        objects.Published(
+            subject.catalog.revision + 1,
+            fleet.configuration(route),
+            tuple(subject.catalog.instances_by_id.values()),
+        ),
+        clock.now(),
+    )
+    return dispatch.Dispatcher(
+        subject.own,
+        fleet.NAMES,
+        subject.catalog,
+        subject.attempts,
+        subject.metrics,
+        random.Random(1),
+    )
+
+
+def _request(call_id: str) -> http.Request:
+    headers = [
+        (fleet.NAMES.call_id, call_id),
+        (fleet.NAMES.remaining_ms, str(REMAINING_MS)),
+    ]
+    return http.Request(
+        "GET",
+        "/view/1",
+        headers,
+        host="example",
+        path="/view/1",
+        raw_target="/view/1",
+    )
+
+
+@hypothesis.given(
+    st.lists(st.sampled_from(KINDS), max_size=8),
+    st.integers(1, 3),
+    st.booleans(),
+    st.sampled_from([0.0, 40.0, 1000.0]),
+)
+@hypothesis.example([SILENT, SILENT, SILENT], 1, True, 1000.0)
+@hypothesis.example([SILENT, REFUSED, SILENT, SILENT], 2, True, 1000.0)
+@hypothesis.example([SILENT, RESET, SILENT, SILENT], 3, True, 40.0)
+@hypothesis.settings(max_examples=60, derandomize=True, deadline=None)
+def test_each_arrival_beyond_the_first_is_paid_and_within_max_attempts(
+    kinds: list[str], max_attempts: int, idempotent: bool, allowance: float
+) -> None:
+    """Guards against arrivals at endpoints that the retry budget does not know of.
+
+    Also against more endpoints than a route allows, and time that grows on the way to
+    a further one.
+    """
+    endpoints = _Endpoints(list(kinds))
+    subject = _subject(
+        endpoints.run, known=6, retry_ratio=0.0, retry_allowance=allowance
+    )
+    tested = _dispatcher(subject, idempotent=idempotent, max_attempts=max_attempts)
+    arrived = clock.now()
+    asyncio.run(tested.answer(_request("c1"), arrived))
+    counted = subject.further_attempts()
+    granted = sum(
+        count for (_, _, verdict), count in counted.items() if verdict == "granted"
+    )
+    assert endpoints.arrivals["c1"] <= max_attempts
+    assert endpoints.arrivals["c1"] <= 1 + granted
+    assert all(at <= arrived + REMAINING_MS / 1000 for at in endpoints.deadlines)
