Check the part of the allowance that a whole node uses

Cause: the budgets were tested apart from the node that tells them how many machines are published. What callers saw: nothing. Evidence: test_node_repeats_no_more_than_its_part_of_the_allowance passes (3 of 3 runs); without the call of on_catalog_change it fails with assert 33 == ((20 + 6) + 1)

--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -10,7 +10,7 @@
 
 from snipelink import clock
 from snipelink.decide import placement
-from snipelink.mesh import channel, node, objects
+from snipelink.mesh import channel, node, objects, retries
 from snipelink.session import http
 from tests.mesh import fleet
 
@@ -147,6 +147,21 @@
             assert (await client.ask(f"c{index}")).status == 200
 
 
+@run
+async def test_node_repeats_no_more_than_its_part_of_the_allowance() -> None:
+    """Guards against a node that takes the part of the others as well."""
+    async with fleet.running("rota", "rota") as members:
+        for member in members:
+            member.endpoint.script = reset
+        client = await fleet.Client.open(members[0])
+        for index in range(20):
+            assert (await client.ask(f"c{index}")).status == 502
+        # Two nodes share the allowance, and the reserve pays one attempt more.
+        part = fleet.BOUNDS.retry_allowance * retries.ALLOWANCE_SHARE / 2
+        arrived = sum(arrivals(members, f"c{index}") for index in range(20))
+        assert arrived == 20 + int(part) + 1
+
+
 @run
 async def test_call_that_may_run_once_is_not_repeated_after_a_reset() -> None:
     routes = await both_routes("rota")
