--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -4,12 +4,22 @@
 
 import asyncio
 import dataclasses
+import enum
 import logging
 import random
+from collections.abc import Callable, Mapping
 
 from snipelink import clock
 from snipelink.decide import placement, second, work
-from snipelink.mesh import admission, calls, catalog, loads, peers, settings
+from snipelink.mesh import (
+    admission,
+    calls,
+    catalog,
+    loads,
+    peers,
+    retries,
+    settings,
+)
 from snipelink.observe import metrics
 from snipelink.retry import budget
 
@@ -18,21 +28,24 @@
 # Time between two looks at a call that runs, seconds; a fraction of the time for
 # which an endpoint is slow.
 LOOK_S = 0.05
-# Share of the retry budget that is used, of its allowance and of its ratio: calls that
-# a repeated call makes count as repeats at the services they go to, and calls of
-# endpoints do not count as requests there.
-ALLOWANCE_SHARE = 0.3
-RATIO_SHARE = 0.15
+
+
+class Reason(enum.Enum):
+    """Why a call should be sent to a further endpoint."""
+
+    SLOW = "slow"
+    FAILED = "failed"
 
 
 @dataclasses.dataclass(slots=True)
 class _Attempt:
-    """One attempt that runs."""
+    """One attempt that runs; `refused` if the budget refused a second beside it."""
 
     task: asyncio.Task[calls.Outcome]
     instance: str
     started: float
     started_work_s: float
+    refused: bool = False
 
 
 class Attempts:
@@ -78,17 +91,63 @@
         self._client = client
         self._metrics = recorded
         self._rng = rng
-        self._budgets_by_service: dict[str, budget.Budget] = {}
+        self._retries = retries.Retries(own)
+        self._further = recorded.counter(
+            "snipelink_mesh_further_attempts_total",
+            "Further attempts that calls were in need of, and the budget's verdict.",
+            ("service", "reason", "verdict"),
+        )
+        recorded.gauge(
+            "snipelink_mesh_retry_allowance",
+            "Further attempts that this node may make in a window without deposits.",
+            lambda: self._by_service(lambda state: state.allowance),
+            ("service",),
+        )
+        recorded.gauge(
+            "snipelink_mesh_retry_allowance_spent",
+            "Further attempts of the last window that the allowance paid.",
+            lambda: self._by_service(lambda state: state.spent_of_allowance),
+            ("service",),
+        )
+        recorded.gauge(
+            "snipelink_mesh_retries_granted",
+            "Further attempts of the last window.",
+            lambda: self._by_service(lambda state: state.granted),
+            ("service",),
+        )
         self.estimates = work.Estimates()
 
-    def on_catalog_change(self) -> None:
+    def on_catalog_change(self, now: float) -> None:
         """Share the retry budget among the machines that are now published."""
-        for each in self._budgets_by_service.values():
-            each.set_allowance(self._allowance())
+        # A machine whose endpoint was just replaced may be listed twice.
+        hosts = {each.host for each in self._catalog.instances_by_id.values()}
+        self._retries.on_published(len(hosts), now)
+
+    def may_spend(
+        self, call: calls.Call, reason: Reason, now: float, *, is_again: bool = False
+    ) -> bool:
+        """Take one further attempt from the budget; false if there is none.
 
-    def may_spend(self, service: str, now: float) -> bool:
-        """Take one further attempt from the budget; false if there is none."""
-        return self._budget(service).try_spend(now)
+        With `is_again`, a refusal is neither counted nor logged: a running call asks
+        many times a second, and its first refusal tells all.
+        """
+        granted = self._retries.try_spend(call.service, now)
+        if granted:
+            self._further.increment(call.service, reason.value, "granted")
+        elif not is_again:
+            self._further.increment(call.service, reason.value, "refused")
+            state = self._retries.state(call.service, now)
+            log(
+                call,
+                "no budget for a further attempt",
+                now,
+                reason=reason.value,
+                allowance=round(state.allowance, 3),
+                earned=round(state.earned, 3),
+                spent_of_allowance=state.spent_of_allowance,
+                granted=state.granted,
+            )
+        return granted
 
     def choose(
         self, call: calls.Call, tried: set[str], now: float
@@ -170,7 +229,8 @@
             left_s, elsewhere_s, call.target_at, call.deadline, now
         ):
             return None
-        if not self._budget(call.service).try_spend(now):
+        if not self.may_spend(call, Reason.SLOW, now, is_again=first.refused):
+            first.refused = True
             return None
         tried.add(other.instance)
         log(
@@ -196,20 +256,11 @@
         done_s = fact.progress.work_until(now)
         return _Attempt(task, chosen.instance, now, done_s)
 
-    def _budget(self, service: str) -> budget.Budget:
-        known = self._budgets_by_service.get(service)
-        if known is None:
-            ratio = self._own.bounds.retry_ratio * RATIO_SHARE
-            known = budget.Budget(
-                ratio, self._allowance(), self._own.bounds.retry_window_s
-            )
-            self._budgets_by_service[service] = known
-        return known
-
-    def _allowance(self) -> float:
-        nodes = max(1, len(self._catalog.instances_by_id))
-        # Each node has its part; none knows what the others spend.
-        return self._own.bounds.retry_allowance * ALLOWANCE_SHARE / nodes
+    def _by_service(
+        self, read: Callable[[budget.State], float]
+    ) -> Mapping[tuple[str, ...], float]:
+        states = self._retries.states(clock.now())
+        return {(service,): read(state) for service, state in states}
 
     def _record(
         self, call: calls.Call, attempt: _Attempt, outcome: calls.Outcome, now: float
@@ -217,7 +268,7 @@
         kind = outcome.failure.kind if outcome.failure else None
         self._metrics.record_attempt(attempt.instance, now - attempt.started, kind)
         if outcome.is_success:
-            self._budget(call.service).deposit(now)
+            self._retries.on_answer(call.service, now)
         if outcome.work_s > 0.0:
             self.estimates.record(call.service, call.operation, outcome.work_s)
 
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -108,8 +108,9 @@
             outcome = await self._run(call)
         return self._finish(request, call_id, route.name, outcome, arrived, call)
 
-    def on_catalog_change(self) -> None:
+    def on_catalog_change(self, now: float) -> None:
         """Forget what belongs to routes that are no longer published."""
+        self._attempts.on_catalog_change(now)
         table = self._catalog.table
         if table is None:
             return
@@ -119,7 +120,6 @@
         self._attempts.estimates.retain(
             {(part.service, route.name) for route in routes for part in route.parts}
         )
-        self._attempts.on_catalog_change()
 
     def _build(
         self, request: http.Request, call_id: str, route: objects.Route, now: float
@@ -182,8 +182,8 @@
             now = clock.now()
             if not self._may_repeat(call, latest, arrivals, refusals, now):
                 return outcome
-            if arrivals and not self._attempts.may_spend(call.service, now):
-                attempts.log(call, "no budget for a further attempt", now)
+            failed = attempts.Reason.FAILED
+            if arrivals and not self._attempts.may_spend(call, failed, now):
                 return outcome
             attempts.log(
                 call,
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import threading
 
 LIFETIME_S = 10.0
@@ -11,6 +12,26 @@
 ROUNDING = 1e-9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """Figures of a budget at one time.
+
+    Attributes
+    ----------
+    allowance : float
+        Attempts that may be spent in any window without deposits.
+    earned : float
+        Attempts that deposits and the reserve would pay now.
+    spent_of_allowance, granted : int
+        Attempts of the last window that the allowance paid, and all of them.
+    """
+
+    allowance: float
+    earned: float
+    spent_of_allowance: int
+    granted: int
+
+
 class Budget:
     """Allows further attempts in proportion to answered calls.
 
@@ -30,19 +51,36 @@
         Attempts that may be spent in any window without deposits.
     window_s : float
         Length of a window, seconds.
+    reserve : float
+        Attempts that are kept from the start; further ones must be earned or granted.
+    own_window : bool
+        Whether the attempts of any window that ends with one are at most ``ratio``
+        times the deposits of that window alone, plus one, plus ``allowance``. Otherwise
+        what was earned in a window without failures doubles what the next one spends.
     """
 
     def __init__(
-        self, ratio: float, allowance: float = 0.0, window_s: float = LIFETIME_S
+        self,
+        ratio: float,
+        allowance: float = 0.0,
+        window_s: float = LIFETIME_S,
+        reserve: float = RESERVE,
+        *,
+        own_window: bool = False,
     ) -> None:
         self._ratio = ratio
+        self._own_window = own_window
         self._window_s = window_s
         self._allowance = allowance
         self._allowed_at: collections.deque[float] = collections.deque()
+        self._granted_at: collections.deque[float] = collections.deque()
         self._lock = threading.Lock()
-        self._reserve = RESERVE if ratio > 0 else 0.0
+        self._granted_reserve = self._reserve = reserve if ratio > 0 else 0.0
         self._batches: collections.deque[list[float]] = collections.deque()
         self._sum = 0.0
+        # Tokens of the deposits of the last window, spent or not, by time.
+        self._earned: collections.deque[list[float]] = collections.deque()
+        self._earned_sum = 0.0
 
     def deposit(self, now: float) -> None:
         """Record a call that was answered, whichever attempt was."""
@@ -54,17 +92,20 @@
                 self._expire(now)
                 batches.append([now, self._ratio])
             self._sum += self._ratio
+            if self._own_window:
+                self._note_earned(now)
 
     def try_spend(self, now: float) -> bool:
         """Take one attempt; return whether the budget allows it."""
         with self._lock:
             self._expire(now)
-            if self._sum + self._reserve >= 1.0 - ROUNDING:
+            if self._is_paid():
                 self._take(1.0)
-                return True
-            if len(self._allowed_at) + 1 > self._allowance + ROUNDING:
+            elif len(self._allowed_at) + 1 <= self._allowance + ROUNDING:
+                self._allowed_at.append(now)
+            else:
                 return False
-            self._allowed_at.append(now)
+            self._granted_at.append(now)
             return True
 
     def set_allowance(self, allowance: float) -> None:
@@ -72,6 +113,14 @@
         with self._lock:
             self._allowance = allowance
 
+    def grant_reserve(self, granted: float) -> None:
+        """Raise what has been granted to the reserve without deposits, once for all."""
+        with self._lock:
+            added = min(granted, RESERVE) - self._granted_reserve
+            if self._ratio > 0 and added > 0.0:
+                self._granted_reserve += added
+                self._reserve = min(RESERVE, self._reserve + added)
+
     def available(self, now: float) -> float:
         """Return the attempts that could be spent now."""
         with self._lock:
@@ -79,9 +128,42 @@
             allowed = max(0.0, self._allowance - len(self._allowed_at))
             return self._sum + self._reserve + allowed
 
+    def state(self, now: float) -> State:
+        """Return what is in force now, and what was granted in the last window."""
+        with self._lock:
+            self._expire(now)
+            return State(
+                self._allowance,
+                self._sum + self._reserve,
+                len(self._allowed_at),
+                len(self._granted_at),
+            )
+
+    def _is_paid(self) -> bool:
+        """Whether deposits and the reserve pay one more attempt."""
+        if self._sum + self._reserve < 1.0 - ROUNDING:
+            return False
+        if not self._own_window:
+            return True
+        paid = len(self._granted_at) - len(self._allowed_at)
+        return paid + 1 <= self._earned_sum + RESERVE + ROUNDING
+
+    def _note_earned(self, now: float) -> None:
+        if self._earned and now - self._earned[-1][0] < BATCH_S:
+            self._earned[-1][1] += self._ratio
+        else:
+            self._earned.append([now, self._ratio])
+        self._earned_sum += self._ratio
+
     def _expire(self, now: float) -> None:
-        while self._allowed_at and now - self._allowed_at[0] >= self._window_s:
-            self._allowed_at.popleft()
+        earned = self._earned
+        while earned and now - earned[0][0] >= self._window_s:
+            self._earned_sum -= earned.popleft()[1]
+        if not earned:
+            self._earned_sum = 0.0
+        for times in (self._allowed_at, self._granted_at):
+            while times and now - times[0] >= self._window_s:
+                times.popleft()
         batches = self._batches
         while batches and now - batches[0][0] >= self._window_s:
             tokens = batches.popleft()[1]
