Tell and count why a request of a caller got no answer

What callers saw: nothing of this. Change: each end of a caller's connection has a cause of a closed list (decide/closing.py), which is logged with each request that got no answer and counted in snipelink_mesh_requests_unanswered_total by cause and whether the request was started. A fault that ends the task of a connection is logged. Why it works: the cause is taken where the decision to close is made; an end of the stream without such a decision is the caller's.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -9,7 +9,9 @@
 from collections.abc import Callable
 
 from snipelink import clock, errors
+from snipelink.decide import closing
 from snipelink.mesh import channel, dispatch, objects, settings
+from snipelink.observe import metrics
 from snipelink.session import http, memory, requests
 
 logger = logging.getLogger(__name__)
@@ -48,6 +50,8 @@
         Names of the mesh's own headers.
     limits : callable
         Returns the limits in force.
+    recorded : Metrics
+        Receives the number of requests that got no answer.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         dispatcher: dispatch.Dispatcher,
         names: settings.HeaderNames,
         limits: Callable[[], objects.CallerLimits],
+        recorded: metrics.Metrics,
     ) -> None:
         self.dispatcher = dispatcher
         self.names = names
@@ -63,6 +68,11 @@
         self.is_leaving = False
         self.last_request_at = 0.0
         self.requests_in_flight = 0
+        self.unanswered = recorded.counter(
+            "snipelink_mesh_requests_unanswered_total",
+            "Requests that were read and got no answer, by what ended the connection.",
+            ("cause", "started"),
+        )
         self._listener: channel.Listener | None = None
 
     async def start(self, address: channel.Address) -> None:
@@ -76,13 +86,20 @@
 
     async def _serve(self, stream: channel.Channel) -> None:
         connection = _Connection(self, stream)
+        cause = closing.Cause.FAULT
         try:
-            await channel.run_while_open(stream, connection.run())
+            ended = await channel.run_while_open(stream, connection.run())
+            cause = ended or closing.Cause.CALLER_CLOSED
         except ConnectionError:
             # The caller reset the connection; its calls were given up.
-            pass
+            cause = closing.Cause.CALLER_CLOSED
+        except asyncio.CancelledError:
+            cause = closing.Cause.NODE_STOPS
+            raise
+        except Exception:
+            logger.exception("connection of a caller has failed")
         finally:
-            connection.give_up()
+            connection.give_up(cause)
 
 
 class _Connection:
@@ -98,37 +115,45 @@
         self._reader = requests.RequestReader(self._limits, self._charge, single)
         self._pending: collections.deque[_Pending] = collections.deque()
         self._changed = asyncio.Event()
+        self._cause: closing.Cause | None = None
         # Times of the first byte of the request being read, and of the last bytes.
         self._request_since = self._fed_at = clock.now()
 
-    async def run(self) -> None:
-        """Answer requests until one of them ends the connection."""
+    async def run(self) -> closing.Cause:
+        """Answer requests until the connection has to end; return the cause."""
         pump = asyncio.ensure_future(self._pump())
         try:
-            while await self._answer_next():
-                pass
+            while self._cause is None:
+                await self._answer_next()
         finally:
             pump.cancel()
         await self._stream.close_gracefully(LINGER_S)
+        return self._cause
 
-    def give_up(self) -> None:
-        """Cancel what the caller no longer waits for."""
+    def give_up(self, cause: closing.Cause) -> None:
+        """Cancel what is not answered any more, and tell why."""
+        # A caller that closes after the last answer has not ended the connection.
+        cause = self._cause or cause
         self._charge.settle()
         for entry in self._pending:
+            started = entry.task is not None
             if entry.task is not None:
                 entry.task.cancel()
                 self._port.requests_in_flight -= 1
-            if entry.request is not None:
-                logger.info(
-                    "caller closed the connection before its answer",
-                    extra={
-                        "fields": {
-                            "id": entry.request.header(self._port.names.call_id),
-                            "waited_s": round(clock.now() - entry.arrived, 4),
-                            "started": entry.task is not None,
-                        }
-                    },
-                )
+            if entry.request is None:
+                continue
+            self._port.unanswered.increment(cause.value, str(started).lower())
+            logger.info(
+                "connection of a caller ended before an answer",
+                extra={
+                    "fields": {
+                        "id": entry.request.header(self._port.names.call_id),
+                        "cause": cause.value,
+                        "waited_s": round(clock.now() - entry.arrived, 4),
+                        "started": started,
+                    }
+                },
+            )
         self._pending.clear()
 
     async def _pump(self) -> None:
@@ -184,25 +209,27 @@
                 entry.task = asyncio.ensure_future(answer)
                 self._port.requests_in_flight += 1
 
-    async def _answer_next(self) -> bool:
-        """Write the next answer; false if the connection ends."""
-        if not self._pending and not await self._wait_for_request():
-            return False
+    async def _answer_next(self) -> None:
+        """Write the next answer, or find that the connection has to end."""
+        if not self._pending:
+            self._cause = await self._wait_for_request()
+            if self._cause is not None:
+                return
         entry = self._pending[0]
-        keep = False
         if entry.refused is not None:
             self._refuse(entry.refused)
+            self._cause = closing.Cause.REFUSED_REQUEST
         else:
-            keep = await self._answer(entry)
+            self._cause = await self._answer(entry)
         self._pending.popleft()
         await self._stream.drain()
         self._start_due()
         self._changed.set()
         if not self._pending:
             self._charge.settle()
-        return keep
 
-    async def _answer(self, entry: _Pending) -> bool:
+    async def _answer(self, entry: _Pending) -> closing.Cause | None:
+        """Write the answer to a started request; return why it is the last one."""
         request, task = entry.request, entry.task
         assert request is not None
         assert task is not None
@@ -216,9 +243,14 @@
             response = dispatch.failure_response(failure, self._port.names, call_id)
         entry.task = None
         self._port.requests_in_flight -= 1
-        keep = request.keep_alive and not self._port.is_leaving
+        cause = None
+        if not request.keep_alive:
+            cause = closing.Cause.CLOSING_ANSWER
+        elif self._port.is_leaving:
+            cause = closing.Cause.NODE_STOPS
+        keep = cause is None
         self._stream.write(http.encode_response(response, request.method, keep))
-        return keep
+        return cause
 
     def _refuse(self, failure: errors.Failure) -> None:
         if failure.kind is errors.Kind.OVERLOADED:
@@ -230,8 +262,8 @@
         response = dispatch.failure_response(failure, self._port.names, "")
         self._stream.write(http.encode_response(response, "GET", keep_alive=False))
 
-    async def _wait_for_request(self) -> bool:
-        """Wait for a request; false when the caller is idle or slow for too long."""
+    async def _wait_for_request(self) -> closing.Cause | None:
+        """Wait for a request; a cause when the caller is idle or slow for too long."""
         idle_since = clock.now()
         partial_since: float | None = None
         idle_s = self._limits.idle_timeout_s
@@ -243,7 +275,7 @@
             if not self._reader.in_request():
                 partial_since = None
                 if now - idle_since >= idle_s:
-                    return False
+                    return closing.Cause.IDLE
                 continue
             partial_since = partial_since or now
             if self._reader.in_body():
@@ -253,8 +285,8 @@
                 detail = "the request did not arrive in time"
                 kind = errors.Kind.REQUEST_TIMEOUT
                 self._refuse(errors.Failure(kind, detail))
-                return False
-        return True
+                return closing.Cause.REFUSED_REQUEST
+        return None
 
     async def _wait_for_change(self, timeout_s: float | None = None) -> None:
         self._changed.clear()
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -122,7 +122,9 @@
         self._dispatcher = dispatch.Dispatcher(
             own, names, self._catalog, running, self._metrics, rng
         )
-        self._callers = callers.CallerPort(self._dispatcher, names, self._limits)
+        self._callers = callers.CallerPort(
+            self._dispatcher, names, self._limits, self._metrics
+        )
         self._poller = health.Poller(
             self._poll_client,
             self._runner,
