Close a caller's connection only when all that was started is answered

Cause: three places decided by themselves whether a connection ends, and none of them looked at what was already started. (1) After an answer that closes the connection (the node leaves, the caller asks for it), the requests behind it that already ran were cancelled. (2) After such an answer the next request was even started, in the second of lingering, although its caller takes it as not read and sends it again. (3) The end of the idle time did not look at whether a request had been read and started in the same turn of the event loop. Evidence, on the code before: test_pipelined_requests_are_answered_when_the_node_leaves AssertionError: c1 was passed on and not answered test_request_that_runs_once_is_not_started_behind_a_closing_answer assert 1 == 0 (arrivals of the request that was left unread) test_request_that_arrives_as_the_idle_time_ends_is_answered AssertionError: not answered, passed on 1 times test_pipelined_requests_before_one_that_closes_are_answered passes before and after; it guards the order of answers. Change: one decision without I/O, decide/closing.py, holds that a connection ends only when each started request has its answer, and that nothing is started once the end has been decided. Only the last answer bears `connection: close`. At most 16 requests of a connection run at once, as was meant: before, all requests of one read were started. The reading task has ended before the connection lingers, so it takes no bytes beside it. Why it works: `run` ends by `may_end` alone.

--- a/src/snipelink/decide/closing.py
+++ b/src/snipelink/decide/closing.py
@@ -1,9 +1,23 @@
-"""When the connection of a caller ends, and why."""
+"""When the connection of a caller ends, and which of its requests are started.
+
+Load pattern: callers send further requests before the first one is answered, and one of
+the answers has to close the connection: the caller asks for it, the node leaves, a
+request cannot be read, the connection has been idle. A request that an endpoint has run
+and whose connection then closes is lost work, and its caller sends it again.
+
+Holds: a connection ends only when each request that was started has its answer, and
+none is started once the end has been decided. Requests that were not started are left
+unread; their callers send them again.
+"""
 
 from __future__ import annotations
 
 import enum
 
+# Requests of one connection that run at once; further ones wait. A caller must not fill
+# all endpoints through one connection.
+MAX_STARTED = 16
+
 
 class Cause(enum.Enum):
     """What ended the connection of a caller."""
@@ -14,3 +28,78 @@
     REFUSED_REQUEST = "refused-request"
     NODE_STOPS = "node-stops"
     FAULT = "fault"
+
+
+class Closing:
+    """Decides on the start of requests and on the end of one connection.
+
+    Requests are started and answered in the order in which they were read.
+
+    Parameters
+    ----------
+    opened : float
+        Time at which the connection was accepted.
+
+    Attributes
+    ----------
+    cause : Cause or None
+        Why the connection is going to end, once that has been decided.
+    started : int
+        Requests that were started and are not answered yet.
+    """
+
+    def __init__(self, opened: float) -> None:
+        self.cause: Cause | None = None
+        self.started = 0
+        self._idle_since = opened
+        self._idle_timeout_s = 0.0
+
+    @property
+    def may_end(self) -> bool:
+        """Whether the connection may be closed now."""
+        return self.cause is not None and not self.started
+
+    def decide(self, cause: Cause) -> None:
+        """Decide to end the connection; the first cause holds."""
+        self.cause = self.cause or cause
+
+    def may_start(self, *, is_leaving: bool) -> bool:
+        """Whether the oldest request that was not started may be started now.
+
+        A leaving node answers what it has started; one more would delay the end.
+        """
+        if is_leaving and self.started:
+            self.decide(Cause.NODE_STOPS)
+        return self.cause is None and self.started < MAX_STARTED
+
+    def on_start(self, *, keep_alive: bool) -> None:
+        """Note a started request; `keep_alive` is false if it is to be the last."""
+        self.started += 1
+        if not keep_alive:
+            self.decide(Cause.CLOSING_ANSWER)
+
+    def is_last_answer(self, *, is_leaving: bool) -> bool:
+        """Whether the next answer has to close the connection."""
+        if is_leaving:
+            self.decide(Cause.NODE_STOPS)
+        return self.cause is not None and self.started == 1
+
+    def on_answer(self) -> None:
+        """Note that the oldest started request has its answer."""
+        self.started -= 1
+
+    def on_idle(self, now: float) -> None:
+        """Note that the caller has all its answers."""
+        self._idle_since = now
+
+    def idle_left_s(self, idle_timeout_s: float, now: float) -> float:
+        """Return the seconds for which an idle connection is still kept open.
+
+        Parameters
+        ----------
+        idle_timeout_s : float
+            Idle timeout in force. Callers may rely on an earlier, longer one as well,
+            so the longest one that this connection has seen holds.
+        """
+        self._idle_timeout_s = max(self._idle_timeout_s, idle_timeout_s)
+        return self._idle_since + self._idle_timeout_s - now
--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -17,8 +17,8 @@
 logger = logging.getLogger(__name__)
 
 ACCEPT_BACKLOG = 1024
-# Idempotent requests of one connection that run at once; further ones wait unread.
-MAX_PIPELINED = 16
+# Requests of one connection that are held; further ones wait in the kernel's buffer.
+MAX_PENDING = closing.MAX_STARTED
 # Time for which a caller may go on reading the last answer of a connection.
 LINGER_S = 1.0
 # Bytes of request bodies held at once, a share of the smallest machine's memory.
@@ -27,6 +27,8 @@
 BODY_RETRY_AFTER_S = 0.5
 # Request that has been read only in part is looked at again after this time.
 LOOK_S = 0.25
+# Least time between two looks at an idle connection: bytes that were received are read.
+MIN_LOOK_S = 0.01
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -66,6 +68,7 @@
         self.limits = limits
         self.pool = memory.Pool(MAX_BODY_BYTES)
         self.is_leaving = False
+        self.is_closed = False
         self.last_request_at = 0.0
         self.requests_in_flight = 0
         self.unanswered = recorded.counter(
@@ -81,23 +84,24 @@
 
     def close(self) -> None:
         """Refuse further connections and end the open ones."""
+        self.is_closed = True
         if self._listener is not None:
             self._listener.close()
 
     async def _serve(self, stream: channel.Channel) -> None:
         connection = _Connection(self, stream)
-        cause = closing.Cause.FAULT
+        cause = closing.Cause.CALLER_CLOSED
         try:
-            ended = await channel.run_while_open(stream, connection.run())
-            cause = ended or closing.Cause.CALLER_CLOSED
+            await channel.run_while_open(stream, connection.run())
         except ConnectionError:
             # The caller reset the connection; its calls were given up.
-            cause = closing.Cause.CALLER_CLOSED
+            pass
         except asyncio.CancelledError:
             cause = closing.Cause.NODE_STOPS
             raise
         except Exception:
             logger.exception("connection of a caller has failed")
+            cause = closing.Cause.FAULT
         finally:
             connection.give_up(cause)
 
@@ -115,25 +119,27 @@
         self._reader = requests.RequestReader(self._limits, self._charge, single)
         self._pending: collections.deque[_Pending] = collections.deque()
         self._changed = asyncio.Event()
-        self._cause: closing.Cause | None = None
         # Times of the first byte of the request being read, and of the last bytes.
         self._request_since = self._fed_at = clock.now()
+        self._closing = closing.Closing(self._fed_at)
 
-    async def run(self) -> closing.Cause:
-        """Answer requests until the connection has to end; return the cause."""
+    async def run(self) -> None:
+        """Answer requests until the connection may end."""
         pump = asyncio.ensure_future(self._pump())
         try:
-            while self._cause is None:
+            while not self._closing.may_end:
                 await self._answer_next()
         finally:
             pump.cancel()
+            # It must not take bytes from the channel beside `close_gracefully`.
+            await asyncio.wait((pump,))
         await self._stream.close_gracefully(LINGER_S)
-        return self._cause
 
     def give_up(self, cause: closing.Cause) -> None:
         """Cancel what is not answered any more, and tell why."""
-        # A caller that closes after the last answer has not ended the connection.
-        cause = self._cause or cause
+        if self._closing.cause is not None and self._closing.may_end:
+            # A caller that closes after the last answer has not ended the connection.
+            cause = self._closing.cause
         self._charge.settle()
         for entry in self._pending:
             started = entry.task is not None
@@ -159,10 +165,10 @@
     async def _pump(self) -> None:
         """Read requests; the end of the stream ends the whole connection elsewhere."""
         while True:
-            while len(self._pending) >= MAX_PIPELINED:
+            while len(self._pending) >= MAX_PENDING:
                 await self._wait_for_change()
             data = await self._stream.receive()
-            if not data:
+            if not data or self._closing.cause is not None:
                 return
             self._fed_at = clock.now()
             if not self._reader.in_request():
@@ -199,28 +205,32 @@
         One that may run only once waits for its turn: if an answer before it closes
         the connection, the caller takes it as not read and sends it again.
         """
-        for index, entry in enumerate(self._pending):
+        if self._port.is_closed:
+            self._closing.decide(closing.Cause.NODE_STOPS)
+        while (started := self._closing.started) < len(self._pending):
+            entry = self._pending[started]
             if entry.request is None:
                 return
-            if index and not self._port.dispatcher.is_idempotent(entry.request):
+            if started and not self._port.dispatcher.is_idempotent(entry.request):
+                return
+            if not self._closing.may_start(is_leaving=self._port.is_leaving):
                 return
-            if entry.task is None:
-                answer = self._port.dispatcher.answer(entry.request, entry.arrived)
-                entry.task = asyncio.ensure_future(answer)
-                self._port.requests_in_flight += 1
+            answer = self._port.dispatcher.answer(entry.request, entry.arrived)
+            entry.task = asyncio.ensure_future(answer)
+            self._port.requests_in_flight += 1
+            self._closing.on_start(keep_alive=entry.request.keep_alive)
 
     async def _answer_next(self) -> None:
-        """Write the next answer, or find that the connection has to end."""
+        """Write the next answer, or find that there is none to wait for."""
         if not self._pending:
-            self._cause = await self._wait_for_request()
-            if self._cause is not None:
-                return
+            await self._wait_for_request()
+            return
         entry = self._pending[0]
         if entry.refused is not None:
             self._refuse(entry.refused)
-            self._cause = closing.Cause.REFUSED_REQUEST
+            self._closing.decide(closing.Cause.REFUSED_REQUEST)
         else:
-            self._cause = await self._answer(entry)
+            await self._answer(entry)
         self._pending.popleft()
         await self._stream.drain()
         self._start_due()
@@ -228,8 +238,7 @@
         if not self._pending:
             self._charge.settle()
 
-    async def _answer(self, entry: _Pending) -> closing.Cause | None:
-        """Write the answer to a started request; return why it is the last one."""
+    async def _answer(self, entry: _Pending) -> None:
         request, task = entry.request, entry.task
         assert request is not None
         assert task is not None
@@ -241,16 +250,11 @@
             call_id = request.header(self._port.names.call_id)
             failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
             response = dispatch.failure_response(failure, self._port.names, call_id)
+        keep = not self._closing.is_last_answer(is_leaving=self._port.is_leaving)
+        self._stream.write(http.encode_response(response, request.method, keep))
         entry.task = None
         self._port.requests_in_flight -= 1
-        cause = None
-        if not request.keep_alive:
-            cause = closing.Cause.CLOSING_ANSWER
-        elif self._port.is_leaving:
-            cause = closing.Cause.NODE_STOPS
-        keep = cause is None
-        self._stream.write(http.encode_response(response, request.method, keep))
-        return cause
+        self._closing.on_answer()
 
     def _refuse(self, failure: errors.Failure) -> None:
         if failure.kind is errors.Kind.OVERLOADED:
@@ -262,31 +266,31 @@
         response = dispatch.failure_response(failure, self._port.names, "")
         self._stream.write(http.encode_response(response, "GET", keep_alive=False))
 
-    async def _wait_for_request(self) -> closing.Cause | None:
-        """Wait for a request; a cause when the caller is idle or slow for too long."""
-        idle_since = clock.now()
+    async def _wait_for_request(self) -> None:
+        """Wait for a request; decide to close if the caller takes too long."""
         partial_since: float | None = None
-        idle_s = self._limits.idle_timeout_s
+        self._closing.on_idle(clock.now())
         while not self._pending:
-            left_s = idle_since + idle_s - clock.now()
-            wait_s = LOOK_S if self._reader.in_request() else max(0.01, left_s)
-            await self._wait_for_change(wait_s)
             now = clock.now()
-            if not self._reader.in_request():
+            if self._reader.in_request():
+                partial_since = partial_since or now
+                if self._reader.in_body():
+                    # A body may take its time on a slow link, while it makes progress.
+                    partial_since = max(partial_since, self._fed_at)
+                if now - partial_since > self._limits.header_timeout_s:
+                    detail = "the request did not arrive in time"
+                    kind = errors.Kind.REQUEST_TIMEOUT
+                    self._refuse(errors.Failure(kind, detail))
+                    self._closing.decide(closing.Cause.REFUSED_REQUEST)
+                    return
+                wait_s = LOOK_S
+            else:
                 partial_since = None
-                if now - idle_since >= idle_s:
-                    return closing.Cause.IDLE
-                continue
-            partial_since = partial_since or now
-            if self._reader.in_body():
-                # A body may take its time on a slow link, while it makes progress.
-                partial_since = max(partial_since, self._fed_at)
-            if now - partial_since > self._limits.header_timeout_s:
-                detail = "the request did not arrive in time"
-                kind = errors.Kind.REQUEST_TIMEOUT
-                self._refuse(errors.Failure(kind, detail))
-                return closing.Cause.REFUSED_REQUEST
-        return None
+                wait_s = self._closing.idle_left_s(self._limits.idle_timeout_s, now)
+                if wait_s <= 0.0 and self._stream.is_idle:
+                    self._closing.decide(closing.Cause.IDLE)
+                    return
+            await self._wait_for_change(max(MIN_LOOK_S, wait_s))
 
     async def _wait_for_change(self, timeout_s: float | None = None) -> None:
         self._changed.clear()
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from snipelink.decide import closing
 from snipelink.mesh import channel
@@ -52,3 +53,83 @@
         counted = members[0].node._callers.unanswered.values
         await fleet.wait_until(lambda: bool(counted()))
         assert {cause for cause, _ in counted()} == {closing.Cause.NODE_STOPS.value}
+
+
+@test_node.run
+async def test_request_that_runs_once_is_not_started_behind_a_closing_answer() -> None:
+    """Its caller takes it as not read and sends it again; it would run twice."""
+    routes = await test_node.both_routes("rota")
+    async with fleet.running("rota", routes=routes) as members:
+        members[0].endpoint.script = answer_slowly
+        client = await fleet.Client.open(members[0])
+        client.send("c1")
+        client.send("c2", path="/claim/1", method="POST", body=b"x")
+        await fleet.wait_until(lambda: members[0].endpoint.running == 1)
+        members[0].stop.set()
+        answered = await client.receive()
+        assert answered is not None
+        assert dict(answered.headers)["connection"] == "close"
+        assert await client.receive() is None
+        await asyncio.sleep(0.1)
+        assert test_node.arrivals(members, "c2") == 0
+        cause = closing.Cause.NODE_STOPS
+        await fleet.wait_until(
+            lambda: unanswered(members[0], cause, started=False) == 1
+        )
+
+
+@test_node.run
+async def test_pipelined_requests_are_answered_when_the_node_leaves() -> None:
+    """Requests behind a closing answer had run, and ran again elsewhere."""
+    async with fleet.running("rota") as members:
+        members[0].endpoint.script = answer_slowly
+        client = await fleet.Client.open(members[0])
+        for index in range(4):
+            client.send(f"c{index}")
+        await fleet.wait_until(lambda: members[0].endpoint.running == 4)
+        members[0].stop.set()
+        closes = []
+        for index in range(4):
+            response = await client.receive()
+            assert response is not None, f"c{index} was passed on and not answered"
+            fields = dict(response.headers)
+            assert (response.status, fields[fleet.NAMES.call_id]) == (200, f"c{index}")
+            closes.append(fields.get("connection"))
+        assert closes == [None, None, None, "close"]
+        assert members[0].endpoint.given_up == 0
+
+
+@test_node.run
+async def test_pipelined_requests_before_one_that_closes_are_answered() -> None:
+    async with fleet.running("rota") as members:
+        members[0].endpoint.script = answer_slowly
+        client = await fleet.Client.open(members[0])
+        client.send("c0")
+        client.send("c1", connection="close")
+        client.send("c2")
+        for _ in range(2):
+            response = await client.receive()
+            assert response is not None
+            assert response.status == 200
+        assert await client.receive() is None
+        assert test_node.arrivals(members, "c2") == 0
+
+
+@test_node.run
+async def test_request_that_arrives_as_the_idle_time_ends_is_answered() -> None:
+    """A process that stalls finds the request and the end of the time at once."""
+    async with fleet.running("rota") as members:
+        new = fleet.configuration(fleet.route("rota"), version=2, idle_timeout_s=0.4)
+        fleet.publish(members, new)
+        await fleet.wait_until(lambda: fleet.is_known(members))
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c0")).status == 200
+        await asyncio.sleep(0.3)
+        client.send("c1")
+        # The whole process stalls.
+        time.sleep(0.3)
+        response = await client.receive()
+        await asyncio.sleep(0.1)
+        arrivals = test_node.arrivals(members, "c1")
+        assert response is not None, f"not answered, passed on {arrivals} times"
+        assert response.status == 200
