Answer a call that was cancelled from inside

Cause: the task of a call that ends as cancelled, though nobody has cancelled the connection (an attempt's result is taken with `task.result()`, which raises the cancellation of the attempt), ended the task of the connection as cancelled, which nothing logs. What callers saw: the connection closed without an answer to this request and to those behind it (LOST). Evidence: test_call_that_is_cancelled_from_inside_is_answered raises a cancellation in the choice of an endpoint; before: `assert None is not None`, the connection ended. Change: a cancellation that is not of the connection's own task is answered 500 with the request's id, as any other fault of the program. Why it works: `Task.cancelling` counts the cancellations that were asked of the connection's task; the close by the caller or the node is one, a call's is not.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -242,20 +242,30 @@
         request, task = entry.request, entry.task
         assert request is not None
         assert task is not None
+        # A fault of this program must not cost the caller its answer.
         try:
             response = await task
+        except asyncio.CancelledError:
+            answering = asyncio.current_task()
+            if answering is None or answering.cancelling():
+                raise
+            # Not this connection has been cancelled, but something within the call.
+            logger.exception("request could not be answered")
+            response = self._internal_error(request)
         except Exception:
-            # A fault of this program must not cost the caller its answer.
             logger.exception("request could not be answered")
-            call_id = request.header(self._port.names.call_id)
-            failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
-            response = dispatch.failure_response(failure, self._port.names, call_id)
+            response = self._internal_error(request)
         keep = not self._closing.is_last_answer(is_leaving=self._port.is_leaving)
         self._stream.write(http.encode_response(response, request.method, keep))
         entry.task = None
         self._port.requests_in_flight -= 1
         self._closing.on_answer()
 
+    def _internal_error(self, request: http.Request) -> http.Response:
+        call_id = request.header(self._port.names.call_id)
+        failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
+        return dispatch.failure_response(failure, self._port.names, call_id)
+
     def _refuse(self, failure: errors.Failure) -> None:
         if failure.kind is errors.Kind.OVERLOADED:
             failure = dataclasses.replace(failure, retry_after_s=BODY_RETRY_AFTER_S)
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -5,7 +5,9 @@
 import asyncio
 import time
 
-from snipelink.decide import closing
+import pytest
+
+from snipelink.decide import closing, placement
 from snipelink.mesh import channel
 from snipelink.session import http
 from tests.mesh import fleet, test_node
@@ -133,3 +135,30 @@
         arrivals = test_node.arrivals(members, "c1")
         assert response is not None, f"not answered, passed on {arrivals} times"
         assert response.status == 200
+
+
+def test_call_that_is_cancelled_from_inside_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The connection ended without a word, and with it the requests behind."""
+
+    def cancel(*_: object, **__: object) -> None:
+        raise asyncio.CancelledError
+
+    async def check() -> None:
+        async with fleet.running("rota") as members:
+            members[0].endpoint.script = answer_slowly
+            client = await fleet.Client.open(members[0])
+            with monkeypatch.context() as patch:
+                patch.setattr(placement, "choose", cancel)
+                client.send("c1")
+                await asyncio.sleep(0.05)
+            client.send("c2")
+            failed, answered = await client.receive(), await client.receive()
+            assert failed is not None
+            assert failed.status == 500
+            assert dict(failed.headers)[fleet.NAMES.call_id] == "c1"
+            assert answered is not None
+            assert answered.status == 200
+
+    asyncio.run(check())
