Answer with a failure when an answer cannot be written

Cause: `encode_response` refuses a header with a line end or a character beyond Latin-1. Answers of the own endpoint cannot have one, since the reader refuses it, but those that another node replies are taken as they are. The error ended the task of the connection. What callers saw: the connection closed without an answer, to requests that were passed on (LOST). Evidence: test_answer_that_cannot_be_written_is_replaced_by_a_failure plants a header of two lines; before: `assert None is not None`, and the log has `connection of a caller has failed`. Change: such an answer is replaced by a 500 with the request's id. Why it works: that answer holds only texts of this program and an id that the strict reader has accepted.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -256,7 +256,13 @@
             logger.exception("request could not be answered")
             response = self._internal_error(request)
         keep = not self._closing.is_last_answer(is_leaving=self._port.is_leaving)
-        self._stream.write(http.encode_response(response, request.method, keep))
+        try:
+            data = http.encode_response(response, request.method, keep)
+        except ValueError:
+            logger.exception("answer could not be written")
+            response = self._internal_error(request)
+            data = http.encode_response(response, request.method, keep)
+        self._stream.write(data)
         entry.task = None
         self._port.requests_in_flight -= 1
         self._closing.on_answer()
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -162,3 +162,26 @@
             assert answered.status == 200
 
     asyncio.run(check())
+
+
+@test_node.run
+async def test_answer_that_cannot_be_written_is_replaced_by_a_failure() -> None:
+    """The connection ended instead, and with it the requests behind."""
+    async with fleet.running("rota") as members:
+        dispatcher = members[0].node._callers.dispatcher
+        pass_on = dispatcher._pass_on
+
+        def pass_on_two_lines(response: http.Response) -> http.Response:
+            response.headers.append(("note", "a\r\nb: c"))
+            return pass_on(response)
+
+        members[0].endpoint.script = answer_slowly
+        client = await fleet.Client.open(members[0])
+        dispatcher._pass_on = pass_on_two_lines  # type: ignore[method-assign]
+        client.send("c1")
+        client.send("c2")
+        for call_id in ("c1", "c2"):
+            response = await client.receive()
+            assert response is not None
+            assert response.status == 500
+            assert dict(response.headers)[fleet.NAMES.call_id] == call_id
