Answer the requests of a connection after a fault in reading it

Cause: an exception that is not a refusal, in reading a request or in finding whether it may run twice, ended the reading task. Nothing looked at that task's result: the connection stayed open and silent until the caller gave it up. What callers saw: no answer within their time limit. Evidence, on the code before: test_fault_in_reading_a_request_leaves_no_connection_open_without_an_answer and test_fault_in_finding_a_route_costs_no_started_request_its_answer plant an exception; both end with TimeoutError after 2 s without an answer. Change: a fault in reading is logged and answered 500 behind the requests that were read, and the connection ends with the cause `fault`. A request whose route cannot be found waits for its turn as one that may run only once. Why it works: the fault has its place in the queue, so what was read before it is answered first, by the decision that holds for refused requests.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -164,6 +164,18 @@
 
     async def _pump(self) -> None:
         """Read requests; the end of the stream ends the whole connection elsewhere."""
+        try:
+            await self._read_requests()
+        except ConnectionError:
+            # Ends the whole connection elsewhere, too.
+            pass
+        except Exception:
+            logger.exception("requests could not be read")
+            failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
+            self._pending.append(_Pending(None, clock.now(), failure))
+            self._changed.set()
+
+    async def _read_requests(self) -> None:
         while True:
             while len(self._pending) >= MAX_PENDING:
                 await self._wait_for_change()
@@ -211,7 +223,7 @@
             entry = self._pending[started]
             if entry.request is None:
                 return
-            if started and not self._port.dispatcher.is_idempotent(entry.request):
+            if started and not self._is_idempotent(entry.request):
                 return
             if not self._closing.may_start(is_leaving=self._port.is_leaving):
                 return
@@ -220,6 +232,14 @@
             self._port.requests_in_flight += 1
             self._closing.on_start(keep_alive=entry.request.keep_alive)
 
+    def _is_idempotent(self, request: http.Request) -> bool:
+        try:
+            return self._port.dispatcher.is_idempotent(request)
+        except Exception:
+            # It waits for its turn; what runs already must still be answered.
+            logger.exception("route of a request could not be found")
+            return False
+
     async def _answer_next(self) -> None:
         """Write the next answer, or find that there is none to wait for."""
         if not self._pending:
@@ -228,7 +248,10 @@
         entry = self._pending[0]
         if entry.refused is not None:
             self._refuse(entry.refused)
-            self._closing.decide(closing.Cause.REFUSED_REQUEST)
+            is_fault = entry.refused.kind is errors.Kind.INTERNAL
+            self._closing.decide(
+                closing.Cause.FAULT if is_fault else closing.Cause.REFUSED_REQUEST
+            )
         else:
             await self._answer(entry)
         self._pending.popleft()
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from snipelink.decide import closing, placement
-from snipelink.mesh import channel
+from snipelink.mesh import callers, channel
 from snipelink.session import http
 from tests.mesh import fleet, test_node
 
@@ -185,3 +185,52 @@
             assert response is not None
             assert response.status == 500
             assert dict(response.headers)[fleet.NAMES.call_id] == call_id
+
+
+def test_fault_in_reading_a_request_leaves_no_connection_open_without_an_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The caller waited until its own time limit; nothing read its connection."""
+
+    def fail(_: callers._Connection) -> bool:
+        raise RuntimeError("planted")
+
+    async def check() -> None:
+        async with fleet.running("rota") as members:
+            endpoint = members[0].endpoint
+            endpoint.script = answer_slowly
+            client = await fleet.Client.open(members[0])
+            client.send("c1")
+            await fleet.wait_until(lambda: endpoint.running == 1)
+            with monkeypatch.context() as patch:
+                patch.setattr(callers._Connection, "_take_requests", fail)
+                client.send("c2")
+                await asyncio.sleep(0.05)
+            answered, failed = await client.receive(), await client.receive(2.0)
+            assert answered is not None
+            assert answered.status == 200
+            assert failed is not None
+            assert failed.status == 500
+            assert await client.receive() is None
+
+    asyncio.run(check())
+
+
+@test_node.run
+async def test_fault_in_finding_a_route_costs_no_started_request_its_answer() -> None:
+    """The fault ended the reading; the caller waited until its own time limit."""
+
+    def fail(_: http.Request) -> bool:
+        raise RuntimeError("planted")
+
+    async with fleet.running("rota") as members:
+        members[0].endpoint.script = answer_slowly
+        dispatcher = members[0].node._callers.dispatcher
+        dispatcher.is_idempotent = fail  # type: ignore[method-assign]
+        client = await fleet.Client.open(members[0])
+        for index in range(3):
+            client.send(f"c{index}")
+        for index in range(3):
+            response = await client.receive(2.0)
+            assert response is not None, f"c{index} is not answered"
+            assert response.status == 200
