--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -325,7 +325,8 @@
                 wait_s = LOOK_S
             else:
                 partial_since = None
-                wait_s = self._closing.idle_left_s(self._limits.idle_timeout_s, now)
+                in_force_s = self._port.limits().idle_timeout_s
+                wait_s = self._closing.idle_left_s(in_force_s, now)
                 if wait_s <= 0.0 and self._stream.is_idle:
                     self._closing.decide(closing.Cause.IDLE)
                     return
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -19,6 +19,16 @@
     return values.get((cause.value, str(started).lower()), 0)
 
 
+async def set_idle_timeout(
+    members: list[fleet.Member], timeout_s: float, version: int
+) -> None:
+    new = fleet.configuration(
+        fleet.route("rota"), version=version, idle_timeout_s=timeout_s
+    )
+    fleet.publish(members, new)
+    await fleet.wait_until(lambda: fleet.is_known(members))
+
+
 async def answer_slowly(
     endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
 ) -> None:
@@ -121,9 +131,7 @@
 async def test_request_that_arrives_as_the_idle_time_ends_is_answered() -> None:
     """A process that stalls finds the request and the end of the time at once."""
     async with fleet.running("rota") as members:
-        new = fleet.configuration(fleet.route("rota"), version=2, idle_timeout_s=0.4)
-        fleet.publish(members, new)
-        await fleet.wait_until(lambda: fleet.is_known(members))
+        await set_idle_timeout(members, 0.4, version=2)
         client = await fleet.Client.open(members[0])
         assert (await client.ask("c0")).status == 200
         await asyncio.sleep(0.3)
@@ -234,3 +242,28 @@
             response = await client.receive(2.0)
             assert response is not None, f"c{index} is not answered"
             assert response.status == 200
+
+
+@test_node.run
+async def test_connection_is_kept_for_a_longer_idle_time_that_came_later() -> None:
+    """Callers reuse it by the newer limit, and met the close by the older one."""
+    async with fleet.running("rota") as members:
+        await set_idle_timeout(members, 0.4, version=2)
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c0")).status == 200
+        await set_idle_timeout(members, 2.0, version=3)
+        await asyncio.sleep(0.8)
+        assert (await client.ask("c1")).status == 200
+
+
+@test_node.run
+async def test_connection_is_kept_for_the_idle_time_that_was_longer_before() -> None:
+    async with fleet.running("rota") as members:
+        await set_idle_timeout(members, 1.5, version=2)
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c0")).status == 200
+        await set_idle_timeout(members, 0.3, version=3)
+        await asyncio.sleep(0.8)
+        assert (await client.ask("c1")).status == 200
+        await asyncio.sleep(0.8)
+        assert (await client.ask("c2")).status == 200
