Let callers' connections outlive a slow or lossy link

Cause: connections of callers had the probes of those to nodes and endpoints, where silence has to be noticed in three seconds. A caller that acknowledges nothing for so long, or whose receive buffer stays full, was taken as gone. What callers saw: a reset in the middle of an answer, or while they waited, of a request that an endpoint had run (LOST). Evidence: test_caller_that_reads_nothing_for_seconds_gets_its_answer lets an answer of 1 MB wait for 5 s; before: ConnectionResetError, [Errno 104]. Change: `channel.listen` takes the probes of a role; those of callers give up after 60 s. Connections to nodes and endpoints keep theirs. Why it works: the work of a request ends at its deadline whatever the caller's connection does, and an idle connection ends by the idle time, so nothing depends on the kernel's early word that a caller is gone.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -21,6 +21,10 @@
 MAX_PENDING = closing.MAX_STARTED
 # Time for which a caller may go on reading the last answer of a connection.
 LINGER_S = 1.0
+# A caller may acknowledge nothing for seconds on a lossy or choked link, or read
+# slowly. Its connection outlives the longest open request by far, whose deadline
+# bounds the work: twice `dispatch.DEFAULT_REMAINING_MS`.
+PROBES = channel.Probes(idle_s=15, interval_s=15, count=4, user_timeout_ms=60_000)
 # Bytes of request bodies held at once, a share of the smallest machine's memory.
 MAX_BODY_BYTES = 1 << 26
 # Time after which a caller may find memory for its body, seconds: that of a call.
@@ -80,7 +84,9 @@
 
     async def start(self, address: channel.Address) -> None:
         """Accept connections."""
-        self._listener = await channel.listen(address, self._serve, ACCEPT_BACKLOG)
+        self._listener = await channel.listen(
+            address, self._serve, ACCEPT_BACKLOG, PROBES
+        )
 
     def close(self) -> None:
         """Refuse further connections and end the open ones."""
--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -3,16 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import socket
 import typing
 from collections.abc import Callable
 
-# A silent peer is noticed by the kernel after about three seconds; connections may
-# go silent without a reset while new ones work.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-USER_TIMEOUT_MS = 3000
 # Bytes received and not yet taken above which the peer is made to wait.
 MAX_UNREAD_BYTES = 262144
 
@@ -20,19 +15,49 @@
 T = typing.TypeVar("T")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probes:
+    """When the kernel ends a connection whose peer is silent.
+
+    Attributes
+    ----------
+    idle_s, interval_s, count : int
+        Whole seconds without traffic before the first probe, between two of them, and
+        the number of unanswered ones that end the connection.
+    user_timeout_ms : int
+        Longest time for which sent bytes may stay unacknowledged, milliseconds.
+    """
+
+    idle_s: int
+    interval_s: int
+    count: int
+    user_timeout_ms: int
+
+
+# A silent peer is noticed by the kernel after about three seconds; connections may
+# go silent without a reset while new ones work.
+PROBES = Probes(idle_s=1, interval_s=1, count=2, user_timeout_ms=3000)
+
+
 class Channel(asyncio.Protocol):
     """Bytes received and sent on one connection.
 
     `receive` is for one task at a time. The end of the stream is an empty result; a
     reset raises ``ConnectionError``.
 
+    Parameters
+    ----------
+    probes : Probes
+        When the kernel ends it for silence.
+
     Attributes
     ----------
     ended : asyncio.Event
         Set once the peer sends no more.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, probes: Probes = PROBES) -> None:
+        self._probes = probes
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._waiter: asyncio.Future[None] | None = None
@@ -49,7 +74,7 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         connection = transport.get_extra_info("socket")
         if connection is not None:
-            _tune(connection)
+            _tune(connection, self._probes)
         peer = transport.get_extra_info("peername")
         self.peer_host = peer[0] if peer else ""
 
@@ -203,10 +228,13 @@
 
 
 async def listen(
-    address: Address, serve: Callable[[Channel], typing.Awaitable[None]], backlog: int
+    address: Address,
+    serve: Callable[[Channel], typing.Awaitable[None]],
+    backlog: int,
+    probes: Probes = PROBES,
 ) -> Listener:
     """Accept connections and run `serve` on each in a task of its own."""
-    listener = Listener(serve)
+    listener = Listener(serve, probes)
     loop = asyncio.get_running_loop()
     listener.server = await loop.create_server(
         listener.make, *address, backlog=backlog, reuse_address=True
@@ -217,8 +245,13 @@
 class Listener:
     """Tasks of the connections that were accepted on one port."""
 
-    def __init__(self, serve: Callable[[Channel], typing.Awaitable[None]]) -> None:
+    def __init__(
+        self,
+        serve: Callable[[Channel], typing.Awaitable[None]],
+        probes: Probes = PROBES,
+    ) -> None:
         self._serve = serve
+        self.probes = probes
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
 
@@ -252,7 +285,7 @@
 
 class _Accepted(Channel):
     def __init__(self, listener: Listener) -> None:
-        super().__init__()
+        super().__init__(listener.probes)
         self._listener = listener
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -260,14 +293,14 @@
         self._listener.start(self)
 
 
-def _tune(connection: socket.socket) -> None:
+def _tune(connection: socket.socket, probes: Probes) -> None:
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     options = (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_KEEPIDLE, probes.idle_s),
+        (socket.TCP_KEEPINTVL, probes.interval_s),
+        (socket.TCP_KEEPCNT, probes.count),
+        (socket.TCP_USER_TIMEOUT, probes.user_timeout_ms),
     )
     for option, value in options:
         connection.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -267,3 +268,33 @@
         assert (await client.ask("c1")).status == 200
         await asyncio.sleep(0.8)
         assert (await client.ask("c2")).status == 200
+
+
+@test_node.run
+async def test_caller_that_reads_nothing_for_seconds_gets_its_answer() -> None:
+    """The kernel ended its connection after three seconds."""
+    size = 1 << 20
+
+    async def answer_large(
+        endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+    ) -> None:
+        stream.write(endpoint.response(request, body=b"x" * size))
+
+    async with fleet.running("rota") as members:
+        members[0].endpoint.script = answer_large
+        # A buffer of this size is full long before the answer's end.
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, (members[0].host, fleet.CALLER_PORT))
+        names = fleet.NAMES
+        lines = ["GET /view/1 HTTP/1.1", "host: example", f"{names.call_id}: c1"]
+        await loop.sock_sendall(caller, http.encode_head(lines))
+        await asyncio.sleep(5.0)
+        received = 0
+        while received < size:
+            data = await asyncio.wait_for(loop.sock_recv(caller, 65536), 2.0)
+            assert data, f"the connection ended after {received} bytes"
+            received += len(data)
+        caller.close()
