Stop a node only when slow callers have their answers

Cause: an answer counted as given once it was in the buffer of the process. A leaving node then stopped, and what the kernel had not taken was lost; so was, on connections that linger, the answer of a caller that had sent further requests, since closing with unread bytes resets the connection. What callers saw: an answer that ends early around a SIGTERM (LOST, planned work). Evidence: test_node_does_not_stop_before_a_slow_caller_has_its_answer sends an answer of 8 MB to a caller that reads it 3.7 s later, the node is told to stop in between; before: AssertionError: the node stopped in the middle. Change: a request counts as in flight until the kernel has its whole answer, and a leaving node waits for connections that linger (a second at most each). The end of the grace period bounds both, as before. Why it works: the kernel sends what it has after the process has ended.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -75,6 +75,8 @@
         self.is_closed = False
         self.last_request_at = 0.0
         self.requests_in_flight = 0
+        # Connections whose callers may still be reading the last answer.
+        self.lingering = 0
         self.unanswered = recorded.counter(
             "snipelink_mesh_requests_unanswered_total",
             "Requests that were read and got no answer, by what ended the connection.",
@@ -95,6 +97,7 @@
             self._listener.close()
 
     async def _serve(self, stream: channel.Channel) -> None:
+        stream.drain_fully()
         connection = _Connection(self, stream)
         cause = closing.Cause.CALLER_CLOSED
         try:
@@ -139,7 +142,12 @@
             pump.cancel()
             # It must not take bytes from the channel beside `close_gracefully`.
             await asyncio.wait((pump,))
-        await self._stream.close_gracefully(LINGER_S)
+        self._port.lingering += 1
+        try:
+            await self._stream.drain()
+            await self._stream.close_gracefully(LINGER_S)
+        finally:
+            self._port.lingering -= 1
 
     def give_up(self, cause: closing.Cause) -> None:
         """Cancel what is not answered any more, and tell why."""
@@ -261,7 +269,11 @@
         else:
             await self._answer(entry)
         self._pending.popleft()
-        await self._stream.drain()
+        try:
+            await self._stream.drain()
+        finally:
+            if entry.task is not None:
+                self._port.requests_in_flight -= 1
         self._start_due()
         self._changed.set()
         if not self._pending:
@@ -292,8 +304,6 @@
             response = self._internal_error(request)
             data = http.encode_response(response, request.method, keep)
         self._stream.write(data)
-        entry.task = None
-        self._port.requests_in_flight -= 1
         self._closing.on_answer()
 
     def _internal_error(self, request: http.Request) -> http.Response:
--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -161,6 +161,11 @@
         if self._lost:
             raise ConnectionResetError("the connection is closed")
 
+    def drain_fully(self) -> None:
+        """Let `drain` wait until the kernel has all that was written."""
+        if self._transport is not None:
+            self._transport.set_write_buffer_limits(0)
+
     async def close_gracefully(self, timeout_s: float) -> None:
         """Close after the peer has read what was written.
 
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -248,7 +248,8 @@
             if now >= stops_at:
                 break
             quiet = now - self._callers.last_request_at >= QUIET_S
-            if now - started >= MIN_LEAVE_S and quiet and not self._calls_in_flight():
+            busy = self._calls_in_flight() or self._callers.lingering
+            if now - started >= MIN_LEAVE_S and quiet and not busy:
                 break
         cut = self._calls_in_flight()
         self.close()
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import socket
 import time
 
 import pytest
 
 from snipelink.decide import closing, placement
-from snipelink.mesh import callers, channel
+from snipelink.mesh import callers, channel, node
 from snipelink.session import http
 from tests.mesh import fleet, test_node
 
+# More than the buffers of the kernel hold, which grow to 4 MB.
+LARGE_BYTES = 8 << 20
+
 
 def unanswered(member: fleet.Member, cause: closing.Cause, *, started: bool) -> float:
     """Return how many requests got no answer for a cause, as the node counts them."""
@@ -270,31 +274,63 @@
         assert (await client.ask("c2")).status == 200
 
 
+async def answer_large(
+    endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+) -> None:
+    stream.write(endpoint.response(request, body=b"x" * LARGE_BYTES))
+
+
+async def ask_with_small_buffer(member: fleet.Member) -> socket.socket:
+    """Send a request; the caller's buffer is full long before the answer's end."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, (member.host, fleet.CALLER_PORT))
+    names = fleet.NAMES
+    lines = ["GET /view/1 HTTP/1.1", "host: example", f"{names.call_id}: c1"]
+    await loop.sock_sendall(caller, http.encode_head(lines))
+    return caller
+
+
+async def read_large(caller: socket.socket) -> None:
+    """Read an answer of `answer_large` to its end."""
+    loop = asyncio.get_running_loop()
+    received = b""
+    while not received.endswith(b"x" * LARGE_BYTES):
+        data = await asyncio.wait_for(loop.sock_recv(caller, 65536), 2.0)
+        assert data, f"the connection ended after {len(received)} bytes"
+        received += data
+    caller.close()
+
+
 @test_node.run
 async def test_caller_that_reads_nothing_for_seconds_gets_its_answer() -> None:
     """The kernel ended its connection after three seconds."""
-    size = 1 << 20
-
-    async def answer_large(
-        endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
-    ) -> None:
-        stream.write(endpoint.response(request, body=b"x" * size))
-
     async with fleet.running("rota") as members:
         members[0].endpoint.script = answer_large
-        # A buffer of this size is full long before the answer's end.
-        caller = socket.socket()
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        caller.setblocking(False)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(caller, (members[0].host, fleet.CALLER_PORT))
-        names = fleet.NAMES
-        lines = ["GET /view/1 HTTP/1.1", "host: example", f"{names.call_id}: c1"]
-        await loop.sock_sendall(caller, http.encode_head(lines))
+        caller = await ask_with_small_buffer(members[0])
         await asyncio.sleep(5.0)
-        received = 0
-        while received < size:
-            data = await asyncio.wait_for(loop.sock_recv(caller, 65536), 2.0)
-            assert data, f"the connection ended after {received} bytes"
-            received += len(data)
-        caller.close()
+        await read_large(caller)
+
+
+def test_node_does_not_stop_before_a_slow_caller_has_its_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What was written and not yet sent was lost with the process."""
+    bounds = dataclasses.replace(fleet.BOUNDS, grace_s=8.0)
+    monkeypatch.setattr(fleet, "BOUNDS", bounds)
+
+    async def check() -> None:
+        async with fleet.running("rota") as members:
+            members[0].endpoint.script = answer_large
+            caller = await ask_with_small_buffer(members[0])
+            await asyncio.sleep(0.2)
+            members[0].stop.set()
+            await asyncio.sleep(node.MIN_LEAVE_S + 1.0)
+            assert members[0].task is not None
+            assert not members[0].task.done(), "the node stopped in the middle"
+            await read_large(caller)
+            assert await asyncio.wait_for(members[0].task, 2.0) == 0
+
+    asyncio.run(check())
