Judge requests by the widest limits that their connection has seen

Connections are kept for long. Evidence: test_older_connection_takes_what_a_newer_configuration_allows; before: assert 413 == 200. test_older_connection_takes_what_was_allowed_before passes before and after; it guards the older limits. Change: a connection holds of each limit the widest that has been in force since it was opened. The idle time follows the same rule, so decide/closing.py no longer keeps a maximum of its own; the unit test of it moves with the rule to tests/mesh/test_callers.py, with the same assertions. Why it works: callers know the newest configuration or the one before, and keep to one of them.

--- a/src/snipelink/decide/closing.py
+++ b/src/snipelink/decide/closing.py
@@ -52,7 +52,6 @@
         self.cause: Cause | None = None
         self.started = 0
         self._idle_since = opened
-        self._idle_timeout_s = 0.0
 
     @property
     def may_end(self) -> bool:
@@ -98,8 +97,6 @@
         Parameters
         ----------
         idle_timeout_s : float
-            Idle timeout in force. Callers may rely on an earlier, longer one as well,
-            so the longest one that this connection has seen holds.
+            Longest idle timeout that the caller may rely on.
         """
-        self._idle_timeout_s = max(self._idle_timeout_s, idle_timeout_s)
-        return self._idle_since + self._idle_timeout_s - now
+        return self._idle_since + idle_timeout_s - now
--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -45,6 +45,54 @@
     task: asyncio.Task[http.Response] | None = None
 
 
+class _WidestLimits:
+    """Limits of one connection: of each, the widest that has been in force.
+
+    Callers go by the newest configuration, or by the one before until they know it.
+
+    Parameters
+    ----------
+    in_force : callable
+        Returns the limits in force.
+    """
+
+    def __init__(self, in_force: Callable[[], objects.CallerLimits]) -> None:
+        self._in_force = in_force
+        self._widest = self._last = in_force()
+
+    @property
+    def max_header_bytes(self) -> int:
+        """Largest head, bytes."""
+        return self._now().max_header_bytes
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body, bytes."""
+        return self._now().max_body_bytes
+
+    @property
+    def header_timeout_s(self) -> float:
+        """Longest time for a head, or between two parts of a body, seconds."""
+        return self._now().header_timeout_s
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Longest time without a request, seconds."""
+        return self._now().idle_timeout_s
+
+    def _now(self) -> objects.CallerLimits:
+        latest = self._in_force()
+        if latest is not self._last:
+            self._last, earlier = latest, self._widest
+            self._widest = objects.CallerLimits(
+                max(earlier.max_header_bytes, latest.max_header_bytes),
+                max(earlier.max_body_bytes, latest.max_body_bytes),
+                max(earlier.header_timeout_s, latest.header_timeout_s),
+                max(earlier.idle_timeout_s, latest.idle_timeout_s),
+            )
+        return self._widest
+
+
 class CallerPort:
     """Accepts the connections of callers.
 
@@ -121,7 +169,7 @@
     def __init__(self, port: CallerPort, stream: channel.Channel) -> None:
         self._port = port
         self._stream = stream
-        self._limits = port.limits()
+        self._limits = _WidestLimits(port.limits)
         self._charge = memory.PoolCharge(port.pool)
         names = port.names
         single = frozenset({names.call_id, names.remaining_ms})
@@ -341,8 +389,7 @@
                 wait_s = LOOK_S
             else:
                 partial_since = None
-                in_force_s = self._port.limits().idle_timeout_s
-                wait_s = self._closing.idle_left_s(in_force_s, now)
+                wait_s = self._closing.idle_left_s(self._limits.idle_timeout_s, now)
                 if wait_s <= 0.0 and self._stream.is_idle:
                     self._closing.decide(closing.Cause.IDLE)
                     return
--- a/tests/decide/test_closing.py
+++ b/tests/decide/test_closing.py
@@ -69,14 +69,6 @@
     assert decided.idle_left_s(IDLE_TIMEOUT_S, 4.0) == 10.0
 
 
-def test_longest_idle_timeout_that_was_in_force_holds() -> None:
-    """Callers go by the one that they know, which may be the older or the newer."""
-    decided = closing.Closing(0.0)
-    assert decided.idle_left_s(10.0, 1.0) == 9.0
-    assert decided.idle_left_s(20.0, 1.0) == 19.0
-    assert decided.idle_left_s(10.0, 1.0) == 19.0
-
-
 @dataclasses.dataclass(eq=False)
 class _Request:
     """A request that was read; refused if it is neither."""
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from snipelink.decide import closing, placement
-from snipelink.mesh import callers, channel, node
+from snipelink.mesh import callers, channel, node, objects
 from snipelink.session import http
 from tests.mesh import fleet, test_node
 
@@ -24,12 +24,10 @@
     return values.get((cause.value, str(started).lower()), 0)
 
 
-async def set_idle_timeout(
-    members: list[fleet.Member], timeout_s: float, version: int
+async def set_limits(
+    members: list[fleet.Member], version: int, **limits: float
 ) -> None:
-    new = fleet.configuration(
-        fleet.route("rota"), version=version, idle_timeout_s=timeout_s
-    )
+    new = fleet.configuration(fleet.route("rota"), version=version, **limits)
     fleet.publish(members, new)
     await fleet.wait_until(lambda: fleet.is_known(members))
 
@@ -136,7 +134,7 @@
 async def test_request_that_arrives_as_the_idle_time_ends_is_answered() -> None:
     """A process that stalls finds the request and the end of the time at once."""
     async with fleet.running("rota") as members:
-        await set_idle_timeout(members, 0.4, version=2)
+        await set_limits(members, 2, idle_timeout_s=0.4)
         client = await fleet.Client.open(members[0])
         assert (await client.ask("c0")).status == 200
         await asyncio.sleep(0.3)
@@ -253,10 +251,10 @@
 async def test_connection_is_kept_for_a_longer_idle_time_that_came_later() -> None:
     """Callers reuse it by the newer limit, and met the close by the older one."""
     async with fleet.running("rota") as members:
-        await set_idle_timeout(members, 0.4, version=2)
+        await set_limits(members, 2, idle_timeout_s=0.4)
         client = await fleet.Client.open(members[0])
         assert (await client.ask("c0")).status == 200
-        await set_idle_timeout(members, 2.0, version=3)
+        await set_limits(members, 3, idle_timeout_s=2.0)
         await asyncio.sleep(0.8)
         assert (await client.ask("c1")).status == 200
 
@@ -264,16 +262,53 @@
 @test_node.run
 async def test_connection_is_kept_for_the_idle_time_that_was_longer_before() -> None:
     async with fleet.running("rota") as members:
-        await set_idle_timeout(members, 1.5, version=2)
+        await set_limits(members, 2, idle_timeout_s=1.5)
         client = await fleet.Client.open(members[0])
         assert (await client.ask("c0")).status == 200
-        await set_idle_timeout(members, 0.3, version=3)
+        await set_limits(members, 3, idle_timeout_s=0.3)
         await asyncio.sleep(0.8)
         assert (await client.ask("c1")).status == 200
         await asyncio.sleep(0.8)
         assert (await client.ask("c2")).status == 200
 
 
+def test_longest_idle_timeout_that_was_in_force_holds() -> None:
+    """Callers go by the one that they know, which may be the older or the newer."""
+    in_force = objects.CallerLimits(idle_timeout_s=10.0)
+    limits = callers._WidestLimits(lambda: in_force)
+    assert limits.idle_timeout_s == 10.0
+    in_force = objects.CallerLimits(idle_timeout_s=20.0)
+    assert limits.idle_timeout_s == 20.0
+    in_force = objects.CallerLimits(idle_timeout_s=10.0)
+    assert limits.idle_timeout_s == 20.0
+
+
+@test_node.run
+async def test_older_connection_takes_what_a_newer_configuration_allows() -> None:
+    """A proper request was refused for good because its connection was older."""
+    async with fleet.running("rota") as members:
+        await set_limits(members, 2, max_body_bytes=1000, max_header_bytes=1000)
+        client = await fleet.Client.open(members[0])
+        assert (await client.ask("c0")).status == 200
+        await set_limits(members, 3, max_body_bytes=9000, max_header_bytes=9000)
+        response = await client.ask("c1", method="POST", body=b"x" * 5000)
+        assert response.status == 200
+        assert (await client.ask("c2", note="x" * 5000)).status == 200
+
+
+@test_node.run
+async def test_older_connection_takes_what_was_allowed_before() -> None:
+    async with fleet.running("rota") as members:
+        await set_limits(members, 2, max_body_bytes=9000)
+        client = await fleet.Client.open(members[0])
+        await set_limits(members, 3, max_body_bytes=1000)
+        response = await client.ask("c1", method="POST", body=b"x" * 5000)
+        assert response.status == 200
+        newer = await fleet.Client.open(members[0])
+        response = await newer.ask("c2", method="POST", body=b"x" * 5000)
+        assert response.status == 413
+
+
 async def answer_large(
     endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
 ) -> None:
