Test that a stopping node passes on no request behind its own back

Cause: between the last look at what is in flight and the end of the connections' tasks lie some turns of the event loop, in which the reading task started requests. What callers saw: a request that was passed on and got no answer as the node stopped (LOST). Change: the test alone.

--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -369,3 +369,22 @@
             assert await asyncio.wait_for(members[0].task, 2.0) == 0
 
     asyncio.run(check())
+
+
+@test_node.run
+async def test_request_that_arrives_as_the_node_stops_is_not_passed_on() -> None:
+    """It was started in the turn of the event loop between the stop and the close."""
+    for turns in range(6):
+        async with fleet.running("rota") as members:
+            port = members[0].node._callers
+            client = await fleet.Client.open(members[0])
+            assert (await client.ask("c0")).status == 200
+            client.send("c1")
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            in_flight = port.requests_in_flight
+            port.close()
+            await asyncio.sleep(0.1)
+            if not in_flight:
+                arrivals = test_node.arrivals(members, "c1")
+                assert arrivals == 0, f"passed on after {turns} turns"
