--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -9,22 +9,30 @@
 from collections.abc import Callable
 
 from snipelink import clock, errors
+from snipelink.decide import closing
 from snipelink.mesh import channel, dispatch, objects, settings
+from snipelink.observe import metrics
 from snipelink.session import http, memory, requests
 
 logger = logging.getLogger(__name__)
 
 ACCEPT_BACKLOG = 1024
-# Idempotent requests of one connection that run at once; further ones wait unread.
-MAX_PIPELINED = 16
+# Requests of one connection that are held; further ones wait in the kernel's buffer.
+MAX_PENDING = closing.MAX_STARTED
 # Time for which a caller may go on reading the last answer of a connection.
 LINGER_S = 1.0
+# A caller may acknowledge nothing for seconds on a lossy or choked link, or read
+# slowly. Its connection outlives the longest open request by far, whose deadline
+# bounds the work: twice `dispatch.DEFAULT_REMAINING_MS`.
+PROBES = channel.Probes(idle_s=15, interval_s=15, count=4, user_timeout_ms=60_000)
 # Bytes of request bodies held at once, a share of the smallest machine's memory.
 MAX_BODY_BYTES = 1 << 26
 # Time after which a caller may find memory for its body, seconds: that of a call.
 BODY_RETRY_AFTER_S = 0.5
 # Request that has been read only in part is looked at again after this time.
 LOOK_S = 0.25
+# Least time between two looks at an idle connection: bytes that were received are read.
+MIN_LOOK_S = 0.01
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -37,6 +45,54 @@
     task: asyncio.Task[http.Response] | None = None
 
 
+class _WidestLimits:
+    """Limits of one connection: of each, the widest that has been in force.
+
+    Callers go by the newest configuration, or by the one before until they know it.
+
+    Parameters
+    ----------
+    in_force : callable
+        Returns the limits in force.
+    """
+
+    def __init__(self, in_force: Callable[[], objects.CallerLimits]) -> None:
+        self._in_force = in_force
+        self._widest = self._last = in_force()
+
+    @property
+    def max_header_bytes(self) -> int:
+        """Largest head, bytes."""
+        return self._now().max_header_bytes
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body, bytes."""
+        return self._now().max_body_bytes
+
+    @property
+    def header_timeout_s(self) -> float:
+        """Longest time for a head, or between two parts of a body, seconds."""
+        return self._now().header_timeout_s
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Longest time without a request, seconds."""
+        return self._now().idle_timeout_s
+
+    def _now(self) -> objects.CallerLimits:
+        latest = self._in_force()
+        if latest is not self._last:
+            self._last, earlier = latest, self._widest
+            self._widest = objects.CallerLimits(
+                max(earlier.max_header_bytes, latest.max_header_bytes),
+                max(earlier.max_body_bytes, latest.max_body_bytes),
+                max(earlier.header_timeout_s, latest.header_timeout_s),
+                max(earlier.idle_timeout_s, latest.idle_timeout_s),
+            )
+        return self._widest
+
+
 class CallerPort:
     """Accepts the connections of callers.
 
@@ -48,6 +104,8 @@
         Names of the mesh's own headers.
     limits : callable
         Returns the limits in force.
+    recorded : Metrics
+        Receives the number of requests that got no answer.
     """
 
     def __init__(
@@ -55,39 +113,54 @@
         dispatcher: dispatch.Dispatcher,
         names: settings.HeaderNames,
         limits: Callable[[], objects.CallerLimits],
+        recorded: metrics.Metrics,
     ) -> None:
         self.dispatcher = dispatcher
         self.names = names
         self.limits = limits
         self.pool = memory.Pool(MAX_BODY_BYTES)
         self.is_leaving = False
+        self.is_closed = False
         self.last_request_at = 0.0
         self.requests_in_flight = 0
+        # Connections whose callers may still be reading the last answer.
+        self.lingering = 0
+        self.unanswered = recorded.counter(
+            "snipelink_mesh_requests_unanswered_total",
+            "Requests that were read and got no answer, by what ended the connection.",
+            ("cause", "started"),
+        )
         self._listener: channel.Listener | None = None
 
     async def start(self, address: channel.Address) -> None:
         """Accept connections."""
-        self._listener = await channel.listen(address, self._serve, ACCEPT_BACKLOG)
-
-    @property
-    def unsent_count(self) -> int:
-        """Connections on which an answer waits for its reader."""
-        return self._listener.unsent_count if self._listener is not None else 0
+        self._listener = await channel.listen(
+            address, self._serve, ACCEPT_BACKLOG, PROBES
+        )
 
     def close(self) -> None:
         """Refuse further connections and end the open ones."""
+        self.is_closed = True
         if self._listener is not None:
             self._listener.close()
 
     async def _serve(self, stream: channel.Channel) -> None:
+        stream.drain_fully()
         connection = _Connection(self, stream)
+        cause = closing.Cause.CALLER_CLOSED
         try:
             await channel.run_while_open(stream, connection.run())
         except ConnectionError:
             # The caller reset the connection; its calls were given up.
             pass
+        except asyncio.CancelledError:
+            cause = closing.Cause.NODE_STOPS
+            raise
+        except Exception:
+            logger.exception("connection of a caller has failed")
+            cause = closing.Cause.FAULT
         finally:
-            connection.give_up()
+            connection.give_up(cause)
 
 
 class _Connection:
@@ -96,7 +169,7 @@
     def __init__(self, port: CallerPort, stream: channel.Channel) -> None:
         self._port = port
         self._stream = stream
-        self._limits = port.limits()
+        self._limits = _WidestLimits(port.limits)
         self._charge = memory.PoolCharge(port.pool)
         names = port.names
         single = frozenset({names.call_id, names.remaining_ms})
@@ -105,44 +178,71 @@
         self._changed = asyncio.Event()
         # Times of the first byte of the request being read, and of the last bytes.
         self._request_since = self._fed_at = clock.now()
+        self._closing = closing.Closing(self._fed_at)
 
     async def run(self) -> None:
-        """Answer requests until one of them ends the connection."""
+        """Answer requests until the connection may end."""
         pump = asyncio.ensure_future(self._pump())
         try:
-            while await self._answer_next():
-                pass
+            while not self._closing.may_end:
+                await self._answer_next()
         finally:
             pump.cancel()
-        await self._stream.close_gracefully(LINGER_S)
+            # It must not take bytes from the channel beside `close_gracefully`.
+            await asyncio.wait((pump,))
+        self._port.lingering += 1
+        try:
+            await self._stream.drain()
+            await self._stream.close_gracefully(LINGER_S)
+        finally:
+            self._port.lingering -= 1
 
-    def give_up(self) -> None:
-        """Cancel what the caller no longer waits for."""
+    def give_up(self, cause: closing.Cause) -> None:
+        """Cancel what is not answered any more, and tell why."""
+        if self._closing.cause is not None and self._closing.may_end:
+            # A caller that closes after the last answer has not ended the connection.
+            cause = self._closing.cause
         self._charge.settle()
         for entry in self._pending:
+            started = entry.task is not None
             if entry.task is not None:
                 entry.task.cancel()
                 self._port.requests_in_flight -= 1
-            if entry.request is not None:
-                logger.info(
-                    "caller closed the connection before its answer",
-                    extra={
-                        "fields": {
-                            "id": entry.request.header(self._port.names.call_id),
-                            "waited_s": round(clock.now() - entry.arrived, 4),
-                            "started": entry.task is not None,
-                        }
-                    },
-                )
+            if entry.request is None:
+                continue
+            self._port.unanswered.increment(cause.value, str(started).lower())
+            logger.info(
+                "connection of a caller ended before an answer",
+                extra={
+                    "fields": {
+                        "id": entry.request.header(self._port.names.call_id),
+                        "cause": cause.value,
+                        "waited_s": round(clock.now() - entry.arrived, 4),
+                        "started": started,
+                    }
+                },
+            )
         self._pending.clear()
 
     async def _pump(self) -> None:
         """Read requests; the end of the stream ends the whole connection elsewhere."""
+        try:
+            await self._read_requests()
+        except ConnectionError:
+            # Ends the whole connection elsewhere, too.
+            pass
+        except Exception:
+            logger.exception("requests could not be read")
+            failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
+            self._pending.append(_Pending(None, clock.now(), failure))
+            self._changed.set()
+
+    async def _read_requests(self) -> None:
         while True:
-            while len(self._pending) >= MAX_PIPELINED:
+            while len(self._pending) >= MAX_PENDING:
                 await self._wait_for_change()
             data = await self._stream.receive()
-            if not data:
+            if not data or self._closing.cause is not None:
                 return
             self._fed_at = clock.now()
             if not self._reader.in_request():
@@ -179,51 +279,85 @@
         One that may run only once waits for its turn: if an answer before it closes
         the connection, the caller takes it as not read and sends it again.
         """
-        for index, entry in enumerate(self._pending):
+        if self._port.is_closed:
+            self._closing.decide(closing.Cause.NODE_STOPS)
+        while (started := self._closing.started) < len(self._pending):
+            entry = self._pending[started]
             if entry.request is None:
                 return
-            if index and not self._port.dispatcher.is_idempotent(entry.request):
+            if started and not self._is_idempotent(entry.request):
+                return
+            if not self._closing.may_start(is_leaving=self._port.is_leaving):
                 return
-            if entry.task is None:
-                answer = self._port.dispatcher.answer(entry.request, entry.arrived)
-                entry.task = asyncio.ensure_future(answer)
-                self._port.requests_in_flight += 1
-
-    async def _answer_next(self) -> bool:
-        """Write the next answer; false if the connection ends."""
-        if not self._pending and not await self._wait_for_request():
+            answer = self._port.dispatcher.answer(entry.request, entry.arrived)
+            entry.task = asyncio.ensure_future(answer)
+            self._port.requests_in_flight += 1
+            self._closing.on_start(keep_alive=entry.request.keep_alive)
+
+    def _is_idempotent(self, request: http.Request) -> bool:
+        try:
+            return self._port.dispatcher.is_idempotent(request)
+        except Exception:
+            # It waits for its turn; what runs already must still be answered.
+            logger.exception("route of a request could not be found")
             return False
+
+    async def _answer_next(self) -> None:
+        """Write the next answer, or find that there is none to wait for."""
+        if not self._pending:
+            await self._wait_for_request()
+            return
         entry = self._pending[0]
-        keep = False
         if entry.refused is not None:
             self._refuse(entry.refused)
+            is_fault = entry.refused.kind is errors.Kind.INTERNAL
+            self._closing.decide(
+                closing.Cause.FAULT if is_fault else closing.Cause.REFUSED_REQUEST
+            )
         else:
-            keep = await self._answer(entry)
+            await self._answer(entry)
         self._pending.popleft()
-        await self._stream.drain()
+        try:
+            await self._stream.drain()
+        finally:
+            if entry.task is not None:
+                self._port.requests_in_flight -= 1
         self._start_due()
         self._changed.set()
         if not self._pending:
             self._charge.settle()
-        return keep
 
-    async def _answer(self, entry: _Pending) -> bool:
+    async def _answer(self, entry: _Pending) -> None:
         request, task = entry.request, entry.task
         assert request is not None
         assert task is not None
+        # A fault of this program must not cost the caller its answer.
         try:
             response = await task
+        except asyncio.CancelledError:
+            answering = asyncio.current_task()
+            if answering is None or answering.cancelling():
+                raise
+            # Not this connection has been cancelled, but something within the call.
+            logger.exception("request could not be answered")
+            response = self._internal_error(request)
         except Exception:
-            # A fault of this program must not cost the caller its answer.
             logger.exception("request could not be answered")
-            call_id = request.header(self._port.names.call_id)
-            failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
-            response = dispatch.failure_response(failure, self._port.names, call_id)
-        entry.task = None
-        self._port.requests_in_flight -= 1
-        keep = request.keep_alive and not self._port.is_leaving
-        self._stream.write(http.encode_response(response, request.method, keep))
-        return keep
+            response = self._internal_error(request)
+        keep = not self._closing.is_last_answer(is_leaving=self._port.is_leaving)
+        try:
+            data = http.encode_response(response, request.method, keep)
+        except ValueError:
+            logger.exception("answer could not be written")
+            response = self._internal_error(request)
+            data = http.encode_response(response, request.method, keep)
+        self._stream.write(data)
+        self._closing.on_answer()
+
+    def _internal_error(self, request: http.Request) -> http.Response:
+        call_id = request.header(self._port.names.call_id)
+        failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
+        return dispatch.failure_response(failure, self._port.names, call_id)
 
     def _refuse(self, failure: errors.Failure) -> None:
         if failure.kind is errors.Kind.OVERLOADED:
@@ -235,31 +369,31 @@
         response = dispatch.failure_response(failure, self._port.names, "")
         self._stream.write(http.encode_response(response, "GET", keep_alive=False))
 
-    async def _wait_for_request(self) -> bool:
-        """Wait for a request; false when the caller is idle or slow for too long."""
-        idle_since = clock.now()
+    async def _wait_for_request(self) -> None:
+        """Wait for a request; decide to close if the caller takes too long."""
         partial_since: float | None = None
-        idle_s = self._limits.idle_timeout_s
+        self._closing.on_idle(clock.now())
         while not self._pending:
-            left_s = idle_since + idle_s - clock.now()
-            wait_s = LOOK_S if self._reader.in_request() else max(0.01, left_s)
-            await self._wait_for_change(wait_s)
             now = clock.now()
-            if not self._reader.in_request():
+            if self._reader.in_request():
+                partial_since = partial_since or now
+                if self._reader.in_body():
+                    # A body may take its time on a slow link, while it makes progress.
+                    partial_since = max(partial_since, self._fed_at)
+                if now - partial_since > self._limits.header_timeout_s:
+                    detail = "the request did not arrive in time"
+                    kind = errors.Kind.REQUEST_TIMEOUT
+                    self._refuse(errors.Failure(kind, detail))
+                    self._closing.decide(closing.Cause.REFUSED_REQUEST)
+                    return
+                wait_s = LOOK_S
+            else:
                 partial_since = None
-                if now - idle_since >= idle_s:
-                    return False
-                continue
-            partial_since = partial_since or now
-            if self._reader.in_body():
-                # A body may take its time on a slow link, while it makes progress.
-                partial_since = max(partial_since, self._fed_at)
-            if now - partial_since > self._limits.header_timeout_s:
-                detail = "the request did not arrive in time"
-                kind = errors.Kind.REQUEST_TIMEOUT
-                self._refuse(errors.Failure(kind, detail))
-                return False
-        return True
+                wait_s = self._closing.idle_left_s(self._limits.idle_timeout_s, now)
+                if wait_s <= 0.0 and self._stream.is_idle:
+                    self._closing.decide(closing.Cause.IDLE)
+                    return
+            await self._wait_for_change(max(MIN_LOOK_S, wait_s))
 
     async def _wait_for_change(self, timeout_s: float | None = None) -> None:
         self._changed.clear()
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -122,7 +122,9 @@
         self._dispatcher = dispatch.Dispatcher(
             own, names, self._catalog, running, self._metrics, rng
         )
-        self._callers = callers.CallerPort(self._dispatcher, names, self._limits)
+        self._callers = callers.CallerPort(
+            self._dispatcher, names, self._limits, self._metrics
+        )
         self._poller = health.Poller(
             self._poll_client,
             self._runner,
@@ -246,20 +248,13 @@
             if now >= stops_at:
                 break
             quiet = now - self._callers.last_request_at >= QUIET_S
-            if now - started >= MIN_LEAVE_S and quiet and not self._unfinished():
+            busy = self._calls_in_flight() or self._callers.lingering
+            if now - started >= MIN_LEAVE_S and quiet and not busy:
                 break
-        cut = self._unfinished()
+        cut = self._calls_in_flight()
         self.close()
         return cut
 
-    def _unfinished(self) -> int:
-        """Return the calls that run, and the answers that are still being sent.
-
-        What a process has not handed to the kernel when it ends is lost.
-        """
-        unsent = self._callers.unsent_count + self._peer_port.unsent_count
-        return self._calls_in_flight() + unsent
-
     def _calls_in_flight(self) -> int:
         return self._callers.requests_in_flight + self._peer_port.calls_in_flight
 
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -178,17 +178,14 @@
         """Accept connections."""
         self._listener = await channel.listen(address, self._serve, ACCEPT_BACKLOG)
 
-    @property
-    def unsent_count(self) -> int:
-        """Connections on which an answer waits for its reader."""
-        return self._listener.unsent_count if self._listener is not None else 0
-
     def close(self) -> None:
         """Refuse further connections and end the open ones."""
         if self._listener is not None:
             self._listener.close()
 
     async def _serve(self, stream: channel.Channel) -> None:
+        # A call is in flight until the kernel has its reply; see a planned stop.
+        stream.drain_fully()
         connection = frames.FrameChannel(stream)
         try:
             while True:
@@ -232,16 +229,17 @@
             outcome = await channel.run_while_open(
                 connection.stream, self._runner.run(call, message.instance)
             )
+            if outcome is None:
+                logger.info(
+                    "call given up by its caller",
+                    extra={"fields": {"id": call.call_id}},
+                )
+                return False
+            connection.send(frames.Kind.REPLY, _encode_reply(call.call_id, outcome))
+            await connection.stream.drain()
+            return True
         finally:
             self.calls_in_flight -= 1
-        if outcome is None:
-            logger.info(
-                "call given up by its caller", extra={"fields": {"id": call.call_id}}
-            )
-            return False
-        connection.send(frames.Kind.REPLY, _encode_reply(call.call_id, outcome))
-        await connection.stream.drain()
-        return True
 
 
 def _encode_call(call: calls.Call, instance: str, now: float) -> bytes:
