Answer on a stop also what a caller has sent behind the running request

Cause: a leaving node started no request behind one that ran. Change: the answer that closes the connection of a leaving node is the one with no further request behind it. What may outlast the stop is refused as before.

--- a/src/snipelink/decide/closing.py
+++ b/src/snipelink/decide/closing.py
@@ -62,13 +62,9 @@
         """Decide to end the connection; the first cause holds."""
         self.cause = self.cause or cause
 
-    def may_start(self, *, is_leaving: bool) -> bool:
-        """Whether the oldest request that was not started may be started now.
-
-        A leaving node answers what it has started; one more would delay the end.
-        """
-        if is_leaving and self.started:
-            self.decide(Cause.NODE_STOPS)
+    @property
+    def may_start(self) -> bool:
+        """Whether the oldest request that was not started may be started now."""
         return self.cause is None and self.started < MAX_STARTED
 
     def on_start(self, *, keep_alive: bool) -> None:
@@ -77,9 +73,18 @@
         if not keep_alive:
             self.decide(Cause.CLOSING_ANSWER)
 
-    def is_last_answer(self, *, is_leaving: bool) -> bool:
-        """Whether the next answer has to close the connection."""
-        if is_leaving:
+    def is_last_answer(self, *, is_leaving: bool, is_followed: bool) -> bool:
+        """Whether the next answer has to close the connection.
+
+        Parameters
+        ----------
+        is_leaving : bool
+            Whether the node stops.
+        is_followed : bool
+            Whether a further request has been read. A leaving node answers it too: its
+            caller would lose the time for which it has waited.
+        """
+        if is_leaving and not is_followed:
             self.decide(Cause.NODE_STOPS)
         return self.cause is not None and self.started == 1
 
--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -287,7 +287,7 @@
                 return
             if started and not self._is_idempotent(entry.request):
                 return
-            if not self._closing.may_start(is_leaving=self._port.is_leaving):
+            if not self._closing.may_start:
                 return
             answer = self._port.dispatcher.answer(entry.request, entry.arrived)
             entry.task = asyncio.ensure_future(answer)
@@ -344,7 +344,9 @@
         except Exception:
             logger.exception("request could not be answered")
             response = self._internal_error(request)
-        keep = not self._closing.is_last_answer(is_leaving=self._port.is_leaving)
+        keep = not self._closing.is_last_answer(
+            is_leaving=self._port.is_leaving, is_followed=len(self._pending) > 1
+        )
         try:
             data = http.encode_response(response, request.method, keep)
         except ValueError:
