Start calls on a cold endpoint at the rate that it bears

Cause: a mesh node knew neither the published rate of cold endpoints nor what their health answers say, and filled all slots of an endpoint that had just started, or that had turned cold. Change: decide/cold.py bounds the starts beside an endpoint. A cold one gets calls at its rate with a burst of 2. One that was found warm gets a bounded number of calls after the poll that found it so, and is polled once half of them are used, because it may turn cold between two polls. The load that other nodes are told shows no more free slots than calls may start, and a loss of half of the slots is told at once. The rate is read from the services of the configuration, the bound from the settings; where either is missing nothing is bounded. Nodes pass the rate on with the configuration; those without this field read the rest as before. Why it works: the node beside an endpoint is its only sender.

--- a/src/snipelink/decide/reporting.py
+++ b/src/snipelink/decide/reporting.py
@@ -27,6 +27,8 @@
 # Time after which an unchanged report is repeated, seconds; a fraction of
 # `placement.SILENT_S`, so a lost datagram does not silence a node.
 REPEAT_S = placement.FRESH_S
+# Share of the slots whose loss moves calls elsewhere: a cold endpoint loses most.
+LOST_SLOTS_SHARE = 0.5
 # Change of slowness, as a share, that moves calls elsewhere.
 SLOWNESS_SHARE = 0.3
 # Change of the number of calls, as a share of the slots, that moves calls of other
@@ -72,6 +74,8 @@
 def _is_urgent(sent: Report, current: Report) -> bool:
     if sent.state != current.state:
         return True
+    if current.slots <= sent.slots * (1.0 - LOST_SLOTS_SHARE):
+        return True
     slowness = abs(current.slowness_percent - sent.slowness_percent)
     if slowness >= SLOWNESS_SHARE * max(1, sent.slowness_percent):
         return True
--- a/src/snipelink/decide/slots.py
+++ b/src/snipelink/decide/slots.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 
-from snipelink.decide import crowding, rhythm, waiting, work
+from snipelink.decide import cold, crowding, rhythm, waiting, work
 
 # Slots assumed before an endpoint reports them.
 UNKNOWN_SLOTS = 4
@@ -94,6 +94,8 @@
         Calls that it should run at once; see `crowding`.
     foreign : int
         Calls that it runs and that were not offered here.
+    cold : Gate
+        Bounds the calls that start while the endpoint is cold.
     """
 
     def __init__(self, now: float, shared: rhythm.Rhythm) -> None:
@@ -101,6 +103,7 @@
         self.capacity = UNKNOWN_SLOTS
         self.limit = UNKNOWN_SLOTS
         self.foreign = 0
+        self.cold = cold.Gate(now)
         self._crowding = crowding.Crowding()
         self._running_by_key: dict[int, _Running] = {}
         self._waiting_by_key: dict[int, _Waiting] = {}
@@ -121,7 +124,8 @@
         if waiting.is_hopeless(demand, mean_s, now):
             reason = f"takes {mean_s:.2f} s, too long for its deadline"
             return Offered(Verdict.REFUSE, mean_s, reason)
-        if self._has_room() and self._may_start(demand, now):
+        is_next = not self.cold.is_limiting(now) or not self._ahead(demand)
+        if is_next and self._has_room(now) and self._may_start(demand, now):
             self._start(key, demand, now)
             return Offered(Verdict.START)
         wait_s = self._wait_s(demand, now)
@@ -143,6 +147,7 @@
         self.foreign = 0
         self.progress.set_slowness(1.0, now)
         self._crowding.forget()
+        self.cold.on_new_process(now)
         self.limit = self.capacity
 
     def note_answer(self, key: int, now: float) -> float:
@@ -186,7 +191,7 @@
             del self._waiting_by_key[each.key]
         started = []
         for key in sorted(self._waiting_by_key, key=lambda key: self._rank(key, now)):
-            if not self._has_room():
+            if not self._has_room(now):
                 break
             demand = self._waiting_by_key[key].demand
             if self._may_start(demand, now):
@@ -201,15 +206,32 @@
         self._waiting_by_key.clear()
         return keys
 
+    def reported(self, now: float) -> tuple[int, int]:
+        """Return the running calls and the slots that other nodes are told.
+
+        A cold endpoint seems to have no more free slots than calls may start on it.
+        """
+        busy = self._busy()
+        if not self.cold.is_limiting(now):
+            return busy, self.limit
+        free = self.cold.free_count(now)
+        return max(busy, 1 - free), max(1, min(self.limit, busy + free))
+
     def _start(self, key: int, demand: waiting.Demand, now: float) -> None:
         done_s = self.progress.work_until(now)
         self._running_by_key[key] = _Running(demand, done_s, self._busy() + 1)
+        self.cold.on_start(now)
 
     def _busy(self) -> int:
         return len(self._running_by_key) + self.foreign
 
-    def _has_room(self) -> bool:
-        return self._busy() < max(1, self.limit)
+    def _has_room(self, now: float) -> bool:
+        return self._busy() < max(1, self.limit) and self.cold.may_start(now)
+
+    def _ahead(self, demand: waiting.Demand) -> int:
+        """Return the waiting calls that are as urgent as a call or more so."""
+        others = self._waiting_by_key.values()
+        return sum(each.demand.priority <= demand.priority for each in others)
 
     def _may_start(self, demand: waiting.Demand, now: float) -> bool:
         longest_s = self.progress.longest_s(demand.work_s)
@@ -229,6 +251,7 @@
         limit = max(1, self.limit)
         work_s = waiting.work_ahead_s(demand, others, remaining_s, limit)
         wait_s = self.progress.time_s(work_s, now)
+        wait_s = max(wait_s, self.cold.wait_s(self._ahead(demand), now))
         if self._may_start(demand, now):
             return wait_s
         return max(wait_s, rhythm.UNKNOWN_S)
--- a/src/snipelink/mesh/health.py
+++ b/src/snipelink/mesh/health.py
@@ -26,6 +26,8 @@
 TIMEOUT_S = 0.5
 # Polls in a row that must fail before the endpoint counts as down.
 FAILURES_UNTIL_DOWN = 2
+# Longer times are not milliseconds of a cold start.
+MAX_COLD_DIGITS = 9
 
 
 class Poller:
@@ -112,7 +114,8 @@
         earliest = self._polled_at + PROBE_MARGIN / self._own.bounds.probes_per_s
         if self._failures:
             return max(earliest, self._polled_at + polling.CLOSE_S)
-        return max(earliest, self._runner.polls.next_at(now))
+        cold_at = self._runner.slots.cold.poll_at(now)
+        return max(earliest, min(self._runner.polls.next_at(now), cold_at))
 
     def _path(self) -> str:
         table = self._catalog.table
@@ -157,6 +160,8 @@
             if instance != state.instance:
                 self._runner.on_new_process(instance, now)
             state.is_up = True
+        told = header_rules.first(response.headers, self._names.cold_ms)
+        self._runner.slots.cold.on_poll(self._polled_at, _cold_s(told), now)
         load = header_rules.first(response.headers, self._names.load)
         if load:
             self._runner.on_report(load, now)
@@ -164,6 +169,15 @@
             self._runner.on_answer(now)
 
 
+def _cold_s(told: str) -> float:
+    """Return for how long an endpoint stays cold; an unreadable time has no end."""
+    if not told:
+        return 0.0
+    if not (told.isascii() and told.isdigit()) or len(told) > MAX_COLD_DIGITS:
+        return math.inf
+    return int(told) / 1000.0
+
+
 def _finish(sleeper: asyncio.Future[None]) -> None:
     if not sleeper.done():
         sleeper.set_result(None)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from snipelink import clock
-from snipelink.decide import interest, placement, rhythm, turns
+from snipelink.decide import cold, interest, placement, rhythm, turns
 from snipelink.generated import mesh
 from snipelink.mesh import (
     admission,
@@ -201,6 +201,7 @@
         self._endpoint.address = self._own.endpoint_address
         self._poll_client.address = self._own.endpoint_address
         self._rank_interest()
+        self._update_cold_terms(clock.now())
         logger.info(
             "settings are reloaded",
             extra={"fields": {"changed": changed, "needs_restart": ignored}},
@@ -300,9 +301,10 @@
         """Publish what changed; return when to look again."""
         self._update_leaving(now)
         self._publish_load(now)
+        next_at = min(self._exchange.next_at, self._runner.slots.cold.more_at(now))
         if self._is_leaving and now < self._endpoint_until:
-            return min(self._endpoint_until, self._exchange.next_at)
-        return self._exchange.next_at
+            return min(self._endpoint_until, next_at)
+        return next_at
 
     def _update_leaving(self, now: float) -> None:
         state = self._runner.state
@@ -310,8 +312,20 @@
         stopping = self._is_leaving and now >= self._endpoint_until
         state.is_leaving = stopping or not usable
 
+    def _update_cold_terms(self, now: float) -> None:
+        table, bounds = self._catalog.table, self._own.bounds
+        per_s = 0.0
+        if table is not None:
+            known = table.configuration.cold_per_s_by_service
+            per_s = known.get(self._own.service, 0.0)
+        most = per_s * bounds.cold_over + bounds.cold_slack
+        terms = cold.Terms(per_s, most) if per_s > 0.0 and most > 0.0 else None
+        self._runner.slots.cold.set_terms(terms, now)
+
     def _on_calls_change(self, now: float) -> None:
         self._publish_load(now)
+        if self._runner.slots.cold.poll_at(now) <= now:
+            self._poller.look_by(now)
         if self._runner.slots.waiting_count:
             self._poller.look_by(now + health.WAITING_LOOK_S)
 
@@ -320,6 +334,7 @@
         self._dispatcher.on_catalog_change()
         self._rank_interest()
         self._update_leaving(now)
+        self._update_cold_terms(now)
         self._runner.admit(now)
         self._publish_load(now)
 
@@ -340,13 +355,14 @@
 
     def _load(self, now: float) -> mesh.Load:
         state, slots = self._runner.state, self._runner.slots
+        running, capacity = slots.reported(now)
         return mesh.Load(
             state.instance,
             self._started_ms,
             0,
-            slots.running_count + slots.foreign,
+            running,
             slots.waiting_count,
-            slots.limit,
+            capacity,
             int(slots.progress.slowness * 100),
             int(self._runner.failing(now) * 100),
             state.is_accepting,
--- a/src/snipelink/mesh/objects.py
+++ b/src/snipelink/mesh/objects.py
@@ -65,6 +65,8 @@
     ----------
     problems : tuple of str
         What in it could not be read.
+    cold_per_s_by_service : dict of str to float
+        Requests a second that a cold endpoint tolerates, where operators name them.
     """
 
     version: int
@@ -72,6 +74,7 @@
     health_paths_by_service: dict[str, str]
     limits: CallerLimits
     problems: tuple[str, ...] = ()
+    cold_per_s_by_service: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snipelink/mesh/settings.py
+++ b/src/snipelink/mesh/settings.py
@@ -26,6 +26,9 @@
         Further attempts allowed per window beyond the ratio, over all nodes.
     probes_per_s : float
         Most probes of an endpoint per second.
+    cold_over, cold_slack : float
+        Most requests that a cold endpoint gets in one second, as a multiple of those
+        that its service tolerates, and beyond that; both 0 if there is no bound.
     """
 
     grace_s: float
@@ -34,6 +37,8 @@
     retry_window_s: float
     retry_allowance: float
     probes_per_s: float
+    cold_over: float = 0.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,6 +115,8 @@
         Running, waiting, slots and percentage of the ordinary time.
     not_run : str
         Present if the endpoint did not run the request.
+    cold_ms : str
+        Milliseconds for which the endpoint stays cold, in its answers to probes.
     """
 
     call_id: str = "snipelink-call-id"
@@ -120,3 +127,4 @@
     stamp: str = "snipelink-stamp"
     load: str = "snipelink-load"
     not_run: str = "snipelink-not-run"
+    cold_ms: str = "snipelink-cold-ms"
--- a/tests/decide/test_reporting.py
+++ b/tests/decide/test_reporting.py
@@ -30,6 +30,9 @@
         ({"slowness_percent": 700}, False, True),
         ({"failing_percent": 12}, False, True),
         ({"state": ("i-1", False)}, False, True),
+        # An endpoint that turns cold loses most of its slots.
+        ({"slots": 4}, False, True),
+        ({"slots": 5}, False, False),
     ],
 )
 def test_report_is_due_when_it_changes_a_choice(
--- a/tests/decide/test_slots.py
+++ b/tests/decide/test_slots.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from snipelink.decide import rhythm, slots, waiting
+from snipelink.decide import cold, rhythm, slots, waiting
 
 NOW = 10.0
 
@@ -130,3 +130,51 @@
             tested.progress.set_slowness(1.0 + number, now)
         assert tested.running_count == len(held) <= tested.capacity
         assert tested.waiting_count == len(queued)
+
+
+def _cold(capacity: int = 9) -> slots.Slots:
+    """Return the slots of an endpoint that tolerates four requests a second."""
+    tested = slots.Slots(NOW, rhythm.Rhythm())
+    tested.set_capacity(capacity, NOW)
+    tested.cold.set_terms(cold.Terms(per_s=4.0, most=12.0), NOW)
+    return tested
+
+
+def test_calls_on_a_cold_endpoint_wait_for_their_turn_though_slots_are_free() -> None:
+    tested = _cold()
+    patient = _demand(target=NOW + 2.0, deadline=NOW + 2.2)
+    verdicts = [tested.offer(key, patient, NOW).verdict for key in range(4)]
+    assert verdicts == [slots.Verdict.START] * 2 + [slots.Verdict.WAIT] * 2
+    assert tested.sweep(NOW + 0.24) == ([], [])
+    assert tested.sweep(NOW + 0.26) == ([2], [])
+    assert tested.sweep(NOW + 0.51) == ([3], [])
+
+
+def test_call_that_would_wait_too_long_for_a_cold_endpoint_is_refused() -> None:
+    tested = _cold()
+    offered = [tested.offer(key, _demand(), NOW) for key in range(9)]
+    assert offered[-1].verdict is slots.Verdict.REFUSE
+    assert offered[-1].wait_s >= 0.5
+
+
+def test_call_does_not_start_on_a_cold_endpoint_before_those_that_wait() -> None:
+    tested = _cold()
+    for key in range(3):
+        tested.offer(key, _demand(), NOW)
+    later = NOW + 0.26
+    assert tested.offer(3, _demand(later), later).verdict is slots.Verdict.WAIT
+    assert tested.sweep(later) == ([2], [])
+
+
+def test_cold_endpoint_tells_no_more_free_slots_than_calls_may_start() -> None:
+    tested = _cold()
+    assert tested.reported(NOW) == (0, 2)
+    tested.offer(0, _demand(), NOW)
+    assert tested.reported(NOW) == (1, 2)
+    tested.offer(1, _demand(), NOW)
+    assert tested.reported(NOW) == (2, 2)
+    tested.end(0)
+    tested.end(1)
+    assert tested.reported(NOW) == (1, 1)
+    tested.cold.on_poll(NOW, 0.0, NOW)
+    assert tested.reported(NOW) == (0, 9)
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from bench import loopback
+from snipelink import clock
 from snipelink.mesh import catalog, channel, node, objects, settings, watcher
 from snipelink.session import answers, http, memory, requests
 
@@ -21,6 +22,8 @@
     retry_window_s=10.0,
     retry_allowance=40.0,
     probes_per_s=60.0,
+    cold_over=1.5,
+    cold_slack=3.0,
 )
 PEER_PORT = 21380
 ENDPOINT_PORT = 21381
@@ -31,10 +34,11 @@
 
 
 class Seen(typing.NamedTuple):
-    """A request that reached an endpoint."""
+    """A request that reached an endpoint, at a monotonic time."""
 
     instance: str
     request: http.Request
+    at: float
 
 
 Script = Callable[["FakeEndpoint", http.Request, channel.Channel], Awaitable[None]]
@@ -52,7 +56,8 @@
 class FakeEndpoint:
     """Endpoint that answers as a script says; polls are always answered.
 
-    With `repeats_polls`, it says once more that it is not well, late, on each
+    Polls are told that it stays cold for `cold_ms`, if that is not 0. With
+    `repeats_polls`, it says once more that it is not well, late, on each
     connection that carried a poll and is in use again.
     """
 
@@ -67,6 +72,7 @@
     seen: list[Seen] = dataclasses.field(default_factory=list)
     given_up: int = 0
     repeats_polls: bool = False
+    cold_ms: int = 0
     listener: channel.Listener | None = None
 
     async def start(self) -> None:
@@ -114,13 +120,15 @@
                 continue
             if request.path == "/health":
                 fields = [(NAMES.instance, self.instance), (NAMES.load, self.load())]
+                if self.cold_ms:
+                    fields.append((NAMES.cold_ms, str(self.cold_ms)))
                 response = http.Response(200, fields, b"")
                 stream.write(http.encode_response(response, "GET", True))
                 polled = True
                 continue
             if polled and self.repeats_polls:
                 stream.write(http.encode_response(http.Response(503, []), "GET", True))
-            self.seen.append(Seen(self.instance, request))
+            self.seen.append(Seen(self.instance, request, clock.now()))
             self.running += 1
             try:
                 work = self.script(self, request, stream)
@@ -219,10 +227,19 @@
 
 
 def configuration(
-    *routes: objects.Route, version: int = 1, **limits: typing.Any
+    *routes: objects.Route,
+    version: int = 1,
+    cold_per_s: float = 0.0,
+    **limits: typing.Any,
 ) -> objects.Configuration:
     paths = dict.fromkeys(SERVICES, "/health")
-    return objects.Configuration(version, routes, paths, objects.CallerLimits(**limits))
+    return objects.Configuration(
+        version,
+        routes,
+        paths,
+        objects.CallerLimits(**limits),
+        cold_per_s_by_service=dict.fromkeys(SERVICES, cold_per_s),
+    )
 
 
 def make_member(service: str, store: FakeStore, zone: str = "a") -> Member:
@@ -273,12 +290,15 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    *services: str, routes: tuple[objects.Route, ...] | None = None
+    *services: str,
+    routes: tuple[objects.Route, ...] | None = None,
+    cold_per_s: float = 0.0,
 ) -> AsyncIterator[list[Member]]:
     """Start one node for each named service; all are ready and know each other."""
     members = [make_member(service, FakeStore()) for service in services]
     routes = routes or (route(services[0]),)
-    publish(members, configuration(*routes), tuple(published(m) for m in members))
+    known = configuration(*routes, cold_per_s=cold_per_s)
+    publish(members, known, tuple(published(m) for m in members))
     for member in members:
         await member.start()
     try:
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -628,3 +628,101 @@
             assert min(told_ms) <= 5000 - 1000 * suspended_s
 
     asyncio.run(check())
+
+
+COLD_PER_S = 5.0
+COLD_MOST = COLD_PER_S * fleet.BOUNDS.cold_over + fleet.BOUNDS.cold_slack
+
+
+def most_in_one_second(endpoint: fleet.FakeEndpoint, since: float) -> int:
+    times = [seen.at for seen in endpoint.seen if seen.at >= since]
+    return max((sum(a <= t < a + 1.0 for t in times) for a in times), default=0)
+
+
+async def ask_often(member: fleet.Member, name: str, per_s: float, for_s: float) -> int:
+    """Send calls evenly; return how many were answered with success."""
+
+    async def ask(call_id: str) -> bool:
+        client = await fleet.Client.open(member)
+        try:
+            return (await client.ask(call_id)).status == 200
+        finally:
+            client.stream.close()
+
+    tasks = []
+    for index in range(int(per_s * for_s)):
+        tasks.append(asyncio.ensure_future(ask(f"{name}-{index}")))
+        await asyncio.sleep(1.0 / per_s)
+    return sum(await asyncio.gather(*tasks))
+
+
+@run
+async def test_cold_endpoint_gets_no_more_calls_than_it_bears() -> None:
+    """Guards against crashes of cold endpoints under the load of a warm one."""
+    services = ("rota", "archive", "archive")
+    async with fleet.running(*services, cold_per_s=COLD_PER_S) as members:
+        cold = members[0].endpoint
+        cold.cold_ms = 3000
+        await asyncio.sleep(0.6)
+        began = clock.now()
+        served = await asyncio.gather(
+            *(ask_often(m, m.host, per_s=15.0, for_s=2.0) for m in members)
+        )
+        assert most_in_one_second(cold, began) <= COLD_MOST
+        assert sum(served) >= 1.5 * COLD_PER_S
+
+
+@run
+async def test_endpoint_that_turns_cold_under_load_gets_no_more_than_it_bears() -> None:
+    """An endpoint may turn cold between two polls, when it has many calls."""
+    services = ("rota", "archive")
+    async with fleet.running(*services, cold_per_s=COLD_PER_S) as members:
+        cold = members[0].endpoint
+        cold.slots = 9
+        tasks = [
+            asyncio.ensure_future(ask_often(m, m.host, per_s=40.0, for_s=2.5))
+            for m in members
+        ]
+        await asyncio.sleep(1.0)
+        began = clock.now()
+        cold.cold_ms = 3000
+        await asyncio.gather(*tasks)
+        assert len(cold.seen) > 60
+        assert most_in_one_second(cold, began) <= COLD_MOST
+
+
+@run
+async def test_calls_go_to_the_warm_endpoints_while_one_is_cold() -> None:
+    services = ("rota", "rota", "rota")
+    async with fleet.running(*services, cold_per_s=COLD_PER_S) as members:
+        members[0].endpoint.cold_ms = 3000
+        await asyncio.sleep(0.6)
+        began = clock.now()
+        served = await ask_often(members[1], "c", per_s=40.0, for_s=2.0)
+        assert served == 80
+        assert most_in_one_second(members[0].endpoint, began) <= COLD_MOST
+
+
+@run
+async def test_cold_endpoint_is_used_as_ever_where_no_rate_is_published() -> None:
+    async with fleet.running("rota") as members:
+        members[0].endpoint.cold_ms = 3000
+        await asyncio.sleep(0.6)
+        assert await ask_often(members[0], "c", per_s=40.0, for_s=1.0) == 40
+
+
+@run
+async def test_restarted_endpoint_is_cold_until_it_says_otherwise() -> None:
+    async with fleet.running("rota", cold_per_s=COLD_PER_S) as members:
+        endpoint = members[0].endpoint
+        assert await ask_often(members[0], "warm", per_s=40.0, for_s=0.5) == 20
+        endpoint.cold_ms, endpoint.instance = 1000, "i-again"
+        members[0].store.publish(instances=(fleet.published(members[0]),))
+        await fleet.wait_until(lambda: "i-again" in members[0].node.facts())
+        began = clock.now()
+        asking = asyncio.ensure_future(ask_often(members[0], "c", 40.0, 2.0))
+        await asyncio.sleep(1.0)
+        assert most_in_one_second(endpoint, began) <= COLD_MOST
+        endpoint.cold_ms = 0
+        await asking
+        assert len([s for s in endpoint.seen if s.at > began + 1.2]) >= 20
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -101,6 +101,24 @@
     return platform_documents.decode_configuration(value).unwrap()
 
 
+def test_rates_of_cold_servers_are_read_by_themselves() -> None:
+    """An unreadable rate must not cost the service its health path."""
+    table = {
+        "columns": ["name", "health_path", "cold_start_s", "cold_per_s"],
+        "rows": [
+            ["a", "/a", 3.0, 7.5],
+            ["b", "/b", 3.0, 0],
+            ["c", "/c", None, None],
+            ["d", "/d", 3.0, "many"],
+        ],
+    }
+    value = _configuration(services=table)
+    decoded = platform_documents.decode_configuration(value).unwrap()
+    assert decoded.cold_per_s_by_service == {"a": 7.5}
+    assert set(decoded.health_paths_by_service) == {"a", "b", "c", "d"}
+    assert len(decoded.problems) == 1
+
+
 @pytest.mark.parametrize("route_type", ["unsafe", "upload", "", "Safe", "keyed"])
 def test_route_of_any_type_but_safe_may_run_once(route_type: str) -> None:
     decoded = _decode_routes(_route_row(route_type=route_type), OTHER_ROW)
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -51,9 +51,17 @@
     assert node.ready_listen == ("10.1.0.38", 8141)
     assert node.peer_listen == ("10.1.0.38", 7380)
     assert node.bounds.retry_allowance == 58
+    assert (node.bounds.cold_over, node.bounds.cold_slack) == (0.0, 0.0)
     assert loaded.store_address == ("10.200.1.7", 8142)
 
 
+def test_bound_of_cold_servers_is_read_where_it_is_given() -> None:
+    more = "cold_over = 1.5\ncold_slack = 8\nsome_new_field"
+    text = TEXT.replace("some_new_field", more)
+    bounds = platform_settings.decode(text).unwrap().node.bounds
+    assert (bounds.cold_over, bounds.cold_slack) == (1.5, 8.0)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected"),
     [
