Count and log connections that go silent

Cause: the end of a connection by the kernel for silence was treated as any other reset and was neither counted nor logged. Change: a log line with the role of the peer and two gauges, by role. The connections to the store are not counted.

--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -43,6 +43,8 @@
         self._paused = False
         self.ended = asyncio.Event()
         self.peer_host = ""
+        # Called once if the kernel ends the connection because its peer is silent.
+        self.on_silence: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over an open connection; called by the event loop."""
@@ -74,6 +76,8 @@
         self._ended = True
         self.ended.set()
         self._error = exc
+        if isinstance(exc, TimeoutError) and self.on_silence is not None:
+            self.on_silence()
         self._wake()
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from snipelink import clock, errors, model
-from snipelink.mesh import channel, settings
+from snipelink.mesh import channel, settings, silences
 from snipelink.session import answers, http, memory
 from snipelink.session import headers as header_rules
 
@@ -69,10 +69,18 @@
         Where the endpoint listens.
     names : HeaderNames
         Names of the mesh's own headers.
+    silent : Silences or None
+        Receives connections that go silent.
     """
 
-    def __init__(self, address: channel.Address, names: settings.HeaderNames) -> None:
+    def __init__(
+        self,
+        address: channel.Address,
+        names: settings.HeaderNames,
+        silent: silences.Silences | None = None,
+    ) -> None:
         self.address = address
+        self._silences = silent or silences.Silences()
         self._names = names
         self._kept: collections.deque[_Kept] = collections.deque()
         self._pool = memory.Pool(MAX_ANSWERS_BYTES)
@@ -185,6 +193,7 @@
         except OSError as error:
             return _fail(errors.Kind.UNREACHABLE, f"endpoint: {error}")
         self.connections_opened += 1
+        self._silences.watch(stream, silences.Role.ENDPOINT, self.address)
         return Ok(stream)
 
     def _keep(self, stream: channel.Channel, response: http.Response) -> None:
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -12,7 +12,7 @@
 
 from snipelink import clock, errors
 from snipelink.generated import mesh
-from snipelink.mesh import admission, calls, catalog, channel, frames, objects
+from snipelink.mesh import admission, calls, catalog, channel, frames, objects, silences
 from snipelink.session import frames as framing
 from snipelink.session import http
 
@@ -49,10 +49,13 @@
     ----------
     port : int
         Port of call connections on all machines.
+    silent : Silences
+        Receives connections that go silent.
     """
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, silent: silences.Silences) -> None:
         self._port = port
+        self._silences = silent
         self._idle_by_host: dict[str, collections.deque[_Idle]] = {}
 
     async def call(self, host: str, instance: str, call: calls.Call) -> calls.Outcome:
@@ -141,11 +144,13 @@
                 return Ok(entry.connection)
             entry.connection.stream.abort()
         timeout_s = min(CONNECT_TIMEOUT_S, deadline - now)
+        address = (host, self._port)
         try:
-            stream = await channel.connect((host, self._port), timeout_s)
+            stream = await channel.connect(address, timeout_s)
         except OSError as error:
             detail = f"node at {host}: {error or type(error).__name__}"
             return Err(errors.Failure(errors.Kind.UNREACHABLE, detail))
+        self._silences.watch(stream, silences.Role.NODE, address)
         return Ok(frames.FrameChannel(stream))
 
     def _release(self, host: str, connection: frames.FrameChannel) -> None:
