Send a call again to the same node if its connection is silent

Calls in flight lost their answers, and the outcome of calls that may run only once was unknown. Cause: nothing but the time-outs of the kernel showed that a call had not arrived, and nobody could find out whether it had. The bound of test_calls_are_not_sent_on_kept_connections_beside_a_silent_one is stricter: all calls succeed, within one time limit. Change: a node says that it has read a call, and every 0.25 s that it still has it. A sender that misses this sends the same attempt again on a new connection; the node runs an attempt once and gives its reply to the latest sending. A process that was started since, or has forgotten attempts, answers that it cannot tell. A frame of a new kind keeps versions without this from running the call twice.

--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -107,7 +107,7 @@
         self._ended = True
         self.ended.set()
         self._error = exc
-        if isinstance(exc, TimeoutError) and self.on_silence is not None:
+        if self.is_silent and self.on_silence is not None:
             self.on_silence()
         self._wake()
         if self._writable is not None and not self._writable.done():
@@ -133,6 +133,11 @@
         """Whether the connection is gone in both directions."""
         return self._lost
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the kernel has ended the connection because its peer was silent."""
+        return isinstance(self._error, TimeoutError)
+
     async def receive(self) -> bytes:
         """Return the next bytes; empty at the end of the stream."""
         while not self._buffer:
--- a/src/snipelink/mesh/frames.py
+++ b/src/snipelink/mesh/frames.py
@@ -14,6 +14,9 @@
     """First byte of a frame: what the rest is."""
 
     CALL = b"C"
+    # Refused by versions that would run the call once more.
+    CALL_AGAIN = b"S"
+    ACCEPTED = b"A"
     REPLY = b"R"
     PUBLISHED_REQUEST = b"Q"
     PUBLISHED = b"P"
--- /dev/null
+++ b/src/snipelink/mesh/messages.py
@@ -0,0 +1,136 @@
+"""Messages of calls between nodes."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from snipelink import errors
+from snipelink.generated import mesh
+from snipelink.mesh import calls
+from snipelink.session import http
+
+_encoder = msgspec.msgpack.Encoder()
+_call_decoder = msgspec.msgpack.Decoder(mesh.Call)
+_accepted_decoder = msgspec.msgpack.Decoder(mesh.Accepted)
+_reply_decoder = msgspec.msgpack.Decoder(mesh.Reply)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt at a node, as it is sent on one connection.
+
+    Attributes
+    ----------
+    identity : str
+        Unique name of the attempt.
+    sending : int
+        How often it was sent before.
+    started_ms : int
+        Start of the process to which it was sent first; 0 while unknown.
+    """
+
+    identity: str
+    sending: int
+    started_ms: int
+
+
+def encode_call(call: calls.Call, instance: str, attempt: Attempt, now: float) -> bytes:
+    """Return the message that asks a node to run a call."""
+    return _encoder.encode(
+        mesh.Call(
+            call.call_id,
+            instance,
+            call.service,
+            call.method,
+            call.target,
+            [list(field) for field in call.headers],
+            call.body,
+            _ms(call.deadline - now),
+            _ms(call.target_at - now),
+            _ms(call.work_s),
+            call.priority,
+            call.idempotent,
+            call.caller_service,
+            attempt.identity,
+            attempt.sending,
+            attempt.started_ms,
+        )
+    )
+
+
+def decode_call(payload: bytes) -> mesh.Call:
+    """Return a received message; raises ``MsgspecError``."""
+    return _call_decoder.decode(payload)
+
+
+def to_call(message: mesh.Call, now: float) -> calls.Call:
+    """Return the call that a message asks for."""
+    return calls.Call(
+        message.call_id,
+        message.service,
+        "",
+        message.method,
+        message.target,
+        [(name, value) for name, value in message.headers],
+        message.body,
+        now,
+        now + message.target_ms / 1000.0,
+        now + message.remaining_ms / 1000.0,
+        message.priority,
+        message.idempotent,
+        message.work_ms / 1000.0,
+        message.caller_service,
+    )
+
+
+def encode_accepted(started_ms: int) -> bytes:
+    """Return the message that says that a call has been received."""
+    return _encoder.encode(mesh.Accepted(started_ms))
+
+
+def decode_accepted(payload: bytes) -> mesh.Accepted:
+    """Return a received message; raises ``MsgspecError``."""
+    return _accepted_decoder.decode(payload)
+
+
+def decode_reply(payload: bytes) -> mesh.Reply:
+    """Return a received message; raises ``MsgspecError``."""
+    return _reply_decoder.decode(payload)
+
+
+def encode_reply(call_id: str, outcome: calls.Outcome) -> bytes:
+    """Return the message with the outcome of a call."""
+    failure, response = outcome.failure, outcome.response
+    return _encoder.encode(
+        mesh.Reply(
+            call_id,
+            failure.kind.value if failure else "",
+            failure.detail if failure else "",
+            _ms(failure.retry_after_s) if failure else 0,
+            outcome.reached,
+            _ms(outcome.work_s),
+            response.status if response else 0,
+            [list(field) for field in response.headers] if response else [],
+            response.body if response else b"",
+        )
+    )
+
+
+def to_outcome(reply: mesh.Reply) -> calls.Outcome:
+    """Return the outcome that a message tells; raises ``ValueError``."""
+    if reply.failure:
+        return calls.fail(
+            errors.Kind(reply.failure),
+            reply.detail,
+            reply.retry_after_ms / 1000.0,
+            reached=reply.reached,
+        )
+    headers = [(name, value) for name, value in reply.headers]
+    response = http.Response(reply.status, headers, reply.body)
+    return calls.Outcome(response, reached=True, work_s=reply.work_ms / 1000.0)
+
+
+def _ms(seconds: float) -> int:
+    return int(seconds * 1000)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -25,6 +25,7 @@
     loads,
     objects,
     peers,
+    received,
     settings,
     silences,
     status,
@@ -109,7 +110,9 @@
             self._endpoint, names, rng, now, self._on_calls_change, self._rhythm
         )
         self._peers = peers.PeerClient(own.peer_port, self.silences)
-        self._peer_port = peers.PeerPort(self._runner, self._catalog)
+        self._peer_port = peers.PeerPort(
+            received.Received(self._runner, self._started_ms), self._catalog
+        )
         self._interest = interest.Interest(own.host)
         self._followed: dict[str, bool] = {}
         self._rng = rng
@@ -393,6 +396,7 @@
             "unexpected_answers": lambda: (
                 self._endpoint.unexpected_answers + self._poll_client.unexpected_answers
             ),
+            "calls_sent_again": lambda: self._peers.calls_sent_again,
             "silent_endpoint_connections": lambda: self.silences.count_by_role[
                 silences.Role.ENDPOINT
             ],
--- a/src/snipelink/mesh/silences.py
+++ b/src/snipelink/mesh/silences.py
@@ -5,6 +5,7 @@
 import enum
 import functools
 import logging
+from collections.abc import Callable
 
 from snipelink import clock
 from snipelink.decide import silence
@@ -44,6 +45,8 @@
     def __init__(self) -> None:
         self.count_by_role = dict.fromkeys(Role, 0)
         self.doubt = silence.Doubt()
+        # Called when connections are no longer trusted.
+        self.on_doubt: Callable[[], None] = _ignore
 
     async def connect(
         self, role: Role, address: channel.Address, timeout_s: float
@@ -60,6 +63,18 @@
         """Note a kept connection that is silent since a time, while a new one works."""
         self._note(role, address, "answered on a new connection")
         self.doubt.on_silence(address, since, now, everywhere=True)
+        self.on_doubt()
+
+    def on_replaced(
+        self, role: Role, address: channel.Address, since: float, now: float
+    ) -> None:
+        """Note a connection that is silent since a time, while a new one works.
+
+        Unlike between processes of one machine, packets may be lost in one alone.
+        """
+        self._note(role, address, "answered on a new connection")
+        self.doubt.on_silence(address, since, now, everywhere=False)
+        self.on_doubt()
 
     def _on_end(
         self, role: Role, address: channel.Address, probes: channel.Probes
@@ -68,8 +83,13 @@
         now = clock.now()
         since = now - probes.least_silence_s
         self.doubt.on_silence(address, since, now, everywhere=False)
+        self.on_doubt()
 
     def _note(self, role: Role, address: channel.Address, cause: str) -> None:
         self.count_by_role[role] += 1
         fields = {"role": role.value, "host": address[0], "cause": cause}
         logger.warning("connection is silent", extra={"fields": fields})
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/tests/mesh/test_silences.py
+++ b/tests/mesh/test_silences.py
@@ -94,8 +94,11 @@
         assert await _ask_together(members[1], "warm") == [200] * CALLS
         link.silence_open()
         client = await fleet.Client.open(members[1])
+        started = clock.now()
         statuses = [(await client.ask(f"c{n}")).status for n in range(CALLS)]
-        assert statuses == [504, 200, 200]
+        assert statuses == [200] * CALLS
+        # Less than one time limit for all of them.
+        assert clock.now() - started < 0.9
 
 
 @run
