--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import socket
 import typing
 from collections.abc import Callable
@@ -12,8 +13,10 @@
 
 # Bytes received and not yet taken above which the peer is made to wait.
 MAX_UNREAD_BYTES = 262144
-# Time to read what had arrived before a deadline that has passed, seconds: some turns
-# of the event loop.
+# Delay of a timer beyond which the process has stalled, seconds: some turns of the
+# event loop.
+STALL_S = 0.02
+# Time to read what had arrived before a deadline that passed in a stall, seconds.
 READ_UNREAD_S = 0.05
 
 Address = tuple[str, int]
@@ -38,6 +41,11 @@
     count: int
     user_timeout_ms: int
 
+    @property
+    def least_silence_s(self) -> float:
+        """Shortest silence after which the kernel ends a connection, seconds."""
+        return min(self.user_timeout_ms / 1000.0, float(self.interval_s * self.count))
+
 
 # A silent peer is noticed by the kernel after about three seconds; connections may
 # go silent without a reset while new ones work.
@@ -73,6 +81,8 @@
         self._paused = False
         self.ended = asyncio.Event()
         self.peer_host = ""
+        # Called once if the kernel ends the connection because its peer is silent.
+        self.on_silence: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over an open connection; called by the event loop."""
@@ -104,6 +114,8 @@
         self._ended = True
         self.ended.set()
         self._error = exc
+        if self.is_silent and self.on_silence is not None:
+            self.on_silence()
         self._wake()
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
@@ -129,9 +141,9 @@
         return self._lost
 
     @property
-    def has_unread(self) -> bool:
-        """Whether bytes were received that nobody has taken yet."""
-        return bool(self._buffer)
+    def is_silent(self) -> bool:
+        """Whether the kernel has ended the connection because its peer was silent."""
+        return isinstance(self._error, TimeoutError)
 
     async def receive(self) -> bytes:
         """Return the next bytes; empty at the end of the stream."""
@@ -209,7 +221,9 @@
             self._waiter.set_result(None)
 
 
-async def connect(address: Address, timeout_s: float) -> Channel:
+async def connect(
+    address: Address, timeout_s: float, probes: Probes = PROBES
+) -> Channel:
     """Open a connection.
 
     Raises
@@ -219,33 +233,37 @@
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
-        _, channel = await loop.create_connection(Channel, *address)
+        _, channel = await loop.create_connection(
+            functools.partial(Channel, probes), *address
+        )
     return channel
 
 
-async def read_by(
-    deadline: float,
-    stream: Channel,
-    read: Callable[[], typing.Coroutine[typing.Any, typing.Any, T]],
+async def finish_by(
+    deadline: float, work: typing.Coroutine[typing.Any, typing.Any, T]
 ) -> T:
-    """Return what `read` takes from `stream` until a deadline.
+    """Return the result of `work`, which takes an answer that must come in time.
 
-    After a stall of the process the deadline's timer is due in the same turn of the
-    event loop as bytes that arrived long before; these are read first.
+    After a stall of the process the deadline is due in the same turn of the event loop
+    as bytes that arrived long before; these are read first.
 
     Raises
     ------
     TimeoutError
-        If the deadline passes.
+        If the deadline passes; `work` is cancelled.
     """
+    task = asyncio.ensure_future(work)
     try:
-        async with asyncio.timeout(deadline - clock.now()):
-            return await read()
-    except TimeoutError:
-        if not stream.has_unread:
-            raise
-    async with asyncio.timeout(READ_UNREAD_S):
-        return await read()
+        await asyncio.wait((task,), timeout=max(0.0, deadline - clock.now()))
+        if not task.done() and clock.now() - deadline > STALL_S:
+            await asyncio.wait((task,), timeout=READ_UNREAD_S)
+        if not task.done():
+            raise TimeoutError
+        return task.result()
+    finally:
+        if not task.done():
+            task.cancel()
+            await asyncio.wait((task,))
 
 
 async def run_while_open(
--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -4,12 +4,11 @@
 
 import collections
 import dataclasses
-import functools
 
 from result import Err, Ok, Result
 
 from snipelink import clock, errors, model
-from snipelink.mesh import channel, settings
+from snipelink.mesh import channel, settings, silences
 from snipelink.session import answers, http, memory
 from snipelink.session import headers as header_rules
 
@@ -39,6 +38,15 @@
     limit_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Opened:
+    """A connection for one request, and whether its time passed without a byte."""
+
+    stream: channel.Channel
+    is_kept: bool
+    is_silent: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
     """One request for the endpoint.
@@ -69,15 +77,24 @@
         Where the endpoint listens.
     names : HeaderNames
         Names of the mesh's own headers.
+    silent : Silences or None
+        Receives connections that go silent.
     """
 
-    def __init__(self, address: channel.Address, names: settings.HeaderNames) -> None:
+    def __init__(
+        self,
+        address: channel.Address,
+        names: settings.HeaderNames,
+        silent: silences.Silences | None = None,
+    ) -> None:
         self.address = address
+        self._silences = silent or silences.Silences()
         self._names = names
         self._kept: collections.deque[_Kept] = collections.deque()
         self._pool = memory.Pool(MAX_ANSWERS_BYTES)
         self.connections_opened = 0
         self.unexpected_answers = 0
+        self.polls_repeated = 0
 
     async def send(self, exchange: Exchange) -> Result[http.Response, errors.Failure]:
         """Return the complete answer to a request.
@@ -88,20 +105,63 @@
         opened = await self._acquire(exchange)
         if isinstance(opened, Err):
             return opened
-        stream = opened.ok_value
+        return await self._exchange(opened.ok_value, exchange, exchange.deadline)
+
+    async def poll(
+        self, exchange: Exchange, patience_s: float
+    ) -> Result[http.Response, errors.Failure]:
+        """Return the complete answer to a request that is answered at once.
+
+        A kept connection that is silent for `patience_s` is given up for a new one. If
+        that brings the answer, kept connections are not trusted.
+        """
+        opened = await self._acquire(exchange)
+        if isinstance(opened, Err):
+            return opened
+        first = opened.ok_value
+        sent_at = clock.now()
+        until = exchange.deadline
+        if first.is_kept:
+            until = min(until, sent_at + patience_s)
+        outcome = await self._exchange(first, exchange, until)
+        if not (first.is_kept and first.is_silent):
+            return outcome
+        self.polls_repeated += 1
+        opened = await self._open(exchange)
+        if isinstance(opened, Err):
+            return opened
+        outcome = await self._exchange(opened.ok_value, exchange, exchange.deadline)
+        if isinstance(outcome, Ok):
+            role = silences.Role.ENDPOINT
+            self._silences.on_poll(role, self.address, sent_at, clock.now())
+        return outcome
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._kept:
+            self._kept.pop().stream.close()
+
+    async def _exchange(
+        self, opened: _Opened, exchange: Exchange, until: float
+    ) -> Result[http.Response, errors.Failure]:
+        """Return the answer on a connection, if it is complete by a monotonic time."""
+        stream, sent_at = opened.stream, clock.now()
         reader = answers.AnswerReader(exchange.method, MAX_ANSWER_BYTES)
         charge = memory.PoolCharge(self._pool)
         kept = False
         try:
             stream.write(exchange.payload)
-            read = functools.partial(self._read, stream, reader, exchange, charge)
-            outcome = await channel.read_by(exchange.deadline, stream, read)
+            reading = self._read(stream, reader, exchange, charge)
+            outcome = await channel.finish_by(until, reading)
             if isinstance(outcome, Ok) and reader.reusable and reader.is_clean():
                 kept = stream.is_idle
                 if kept:
                     self._keep(stream, outcome.ok_value)
             return outcome
         except TimeoutError:
+            opened.is_silent = stream.is_idle and not reader.started
+            if opened.is_silent and opened.is_kept:
+                self._silences.doubt.suspect(self.address, sent_at)
             return _fail(errors.Kind.DEADLINE_UNKNOWN, "no answer in time")
         except OSError as error:
             return self._lost(reader, str(error))
@@ -110,11 +170,6 @@
             if not kept:
                 stream.abort()
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        while self._kept:
-            self._kept.pop().stream.close()
-
     async def _read(
         self,
         stream: channel.Channel,
@@ -163,29 +218,32 @@
             return _fail(errors.Kind.ANSWER_INCOMPLETE, detail)
         return _fail(errors.Kind.CONNECTION_LOST, detail)
 
-    async def _acquire(
-        self, exchange: Exchange
-    ) -> Result[channel.Channel, errors.Failure]:
+    async def _acquire(self, exchange: Exchange) -> Result[_Opened, errors.Failure]:
         now = clock.now()
         while self._kept:
             kept = self._kept.pop()
             limit_s = kept.limit_s
             if not exchange.idempotent:
                 limit_s = min(limit_s, MAX_IDLE_ONCE_S)
-            if kept.stream.is_idle and now - kept.since < limit_s:
-                return Ok(kept.stream)
+            usable = kept.stream.is_idle and now - kept.since < limit_s
+            if usable and self._silences.doubt.is_trusted(self.address, kept.since):
+                return Ok(_Opened(kept.stream, is_kept=True))
             if not kept.stream.is_idle:
                 self.unexpected_answers += not kept.stream.is_lost
             kept.stream.close()
-        timeout_s = min(CONNECT_TIMEOUT_S, exchange.deadline - now)
+        return await self._open(exchange)
+
+    async def _open(self, exchange: Exchange) -> Result[_Opened, errors.Failure]:
+        timeout_s = min(CONNECT_TIMEOUT_S, exchange.deadline - clock.now())
         if timeout_s <= 0.0:
             return _fail(errors.Kind.DEADLINE_NOT_RUN, "no time left to connect")
+        role = silences.Role.ENDPOINT
         try:
-            stream = await channel.connect(self.address, timeout_s)
+            stream = await self._silences.connect(role, self.address, timeout_s)
         except OSError as error:
             return _fail(errors.Kind.UNREACHABLE, f"endpoint: {error}")
         self.connections_opened += 1
-        return Ok(stream)
+        return Ok(_Opened(stream, is_kept=False))
 
     def _keep(self, stream: channel.Channel, response: http.Response) -> None:
         limit_s = MAX_IDLE_S
