Log crashes of an endpoint and the calls that ran

Cause: the mesh node saw lost connections one by one (`connection-lost`) and an endpoint that does not answer, and nothing tied the two together. What callers saw: nothing changes for them; no call is refused by this. An answer under the known identity means that something reset the connections. mesh/containment.py logs the crash with the calls that ran, and feeds the SuspectTable that snipelink-node has; its rules decide when `request is contained` is logged. The digest of snipelink-node's fingerprint is unchanged.

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -13,7 +13,7 @@
 
 from snipelink import clock, errors
 from snipelink.decide import polling, refusal, rhythm, slots
-from snipelink.mesh import calls, endpoint, settings
+from snipelink.mesh import calls, containment, endpoint, settings
 from snipelink.session import headers as header_rules
 from snipelink.session import http
 
@@ -25,6 +25,8 @@
 # Seconds in which the share of failed calls halves without calls, so that an endpoint
 # that recovered is tried again.
 FAILURE_HALF_LIFE_S = 2.0
+# The connection to the endpoint ended before its answer was whole.
+LOST_KINDS = (errors.Kind.CONNECTION_LOST, errors.Kind.ANSWER_INCOMPLETE)
 # A call that outlives its expected work by this factor without an answer counts as
 # failed by the endpoint.
 HUNG_FACTOR = 4.0
@@ -74,6 +76,8 @@
         Called with the present time when calls start, wait or end.
     shared : Rhythm
         When endpoints change their slowness.
+    contained : Containment
+        Learns of calls that lost their connection, and of the endpoint's end.
 
     Attributes
     ----------
@@ -89,11 +93,13 @@
         now: float,
         on_change: Callable[[float], None],
         shared: rhythm.Rhythm,
+        contained: containment.Containment,
     ) -> None:
         self._client = client
         self._names = names
         self._rng = rng
         self._on_change = on_change
+        self._containment = contained
         # Wake the tasks of waiting calls, by key: None lets a call start.
         self._admitted_by_key: dict[int, asyncio.Future[calls.Outcome | None]] = {}
         self._keys = itertools.count()
@@ -180,12 +186,26 @@
 
     def on_new_process(self, instance: str, now: float) -> None:
         """Forget what was known of the endpoint's former process."""
+        self._containment.on_new_process(self.state.instance, now)
         self.state.instance = instance
         self._reported_foreign = 0
         self._failing = 0.0
         self.slots.on_new_process(now)
         self.polls.forget()
 
+    @property
+    def loss_settled_at(self) -> float | None:
+        """Time at which to ask the endpoint what became of calls that were lost."""
+        return self._containment.detector.settled_at
+
+    def on_refused_connection(self, now: float) -> None:
+        """Note that the endpoint refused a connection."""
+        self._containment.on_refused(self.state.instance, now)
+
+    def on_same_process(self, asked_at: float) -> None:
+        """Note that the process that is known answered what was asked at a time."""
+        self._containment.detector.on_answer(asked_at)
+
     def on_report(self, header: str, now: float) -> None:
         """Take over a load report of the endpoint.
 
@@ -275,6 +295,7 @@
         work_s = 0.0
         if response.status < 400:
             work_s = self.slots.note_answer(key, now)
+        self._containment.on_answered(call)
         return calls.Outcome(response, reached=True, work_s=work_s)
 
     def _encode(self, call: calls.Call, instance: str, now: float) -> bytes:
@@ -310,6 +331,9 @@
     ) -> None:
         if failure.kind is errors.Kind.UNREACHABLE:
             self.state.is_up = False
+        if failure.kind in LOST_KINDS and not self.state.is_leaving:
+            # An endpoint that ends as planned may break off what still runs.
+            self._containment.on_lost(call, now)
         hung = took_s > HUNG_FACTOR * call.work_s * self.slots.progress.slowness
         if failure.kind is not errors.Kind.DEADLINE_UNKNOWN or hung:
             self._count(failed=True, now=now)
--- a/src/snipelink/mesh/calls.py
+++ b/src/snipelink/mesh/calls.py
@@ -29,6 +29,8 @@
         Expected work in undisturbed seconds.
     choice : Candidate or None
         What was known of the endpoint that it was last sent to.
+    fingerprint : str
+        What it asks for, see `containment`; empty until it is needed.
     """
 
     call_id: str
@@ -47,6 +49,7 @@
     caller_service: str = ""
     max_attempts: int = 1
     choice: placement.Candidate | None = None
+    fingerprint: str = ""
 
     def demand(self) -> waiting.Demand:
         """Return what the call needs while it waits."""
--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 
 from result import Err, Ok, Result
 
@@ -69,6 +70,12 @@
         Where the endpoint listens.
     names : HeaderNames
         Names of the mesh's own headers.
+
+    Attributes
+    ----------
+    refused_at : float
+        Monotonic time in seconds at which the endpoint last refused a connection:
+        there is no process that listens.
     """
 
     def __init__(self, address: channel.Address, names: settings.HeaderNames) -> None:
@@ -78,6 +85,7 @@
         self._pool = memory.Pool(MAX_ANSWERS_BYTES)
         self.connections_opened = 0
         self.unexpected_answers = 0
+        self.refused_at = -math.inf
 
     async def send(self, exchange: Exchange) -> Result[http.Response, errors.Failure]:
         """Return the complete answer to a request.
@@ -183,6 +191,8 @@
         try:
             stream = await channel.connect(self.address, timeout_s)
         except OSError as error:
+            if isinstance(error, ConnectionRefusedError):
+                self.refused_at = clock.now()
             return _fail(errors.Kind.UNREACHABLE, f"endpoint: {error}")
         self.connections_opened += 1
         return Ok(stream)
--- a/src/snipelink/mesh/health.py
+++ b/src/snipelink/mesh/health.py
@@ -110,6 +110,9 @@
     def _due_at(self, now: float) -> float:
         """Return the monotonic time of the next poll."""
         earliest = self._polled_at + PROBE_MARGIN / self._own.bounds.probes_per_s
+        settled_at = self._runner.loss_settled_at
+        if settled_at is not None and self._polled_at < settled_at:
+            return max(earliest, settled_at)
         if self._failures:
             return max(earliest, self._polled_at + polling.CLOSE_S)
         return max(earliest, self._runner.polls.next_at(now))
@@ -133,6 +136,8 @@
         state = self._runner.state
         if isinstance(sent, Err):
             self._failures += 1
+            if self._client.refused_at >= self._polled_at:
+                self._runner.on_refused_connection(now)
             if state.is_up and self._failures >= FAILURES_UNTIL_DOWN:
                 state.is_up = False
                 logger.warning(
@@ -149,6 +154,8 @@
         self._failures = 0
         response = sent.ok_value
         instance = header_rules.first(response.headers, self._names.instance)
+        if instance and instance == state.instance:
+            self._runner.on_same_process(self._polled_at)
         if instance and (instance != state.instance or not state.is_up):
             logger.info(
                 "endpoint answers",
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -19,6 +19,7 @@
     attempts,
     callers,
     catalog,
+    containment,
     dispatch,
     endpoint,
     health,
@@ -99,8 +100,17 @@
         # Polls have connections of their own: their answers name no call, so a second
         # one that comes late could be taken for that of a call.
         self._poll_client = endpoint.EndpointClient(own.endpoint_address, names)
+        self._containment = containment.Containment(
+            f"{own.node}.{self._started_ms}", self._metrics
+        )
         self._runner = admission.Runner(
-            self._endpoint, names, rng, now, self._on_calls_change, self._rhythm
+            self._endpoint,
+            names,
+            rng,
+            now,
+            self._on_calls_change,
+            self._rhythm,
+            self._containment,
         )
         self._peers = peers.PeerClient(own.peer_port)
         self._peer_port = peers.PeerPort(self._runner, self._catalog)
@@ -306,6 +316,8 @@
         self._publish_load(now)
         if self._runner.slots.waiting_count:
             self._poller.look_by(now + health.WAITING_LOOK_S)
+        if self._runner.loss_settled_at is not None:
+            self._poller.look_by(self._runner.loss_settled_at)
 
     def _on_catalog(self) -> None:
         now = clock.now()
--- a/src/snipelink/retry/suspects.py
+++ b/src/snipelink/retry/suspects.py
@@ -9,6 +9,7 @@
 
 from snipelink import errors, model
 
+FINGERPRINT_BYTES = 16
 MAX_SUSPECTS = 1024
 MAX_CRASHES = 16
 MAX_CRASH_NAMES = 4096
@@ -26,12 +27,18 @@
 
 def fingerprint(call: model.Call) -> str:
     """Return the identity of what a call asks for; equal for a repeated request."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (call.service, call.operation.name, call.method, call.target):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(call.body)
-    return digest.hexdigest()
+    fields = (call.service, call.operation.name, call.method, call.target)
+    return digest(fields, call.body, FINGERPRINT_BYTES)
+
+
+def digest(fields: Iterable[str], body: bytes, size: int) -> str:
+    """Return a digest of `size` bytes, as hexadecimal text."""
+    hashed = hashlib.blake2b(digest_size=size)
+    for field in fields:
+        hashed.update(field.encode())
+        hashed.update(b"\0")
+    hashed.update(body)
+    return hashed.hexdigest()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
