Test that a request that crashes endpoints is contained

These hold before and must hold after: resets of all connections without a crash are no crash, nor is the planned end of an endpoint (fails if losses of a leaving endpoint are counted), and a crash is logged with the calls that ran.

--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -68,6 +68,8 @@
     given_up: int = 0
     repeats_polls: bool = False
     listener: channel.Listener | None = None
+    streams: set[channel.Channel] = dataclasses.field(default_factory=set)
+    returning: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         address = (self.host, ENDPOINT_PORT)
@@ -75,10 +77,29 @@
 
     def stop(self) -> None:
         assert self.listener is not None
+        if self.returning is not None:
+            self.returning.cancel()
         self.listener.stop_accepting()
         for task in self.listener.tasks:
             task.cancel()
 
+    def reset_all(self) -> None:
+        """Reset all connections; the process goes on."""
+        for stream in self.streams:
+            stream.abort()
+
+    def crash(self, back_after_s: float, instance: str) -> None:
+        """End the process at once; another one listens after some seconds."""
+        assert self.listener is not None
+        self.listener.stop_accepting()
+        self.reset_all()
+        self.returning = asyncio.ensure_future(self._return(back_after_s, instance))
+
+    async def _return(self, after_s: float, instance: str) -> None:
+        await asyncio.sleep(after_s)
+        self.instance = instance
+        await self.start()
+
     def response(
         self,
         request: http.Request,
@@ -100,6 +121,16 @@
         return f"{self.running},0,{self.slots},{self.slowness}"
 
     async def _serve(self, stream: channel.Channel) -> None:
+        self.streams.add(stream)
+        try:
+            await self._answer(stream)
+        except ConnectionError:
+            # The node, or `reset_all`, ended the connection.
+            pass
+        finally:
+            self.streams.discard(stream)
+
+    async def _answer(self, stream: channel.Channel) -> None:
         reader = requests.RequestReader(
             objects.CallerLimits(), memory.PoolCharge(memory.Pool(1 << 20))
         )
