Refuse requests that crash the endpoints that run them

What callers saw: 502 for the request, and for all that ran beside it, each time that it came; endpoints down for some seconds each time. Change: the node beside the endpoint names a crash and the calls that ran, and tells 8 nodes three times; whoever learns something new passes it on, and a node that starts or was cut off asks. A contained request gets 503 crash-suspect at the caller's node and again beside the endpoint, also after waiting for a slot, always before it is sent there. A call that has been sent keeps its 502 and is not tried further. Innocent calls: resets without a crash and planned ends are no crash. Clean runs of other nodes and from before the crash count, and calls that ran together are judged after 0.3 s, when these are known.

--- a/src/snipelink/decide/crashes.py
+++ b/src/snipelink/decide/crashes.py
@@ -11,6 +11,9 @@
 import collections
 import dataclasses
 
+from snipelink.gossip import rumours
+from snipelink.retry import suspects
+
 # Time after the first lost connection at which the endpoint is asked whether it still
 # is the same, seconds: the kernel ends all connections of a process within a few
 # milliseconds, and those lost in one crash are blamed together.
@@ -18,8 +21,22 @@
 # Lost calls are kept so long for an endpoint that neither answers nor refuses, seconds;
 # endpoints are back after some seconds.
 LOSS_KEPT_S = 30.0
-# Calls blamed for one crash; they fit one datagram. Endpoints have about ten slots.
-MAX_BLAMED = 64
+# Calls blamed for one crash; they fit one datagram, so that they are judged together.
+# Endpoints have about ten slots.
+MAX_BLAMED = 48
+# Crashes that a node remembers, and tells a node that starts. A request is contained
+# after two or three; more come from endpoints that ended for other reasons.
+MAX_KNOWN = 64
+# Times that a node tells of a crash; datagrams get lost.
+TELLS = 3
+# Crashes that are told once more at a time, so that many at once make no burst.
+MAX_DUE = 8
+# Fingerprints whose clean runs a node counts, the latest, and those of which it keeps
+# what others count. A popular request is among them, others never run twice.
+MAX_COUNTED = 2048
+MAX_HEARD = 1024
+# Nodes whose counts are kept for one fingerprint.
+MAX_COUNTING = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,3 +128,104 @@
             return None
         name = f"{instance}/{self._node}/{self._lifetime}"
         return Crash(name, losses[0].at, losses)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """A crash of any endpoint, as a node knows it; its time is in seconds."""
+
+    name: str
+    at: float
+    fingerprints: tuple[str, ...]
+
+
+class News:
+    """Crashes of all endpoints, and how often they are still to be passed on."""
+
+    def __init__(self) -> None:
+        self._known_by_name: dict[str, Known] = {}
+        self._rumours: rumours.Rumours[Known] = rumours.Rumours(
+            MAX_KNOWN, suspects.EXPIRY_S
+        )
+
+    def add(self, crash: Known, now: float) -> Known | None:
+        """Return what is to be told at once; None if nothing of a crash is news."""
+        if now - crash.at >= suspects.EXPIRY_S:
+            return None
+        known = self._known_by_name.pop(crash.name, None)
+        if known is not None:
+            blamed = dict.fromkeys(known.fingerprints + crash.fingerprints)
+            crash = Known(known.name, known.at, tuple(blamed)[:MAX_BLAMED])
+        while len(self._known_by_name) >= MAX_KNOWN:
+            del self._known_by_name[next(iter(self._known_by_name))]
+        self._known_by_name[crash.name] = crash
+        if crash == known:
+            return None
+        self._rumours.add(crash, TELLS - 1, now)
+        return crash
+
+    def due(self, now: float) -> list[Known]:
+        """Return what is to be told once more."""
+        return self._rumours.take(MAX_DUE, now)
+
+    def count(self, fingerprint: str) -> int:
+        """Return the crashes for which a call is blamed."""
+        return sum(
+            fingerprint in crash.fingerprints for crash in self._known_by_name.values()
+        )
+
+    def all(self, now: float) -> list[Known]:
+        """Return what a node that starts has to know."""
+        return [
+            crash
+            for crash in self._known_by_name.values()
+            if now - crash.at < suspects.EXPIRY_S
+        ]
+
+
+class CleanRuns:
+    """Runs that ended with an answer, by fingerprint.
+
+    Servers that are killed often break off popular requests. Unlike a request that
+    crashes them, these have run before and go on to run elsewhere; one node alone sees
+    too little of that.
+    """
+
+    def __init__(self) -> None:
+        self._own: dict[str, int] = {}
+        self._heard: dict[str, dict[str, int]] = {}
+
+    def on_run(self, fingerprint: str) -> None:
+        """Count a run that this node saw."""
+        count = self._own.pop(fingerprint, 0)
+        if len(self._own) >= MAX_COUNTED:
+            del self._own[next(iter(self._own))]
+        self._own[fingerprint] = count + 1
+
+    def on_heard(self, fingerprint: str, host: str, count: int) -> None:
+        """Take over what the node on a machine counts."""
+        if count <= 0:
+            return
+        counts = self._heard.pop(fingerprint, {})
+        if len(self._heard) >= MAX_HEARD:
+            del self._heard[next(iter(self._heard))]
+        self._heard[fingerprint] = counts
+        if host in counts or len(counts) < MAX_COUNTING:
+            counts[host] = max(count, counts.get(host, 0))
+
+    def own(self, fingerprint: str) -> int:
+        """Return the runs that this node saw."""
+        return self._own.get(fingerprint, 0)
+
+    def total(self, fingerprint: str) -> int:
+        """Return the runs that this node and those that told it saw."""
+        return self.own(fingerprint) + sum(self._heard.get(fingerprint, {}).values())
+
+
+def is_acquitted(crash_count: int, clean_runs: int) -> bool:
+    """Whether a request ran too often without a crash to be the cause of its crashes.
+
+    The cause crashes every server, or nearly. Popular requests meet several kills of
+    servers, which the share that `suspects` asks for after many crashes would blame.
+    """
+    return clean_runs > crash_count
--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -77,7 +77,8 @@
     shared : Rhythm
         When endpoints change their slowness.
     contained : Containment
-        Learns of calls that lost their connection, and of the endpoint's end.
+        Refuses calls that crash endpoints; learns of calls that lost their connection,
+        and of the endpoint's end.
 
     Attributes
     ----------
@@ -124,7 +125,7 @@
         runs.
         """
         now = clock.now()
-        unavailable = self._unavailable(instance)
+        unavailable = self._unavailable(instance) or self._containment.check(call, now)
         if unavailable is not None:
             return unavailable
         if self.stops_at is not None and call.deadline > self.stops_at:
@@ -144,6 +145,9 @@
                     assert given_up.failure is not None
                     self._log_refusal(call, given_up.failure.detail)
                     return given_up
+                contained = self._containment.check(call, clock.now())
+                if contained is not None:
+                    return contained
             return await self._exchange(key, call, instance, clock.now())
         finally:
             self.slots.end(key)
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -7,7 +7,7 @@
 
 from snipelink import clock, errors
 from snipelink.decide import placement, refusal, split
-from snipelink.mesh import attempts, calls, catalog, objects, settings
+from snipelink.mesh import attempts, calls, catalog, containment, objects, settings
 from snipelink.observe import metrics
 from snipelink.session import headers as header_rules
 from snipelink.session import http
@@ -38,6 +38,8 @@
         Routes and endpoints.
     running : Attempts
         Runs calls on endpoints.
+    contained : Containment
+        Refuses calls that crash endpoints.
     recorded : Metrics
         Receives latencies and error kinds.
     rng : random.Random
@@ -50,6 +52,7 @@
         names: settings.HeaderNames,
         known: catalog.Catalog,
         running: attempts.Attempts,
+        contained: containment.Containment,
         recorded: metrics.Metrics,
         rng: random.Random,
     ) -> None:
@@ -69,6 +72,7 @@
         }
         self._catalog = known
         self._attempts = running
+        self._containment = contained
         self._metrics = recorded
         self._rng = rng
         # Monotonic time at which this node stops, once that is known.
@@ -168,6 +172,9 @@
         outcome: calls.Outcome | None = None
         while True:
             now = clock.now()
+            contained = self._containment.check(call, now)
+            if contained is not None:
+                return attempts.more_telling(outcome, contained)
             chosen = self._attempts.choose(call, tried, now)
             if chosen is None:
                 return outcome or self._no_endpoint(call, now)
@@ -176,6 +183,8 @@
             latest, sent = await self._attempts.run(call, chosen, tried, arrivals)
             outcome = attempts.more_telling(outcome, latest)
             arrivals += sent
+            if latest.response is not None:
+                self._containment.on_answered(call)
             if outcome.is_success:
                 return outcome
             refusals += not latest.reached
@@ -201,6 +210,8 @@
         refusals: int,
         now: float,
     ) -> bool:
+        if containment.is_suspect(latest):
+            return False
         if arrivals >= call.max_attempts or refusals >= MAX_REFUSALS:
             return False
         if now + call.work_s >= call.deadline:
--- a/src/snipelink/mesh/loads.py
+++ b/src/snipelink/mesh/loads.py
@@ -18,6 +18,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Takes a message of another kind: the sender's host, the message and the present time.
+# It raises ``msgspec.MsgspecError`` if the message cannot be read.
+Receiver = Callable[[str, memoryview, float], None]
+
 # Facts of endpoints that are neither published nor followed are kept so long, seconds.
 KEPT_S = 3.0
 # A node that follows is told for so long, seconds; two repetitions may be lost.
@@ -198,6 +202,11 @@
         Called with the sender's host and its report.
     rng : random.Random
         Chooses who is told first of a newer published state.
+
+    Attributes
+    ----------
+    receivers_by_kind : dict
+        Receivers of datagrams of other kinds, by their first byte.
     """
 
     def __init__(
@@ -221,6 +230,7 @@
         self._asked_by_host: dict[str, _Asked] = {}
         self._published: reporting.Report | None = None
         self._next_at = 0.0
+        self.receivers_by_kind: dict[bytes, Receiver] = {}
         self.sent_datagrams = 0
         self.unreadable_datagrams = 0
 
@@ -229,6 +239,10 @@
         """Nodes that are told this node's load."""
         return len(self._followers_by_host)
 
+    def hosts(self) -> set[str]:
+        """Return the machines whose nodes follow this one, or are followed."""
+        return self._followers_by_host.keys() | self._asked_by_host.keys()
+
     async def start(self, address: channel.Address) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
@@ -247,6 +261,9 @@
             if kind == FOLLOW_KIND:
                 self._on_follow(host, _follow_decoder.decode(body), now)
                 return
+            if kind in self.receivers_by_kind:
+                self.receivers_by_kind[kind](host, body, now)
+                return
             if kind != LOAD_KIND:
                 raise msgspec.DecodeError(f"datagram of kind {kind!r}")
             load = _load_decoder.decode(body)
@@ -284,7 +301,7 @@
             elif now - asked.last_at < again_s:
                 continue
             asked.last_at = now
-            self._send(FOLLOW_KIND, _encoder.encode(mesh.Follow(near)), host)
+            self.send(FOLLOW_KIND, _encoder.encode(mesh.Follow(near)), host)
 
     def is_silent(self, host: str, now: float) -> bool:
         """Whether a machine has long been asked for reports and sends none."""
@@ -318,7 +335,7 @@
             if now - follower.sent_at >= due_s:
                 payload = payload or _encoder.encode(load)
                 follower.sent_at, follower.sent = now, report
-                self._send(LOAD_KIND, payload, host)
+                self.send(LOAD_KIND, payload, host)
                 continue
             self._next_at = min(self._next_at, follower.sent_at + due_s)
 
@@ -352,7 +369,8 @@
         self._next_at = now
         self.publish(now)
 
-    def _send(self, kind: bytes, payload: bytes, host: str) -> None:
+    def send(self, kind: bytes, payload: bytes, host: str) -> None:
+        """Send a datagram to the node on a machine."""
         if self._transport is None:
             return
         self._transport.sendto(kind + payload, (host, self._port))
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -100,8 +100,11 @@
         # Polls have connections of their own: their answers name no call, so a second
         # one that comes late could be taken for that of a call.
         self._poll_client = endpoint.EndpointClient(own.endpoint_address, names)
+        self._exchange = loads.LoadExchange(
+            own.host, own.load_port, self._loads, self._load, self._on_report, rng
+        )
         self._containment = containment.Containment(
-            f"{own.node}.{self._started_ms}", self._metrics
+            f"{own.node}.{self._started_ms}", self._exchange, self._metrics, rng
         )
         self._runner = admission.Runner(
             self._endpoint,
@@ -117,9 +120,6 @@
         self._interest = interest.Interest(own.host)
         self._followed: dict[str, bool] = {}
         self._rng = rng
-        self._exchange = loads.LoadExchange(
-            own.host, own.load_port, self._loads, self._load, self._on_report, rng
-        )
         running = attempts.Attempts(
             own,
             self._catalog,
@@ -130,7 +130,7 @@
             rng,
         )
         self._dispatcher = dispatch.Dispatcher(
-            own, names, self._catalog, running, self._metrics, rng
+            own, names, self._catalog, running, self._containment, self._metrics, rng
         )
         self._callers = callers.CallerPort(self._dispatcher, names, self._limits)
         self._poller = health.Poller(
@@ -277,6 +277,9 @@
                 logger.warning("node is silent", extra={"fields": {"host": host}})
             for host in back:
                 logger.info("node is heard again", extra={"fields": {"host": host}})
+            if back:
+                self._containment.on_heard_again()
+            self._containment.look(now)
             self._loads.expire(self._followed, now)
             if self._is_source_away(now):
                 self._catalog.on_source_away(now)
--- a/tests/decide/test_crashes.py
+++ b/tests/decide/test_crashes.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from snipelink.decide import crashes
+from snipelink.retry import suspects
 
 
 def lose(detector: crashes.Detector, at: float, *names: str) -> None:
@@ -91,3 +92,73 @@
     crash = detector.on_new_process("i-1", 20.0 + crashes.LOSS_KEPT_S + 1.0)
     assert crash is not None
     assert crash.fingerprints == ("new",)
+
+
+def known(name: str, *fingerprints: str, at: float = 10.0) -> crashes.Known:
+    return crashes.Known(name, at, fingerprints)
+
+
+def test_crash_is_news_once_and_told_again_a_few_times() -> None:
+    """Guards against datagrams that nodes pass on to each other without end."""
+    news = crashes.News()
+    assert news.add(known("x", "a"), 10.0) == known("x", "a")
+    assert news.add(known("x", "a", at=10.2), 10.3) is None
+    told = [news.due(10.4) for _ in range(crashes.TELLS + 1)]
+    assert told == [[known("x", "a")]] * (crashes.TELLS - 1) + [[], []]
+
+
+def test_call_that_is_named_later_is_news() -> None:
+    """Guards against a culprit that noticed the crash after the others."""
+    news = crashes.News()
+    news.add(known("x", "a"), 10.0)
+    assert news.add(known("x", "b", at=10.1), 10.1) == known("x", "a", "b")
+    assert news.add(known("x", "b", "a"), 10.2) is None
+    assert news.all(10.2) == [known("x", "a", "b")]
+
+
+def test_news_is_bounded_and_expires() -> None:
+    """Guards against memory and datagrams for many crashes at once."""
+    news = crashes.News()
+    for index in range(3 * crashes.MAX_KNOWN):
+        news.add(known(f"x{index}", "a"), 10.0)
+    assert len(news.all(10.0)) == crashes.MAX_KNOWN
+    assert len(news.due(10.0)) == crashes.MAX_DUE
+    assert news.all(10.0 + suspects.EXPIRY_S) == []
+    assert news.add(known("late", "a"), 10.0 + suspects.EXPIRY_S) is None
+
+
+def test_clean_runs_of_all_nodes_add_up_and_repeats_do_not() -> None:
+    """Guards against evidence that is counted twice, or seen by one node only."""
+    clean = crashes.CleanRuns()
+    clean.on_run("a")
+    for _ in range(3):
+        clean.on_heard("a", "h1", 4)
+    clean.on_heard("a", "h2", 2)
+    clean.on_heard("a", "h2", 1)
+    assert clean.own("a") == 1
+    assert clean.total("a") == 7
+    assert clean.total("b") == 0
+
+
+def test_counts_of_clean_runs_are_bounded_and_keep_the_latest() -> None:
+    """Guards against memory for requests that never come again."""
+    clean = crashes.CleanRuns()
+    clean.on_run("old")
+    for index in range(crashes.MAX_COUNTED):
+        clean.on_run("popular")
+        clean.on_run(f"once-{index}")
+        clean.on_heard(f"once-{index}", "h", 1)
+        clean.on_heard("popular", f"h{index}", 1)
+    assert clean.own("old") == 0
+    assert clean.own("popular") == crashes.MAX_COUNTED
+    assert clean.total("popular") == crashes.MAX_COUNTED + crashes.MAX_COUNTING
+    assert clean.total("once-0") == 0
+
+
+def test_request_is_acquitted_by_more_clean_runs_than_crashes() -> None:
+    """Guards against containment of popular requests, and none of real culprits."""
+    assert not crashes.is_acquitted(2, 0)
+    assert not crashes.is_acquitted(2, 2)
+    assert crashes.is_acquitted(2, 3)
+    assert not crashes.is_acquitted(6, 6)
+    assert crashes.is_acquitted(6, 7)
--- a/tests/mesh/test_containment.py
+++ b/tests/mesh/test_containment.py
@@ -3,10 +3,17 @@
 import asyncio
 import itertools
 import logging
+import random
+from typing import Any
 
+import msgspec
 import pytest
 
-from snipelink.mesh import channel
+from snipelink import clock, errors
+from snipelink.decide import crashes, rhythm
+from snipelink.generated import mesh
+from snipelink.mesh import calls, channel, containment, loads, peers
+from snipelink.observe import metrics
 from snipelink.session import http
 from tests.mesh import fleet
 
@@ -257,3 +264,231 @@
             assert killers_seen(members) == reached
 
     asyncio.run(check())
+
+
+def make_call(target: str = KILLER, **changes: Any) -> calls.Call:
+    now = clock.now()
+    values: dict[str, Any] = {
+        "call_id": "c1",
+        "service": "rota",
+        "operation": "",
+        "method": "GET",
+        "target": target,
+        "headers": [],
+        "body": b"",
+        "arrived": now,
+        "target_at": now + 1.0,
+        "deadline": now + 1.0,
+        "priority": 2,
+        "idempotent": True,
+        "work_s": 0.01,
+        "caller_service": "rota",
+    }
+    return calls.Call(**(values | changes))
+
+
+def test_node_beside_the_endpoint_refuses_what_another_one_sends() -> None:
+    """Guards against nodes that have not heard of a crash yet."""
+
+    async def check() -> None:
+        async with fleet.running("rota", "rota", "rota") as members:
+            for member in members:
+                member.endpoint.script = crash_on_killer
+            await contain(members)
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            reached = killers_seen(members)
+            client = peers.PeerClient(fleet.PEER_PORT)
+            for member in members:
+                instance = member.endpoint.instance
+                outcome = await client.call(member.host, instance, make_call())
+                assert outcome.failure is not None
+                assert outcome.failure.kind is errors.Kind.CRASH_SUSPECT
+                assert not outcome.reached
+            client.close()
+            assert killers_seen(members) == reached
+
+    asyncio.run(check())
+
+
+def test_fingerprint_is_that_of_the_request_whatever_its_way() -> None:
+    """Guards against a repeat that is not recognised, and blame for another request."""
+    first = containment.fingerprint(make_call())
+    again = make_call(call_id="c2", service="other part", headers=[("x", "1")])
+    assert containment.fingerprint(again) == first
+    others = [
+        make_call("/view/other"),
+        make_call(body=b"x"),
+        make_call(method="POST"),
+        make_call(caller_service="archive"),
+    ]
+    assert first not in {containment.fingerprint(call) for call in others}
+
+
+class Net(asyncio.DatagramTransport):
+    """Nodes whose datagrams are kept until they are delivered."""
+
+    def __init__(self, count: int, followed: int) -> None:
+        super().__init__()
+        self.hosts = [f"10.0.0.{index}" for index in range(count)]
+        self.sent: list[tuple[str, str, bytes]] = []
+        self.nodes: list[containment.Containment] = []
+        self.exchanges: list[loads.LoadExchange] = []
+        self._followed = followed
+        for index in range(count):
+            self.add(index)
+
+    def add(self, index: int) -> None:
+        """Start a node, anew if there is one."""
+        host = self.hosts[index]
+        rng = random.Random(index)
+        table = loads.LoadTable(rhythm.Rhythm())
+        load = mesh.Load(host, 1, 0, 0, 0, 4, 100, 0, True, 1, 1, False)
+        exchange = loads.LoadExchange(
+            host, 7000, table, lambda now: load, lambda *_: None, rng
+        )
+        exchange.connection_made(_Wire(self, host))
+        node = containment.Containment(host, exchange, metrics.Metrics(), rng)
+        self.nodes[index:] = [node, *self.nodes[index + 1 :]]
+        self.exchanges[index:] = [exchange, *self.exchanges[index + 1 :]]
+        count = len(self.hosts)
+        near = {self.hosts[(index + k) % count]: True for k in range(1, self._followed)}
+        exchange.follow(near, clock.now())
+
+    def deliver(self, lost_share: float, rng: random.Random) -> int:
+        """Deliver what was sent until nothing more is; return how many."""
+        count = 0
+        while self.sent:
+            sent, self.sent = self.sent, []
+            for source, host, data in sent:
+                count += 1
+                if rng.random() >= lost_share and host in self.hosts:
+                    exchange = self.exchanges[self.hosts.index(host)]
+                    exchange.datagram_received(data, (source, 7000))
+        return count
+
+    def look(self, after_s: float = 0.0) -> None:
+        """Let all nodes look at what is due, some seconds from now."""
+        for node in self.nodes:
+            node.look(clock.now() + after_s)
+
+    def crash(self, index: int, *targets: str) -> None:
+        node, now = self.nodes[index], clock.now()
+        for target in targets:
+            node.on_lost(make_call(target), now)
+        node.on_refused(f"i-{index}", now + crashes.SETTLE_S)
+
+    def refusing(self, target: str = KILLER) -> int:
+        call, now = make_call(target), clock.now()
+        return sum(node.check(call, now) is not None for node in self.nodes)
+
+
+class _Wire(asyncio.DatagramTransport):
+    def __init__(self, net: Net, host: str) -> None:
+        super().__init__()
+        self._net = net
+        self._host = host
+
+    def sendto(self, data: bytes, addr: Any = None) -> None:
+        self._net.sent.append((self._host, addr[0], data))
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_all_nodes_know_within_a_second_though_datagrams_get_lost(seed: int) -> None:
+    """Guards against nodes that nobody tells, and against a flood of datagrams."""
+    rng = random.Random(seed)
+    net = Net(60, 18)
+    net.deliver(0.0, rng)
+    for _ in range(containment.ASKS):
+        net.look()
+        net.deliver(0.0, rng)
+    sent = 0
+    for index in (0, 30):
+        net.crash(index, KILLER, f"/view/once-{index}")
+        sent += net.deliver(0.3, rng)
+    for index in range(int(KNOWN_WITHIN_S / 0.2)):
+        net.look(0.2 * index)
+        sent += net.deliver(0.3, rng)
+    assert net.refusing() == 60
+    assert net.refusing("/view/once-0") == 0
+    assert sent <= 60 * 2 * containment.FANOUT * crashes.TELLS
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_popular_request_beside_many_kills_is_not_contained(seed: int) -> None:
+    """Guards against blame for requests that often run on servers that are killed."""
+    rng = random.Random(seed)
+    net = Net(60, 18)
+    net.deliver(0.0, rng)
+    paths = [f"/view/{index}" for index in range(50)]
+    for _ in range(3000):
+        rng.choice(net.nodes).on_answered(make_call(rng.choice(paths)))
+    # Killed one after the other, without time for clean runs between; the request that
+    # crashes endpoints meets three of them meanwhile.
+    for index in range(30):
+        running = rng.sample(paths, 4)
+        net.crash(index, *running, *([KILLER] if index in (10, 15, 20) else []))
+        net.deliver(0.3, rng)
+        if index % 5 == 0:
+            net.look(containment.JUDGE_S)
+            net.deliver(0.3, rng)
+    for index in range(int(KNOWN_WITHIN_S / 0.2)):
+        net.look(0.2 * index)
+        net.deliver(0.3, rng)
+    refused = {path: net.refusing(path) for path in paths}
+    assert not any(refused.values()), refused
+    assert net.refusing() == 60
+
+
+def test_node_that_starts_anew_asks_what_is_known() -> None:
+    """Guards against a node that was down while the others were told."""
+    rng = random.Random(1)
+    net = Net(20, 18)
+    net.deliver(0.0, rng)
+    net.crash(0, KILLER)
+    net.crash(1, KILLER)
+    for _ in range(10):
+        net.look()
+        net.deliver(0.0, rng)
+    assert net.refusing() == 20
+    net.add(7)
+    net.deliver(0.0, rng)
+    assert net.refusing() == 19
+    net.nodes[7].look(clock.now())
+    net.deliver(0.0, rng)
+    assert net.refusing() == 20
+
+
+def test_crash_with_the_most_calls_fits_one_datagram() -> None:
+    """Guards against datagrams that are cut, or that are judged in parts."""
+    net = Net(2, 2)
+    net.deliver(0.0, random.Random(1))
+    node, now = net.nodes[0], clock.now()
+    for index in range(2 * crashes.MAX_BLAMED):
+        node.on_lost(make_call(f"/view/{index}"), now)
+    node.on_refused("i" * 200, now + crashes.SETTLE_S)
+    for index in range(2 * crashes.MAX_BLAMED):
+        for _ in range(2 * containment.MAX_CLEAN_RUNS if index > 94 else 0):
+            node.on_answered(make_call(f"/view/{index}"))
+    sent = [data for _, _, data in net.sent if data[:1] == containment.CRASH_KIND]
+    net.sent.clear()
+    node.look(now)
+    sent += [data for _, _, data in net.sent if data[:1] == containment.CRASH_KIND]
+    assert len(sent) >= 2
+    longest = max(map(len, sent))
+    # All counts may be as long as the highest one.
+    assert longest + 2 * crashes.MAX_BLAMED <= loads.MAX_DATAGRAM_BYTES
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xc1",
+        msgspec.msgpack.encode(["x", 0, [b"12345678"], []]),
+        msgspec.msgpack.encode(["x", -5, [b"12345678"], [0]]),
+    ],
+)
+def test_crash_that_is_not_readable_is_counted_and_dropped(body: bytes) -> None:
+    net = Net(2, 2)
+    net.exchanges[0].datagram_received(b"C" + body, (net.hosts[1], 7000))
+    assert net.exchanges[0].unreadable_datagrams == 1
