Let an answer explain only the losses before its question

Cause: an endpoint that answered a poll under its known identity cleared all lost calls, also those that were lost after the poll had been asked.

--- a/src/snipelink/decide/crashes.py
+++ b/src/snipelink/decide/crashes.py
@@ -98,9 +98,8 @@
 
     def on_answer(self, asked_at: float) -> None:
         """Note that the same process answered a question asked at `asked_at`."""
-        settled_at = self.settled_at
-        if settled_at is not None and asked_at >= settled_at:
-            self._losses.clear()
+        while self._losses and self._losses[0].at + SETTLE_S <= asked_at:
+            self._losses.popleft()
         if self._is_gone:
             # A process may start again under the identity that it had.
             self._is_gone = False
--- a/tests/decide/test_crashes.py
+++ b/tests/decide/test_crashes.py
@@ -162,3 +162,15 @@
     assert crashes.is_acquitted(2, 3)
     assert not crashes.is_acquitted(6, 6)
     assert crashes.is_acquitted(6, 7)
+
+
+def test_answer_explains_only_losses_before_its_question() -> None:
+    """Guards against a reset that hides the crash just after it."""
+    detector = crashes.Detector("n1")
+    lose(detector, 10.0, "reset")
+    asked_at = 10.0 + crashes.SETTLE_S
+    lose(detector, asked_at + 0.001, "crashed")
+    detector.on_answer(asked_at)
+    crash = detector.on_refused("i-1", asked_at + 0.05)
+    assert crash is not None
+    assert crash.fingerprints == ("crashed",)
