--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 
 from result import Err, Ok, Result
 
@@ -79,6 +80,12 @@
         Names of the mesh's own headers.
     silent : Silences or None
         Receives connections that go silent.
+
+    Attributes
+    ----------
+    refused_at : float
+        Monotonic time in seconds at which the endpoint last refused a connection:
+        there is no process that listens.
     """
 
     def __init__(
@@ -95,6 +102,7 @@
         self.connections_opened = 0
         self.unexpected_answers = 0
         self.polls_repeated = 0
+        self.refused_at = -math.inf
 
     async def send(self, exchange: Exchange) -> Result[http.Response, errors.Failure]:
         """Return the complete answer to a request.
@@ -241,6 +249,8 @@
         try:
             stream = await self._silences.connect(role, self.address, timeout_s)
         except OSError as error:
+            if isinstance(error, ConnectionRefusedError):
+                self.refused_at = clock.now()
             return _fail(errors.Kind.UNREACHABLE, f"endpoint: {error}")
         self.connections_opened += 1
         return Ok(_Opened(stream, is_kept=False))
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -19,6 +19,7 @@
     attempts,
     callers,
     catalog,
+    containment,
     dispatch,
     endpoint,
     health,
@@ -106,8 +107,20 @@
         self._poll_client = endpoint.EndpointClient(
             own.endpoint_address, names, self.silences
         )
+        self._exchange = loads.LoadExchange(
+            own.host, own.load_port, self._loads, self._load, self._on_report, rng
+        )
+        self._containment = containment.Containment(
+            f"{own.node}.{self._started_ms}", self._exchange, self._metrics, rng
+        )
         self._runner = admission.Runner(
-            self._endpoint, names, rng, now, self._on_calls_change, self._rhythm
+            self._endpoint,
+            names,
+            rng,
+            now,
+            self._on_calls_change,
+            self._rhythm,
+            self._containment,
         )
         self._peers = peers.PeerClient(own.peer_port, self.silences)
         self._peer_port = peers.PeerPort(
@@ -116,9 +129,6 @@
         self._interest = interest.Interest(own.host)
         self._followed: dict[str, bool] = {}
         self._rng = rng
-        self._exchange = loads.LoadExchange(
-            own.host, own.load_port, self._loads, self._load, self._on_report, rng
-        )
         running = attempts.Attempts(
             own,
             self._catalog,
@@ -129,7 +139,7 @@
             rng,
         )
         self._dispatcher = dispatch.Dispatcher(
-            own, names, self._catalog, running, self._metrics, rng
+            own, names, self._catalog, running, self._containment, self._metrics, rng
         )
         self._callers = callers.CallerPort(
             self._dispatcher, names, self._limits, self._metrics
@@ -280,6 +290,9 @@
                 logger.warning("node is silent", extra={"fields": {"host": host}})
             for host in back:
                 logger.info("node is heard again", extra={"fields": {"host": host}})
+            if back:
+                self._containment.on_heard_again()
+            self._containment.look(now)
             self._loads.expire(self._followed, now)
             if self._is_source_away(now):
                 self._catalog.on_source_away(now)
@@ -332,6 +345,8 @@
             self._poller.look_by(now)
         if self._runner.slots.waiting_count:
             self._poller.look_by(now + health.WAITING_LOOK_S)
+        if self._runner.loss_settled_at is not None:
+            self._poller.look_by(self._runner.loss_settled_at)
 
     def _on_catalog(self) -> None:
         now = clock.now()
