Send no calls to endpoints of an evacuated failure domain

Cause: the store's op/evacuate/ZONE was watched but not read. Evidence: test_evacuated_failure_domain_gets_no_calls_until_it_is_taken_back, over sockets, with the catalog as it was: assert not [Seen(...), ...], that is, the emptied endpoint got calls; after: passes. What joins or leaves there later gets no calls at all. Nodes pass evacuations on with the published state and its changes.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -35,12 +35,16 @@
         Added or changed endpoints.
     removed : tuple of str
         Identities of endpoints that are gone or no longer readable.
+    evacuated, restored : tuple of str
+        Failure domains that are to be evacuated, and those that are taken back.
     """
 
     revision: int
     configurations: tuple[objects.Configuration, ...] = ()
     instances: tuple[objects.Instance, ...] = ()
     removed: tuple[str, ...] = ()
+    evacuated: tuple[str, ...] = ()
+    restored: tuple[str, ...] = ()
 
 
 class Catalog:
@@ -57,6 +61,7 @@
         self.revision = 0
         self.table: objects.RouteTable | None = None
         self.instances_by_id: dict[str, objects.Instance] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._ready_by_service: dict[str, list[objects.Instance]] = {}
         self._last_resort_until_by_id: dict[str, tuple[objects.Instance, float]] = {}
         self._lapses_until = 0.0
@@ -79,7 +84,8 @@
         """Return all that is known, for another node."""
         configuration = self.table.configuration if self.table else None
         instances = tuple(self.instances_by_id.values())
-        return objects.Published(self.revision, configuration, instances)
+        evacuated = tuple(sorted(self._evacuated))
+        return objects.Published(self.revision, configuration, instances, evacuated)
 
     def changes_since(self, revision: int) -> Changes | None:
         """Return what changed after a revision; None if that is no longer known."""
@@ -96,6 +102,7 @@
             return False
         if published.configuration is not None:
             self._set_configuration(published.configuration)
+        self._set_evacuated(frozenset(published.evacuated), now)
         present = {instance.id: instance for instance in published.instances}
         for name in [n for n in self.instances_by_id if n not in present]:
             self._remove(name, now)
@@ -112,11 +119,13 @@
             return
         for configuration in changes.configurations:
             self._set_configuration(configuration)
+        left = self._evacuated.difference(changes.restored)
+        self._set_evacuated(left.union(changes.evacuated), now)
         for name in changes.removed:
             self._remove(name, now)
         for instance in changes.instances:
             self._set_instance(instance, now)
-        if changes.removed or changes.instances:
+        if changes != Changes(changes.revision):
             self._group()
         self._kept.append((self.revision, changes))
         self.revision = changes.revision
@@ -128,7 +137,8 @@
     def usable(self, service: str, now: float) -> Collection[objects.Instance]:
         """Return the endpoints of a service that may receive calls.
 
-        Those that leave or were just removed are returned only if there is no other.
+        Those that leave, were just removed or are in a failure domain that has just
+        been evacuated are returned only if there is no other.
         """
         ready = self._ready_by_service.get(service)
         if ready:
@@ -144,7 +154,7 @@
     def is_usable(self, instance: str, now: float) -> bool:
         """Whether an endpoint may still receive calls, as a last resort or not."""
         known = self.instances_by_id.get(instance)
-        if known is not None and not known.leaving:
+        if known is not None and self._is_ready(known):
             return True
         _, until = self._last_resort_until_by_id.get(instance, (None, 0.0))
         return now < until
@@ -153,10 +163,25 @@
         """Group the endpoints that are ready, as each call looks at them."""
         self._ready_by_service = {}
         for instance in self.instances_by_id.values():
-            if not instance.leaving:
+            if self._is_ready(instance):
                 ready = self._ready_by_service.setdefault(instance.service, [])
                 ready.append(instance)
 
+    def _is_ready(self, instance: objects.Instance) -> bool:
+        return not instance.leaving and instance.failure_domain not in self._evacuated
+
+    def _set_evacuated(self, domains: frozenset[str], now: float) -> None:
+        """Take over which failure domains are to be evacuated."""
+        before = self._evacuated
+        if domains == before:
+            return
+        for instance in self.instances_by_id.values():
+            if instance.failure_domain in domains - before and not instance.leaving:
+                self._keep_as_last_resort(instance, now)
+        self._evacuated = domains
+        fields = {"evacuated": sorted(domains), "before": sorted(before)}
+        logger.info("evacuated domains have changed", extra={"fields": fields})
+
     def _set_configuration(self, configuration: objects.Configuration) -> None:
         if configuration.version <= self.version:
             return
@@ -201,6 +226,9 @@
         _log("endpoint is no longer published", instance, leaving=instance.leaving)
 
     def _keep_as_last_resort(self, instance: objects.Instance, now: float) -> None:
+        if instance.failure_domain in self._evacuated:
+            # Its time runs since the evacuation, and not anew since it leaves.
+            return
         until = max(now + self._last_resort_s, self._lapses_until)
         self._last_resort_until_by_id[instance.id] = (instance, until)
 
@@ -209,7 +237,10 @@
     """Return successive changes as one."""
     instances_by_id: dict[str, objects.Instance] = {}
     removed: dict[str, None] = {}
+    evacuated: dict[str, bool] = {}
     for changes in series:
+        evacuated |= dict.fromkeys(changes.restored, False)
+        evacuated |= dict.fromkeys(changes.evacuated, True)
         for name in changes.removed:
             instances_by_id.pop(name, None)
             removed[name] = None
@@ -221,6 +252,8 @@
         tuple(each for changes in series for each in changes.configurations),
         tuple(instances_by_id.values()),
         tuple(removed),
+        tuple(domain for domain, is_evacuated in evacuated.items() if is_evacuated),
+        tuple(domain for domain, is_evacuated in evacuated.items() if not is_evacuated),
     )
 
 
--- a/src/snipelink/mesh/objects.py
+++ b/src/snipelink/mesh/objects.py
@@ -101,11 +101,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Published:
-    """All that is published, as of one revision."""
+    """All that is published, as of one revision.
+
+    Attributes
+    ----------
+    evacuated : tuple of str
+        Failure domains to whose endpoints nothing more may be sent.
+    """
 
     revision: int
     configuration: Configuration | None
     instances: tuple[Instance, ...]
+    evacuated: tuple[str, ...] = ()
 
 
 class RouteTable:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -158,11 +158,13 @@
         self,
         configuration: objects.Configuration | None = None,
         instances: tuple[objects.Instance, ...] | None = None,
+        evacuated: tuple[str, ...] = (),
     ) -> None:
         self.state = objects.Published(
             self.state.revision + 1,
             configuration or self.state.configuration,
             self.state.instances if instances is None else instances,
+            evacuated,
         )
         self._changed.set()
         self._changed = asyncio.Event()
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -7,9 +7,9 @@
 
 
 def _instance(
-    name: str, *, leaving: bool = False, born_ms: int = 0
+    name: str, *, leaving: bool = False, born_ms: int = 0, domain: str = "a"
 ) -> objects.Instance:
-    return objects.Instance(name, "rota", "10.0.0.1", "a", leaving, born_ms)
+    return objects.Instance(name, "rota", "10.0.0.1", domain, leaving, born_ms)
 
 
 def _catalog(*instances: objects.Instance, revision: int = 5) -> catalog.Catalog:
@@ -74,16 +74,20 @@
         known.sync(objects.Published(5, None, (_instance("a"), _instance("b"))), NOW)
     first.apply(catalog.Changes(6, removed=("a",)), NOW)
     first.apply(catalog.Changes(7, instances=(_instance("c"),)), NOW)
+    first.apply(catalog.Changes(8, evacuated=("a", "d")), NOW)
     first.apply(catalog.Changes(9, instances=(_instance("a"),), removed=("c",)), NOW)
-    for after in (5, 6, 7, 8, 9):
+    first.apply(catalog.Changes(10, restored=("d",)), NOW)
+    for after in (5, 6, 7, 8, 9, 10):
         changes = first.changes_since(after)
         assert changes is not None
-        assert changes.revision == 9
+        assert changes.revision == 10
     changes = first.changes_since(5)
     assert changes is not None
     second.apply(changes, NOW)
     assert second.instances_by_id == first.instances_by_id
     assert second.revision == first.revision
+    assert first.published().evacuated == ("a",)
+    assert second.published().evacuated == first.published().evacuated
 
 
 def test_changes_that_are_no_longer_known_are_not_made_up() -> None:
@@ -97,3 +101,51 @@
         known.apply(catalog.Changes(revision), NOW)
     assert known.changes_since(9) is None
     assert known.changes_since(known.revision - 1) is not None
+
+
+def _evacuated() -> catalog.Catalog:
+    """Return a catalog with one of two failure domains evacuated at `NOW`."""
+    known = _catalog(_instance("a"), _instance("b", domain="b"))
+    known.apply(catalog.Changes(6, evacuated=("a",)), NOW)
+    return known
+
+
+def test_evacuated_domain_gets_no_calls_until_it_is_taken_back() -> None:
+    known = _evacuated()
+    assert _usable(known) == ["b"]
+    known.apply(catalog.Changes(7, instances=(_instance("c"),)), NOW + 9.0)
+    assert _usable(known, NOW + 9.0) == ["b"]
+    assert not known.is_usable("c", NOW + 9.0)
+    known.apply(catalog.Changes(8, restored=("a",)), NOW + 10.0)
+    assert sorted(_usable(known, NOW + 10.0)) == ["a", "b", "c"]
+    assert known.is_usable("a", NOW + 20.0)
+
+
+def test_evacuated_domain_is_a_last_resort_for_a_short_time() -> None:
+    known = _evacuated()
+    known.apply(catalog.Changes(7, removed=("b",)), NOW)
+    assert sorted(_usable(known, NOW + 0.5)) == ["a", "b"]
+    assert known.is_usable("a", NOW + 0.5)
+    assert _usable(known, NOW + DRAIN_S) == []
+    assert not known.is_usable("a", NOW + DRAIN_S)
+
+
+def test_endpoint_that_leaves_an_evacuated_domain_is_no_last_resort_anew() -> None:
+    known = _evacuated()
+    late = NOW + 4.5
+    known.apply(catalog.Changes(7, instances=(_instance("a", leaving=True),)), late)
+    assert not known.is_usable("a", late)
+    known.apply(catalog.Changes(8, removed=("a",)), late)
+    assert not known.is_usable("a", late)
+
+
+def test_evacuation_is_part_of_the_whole_state() -> None:
+    known = _catalog(_instance("a"), _instance("b", domain="b"))
+    published = objects.Published(6, None, (_instance("a"),), ("a",))
+    known.sync(published, NOW)
+    assert known.published() == published
+    started = catalog.Catalog(DRAIN_S)
+    started.sync(published, NOW)
+    assert _usable(started) == []
+    known.sync(objects.Published(7, None, (_instance("a"),)), NOW)
+    assert _usable(known) == ["a"]
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -726,3 +726,26 @@
         endpoint.cold_ms = 0
         await asking
         assert len([s for s in endpoint.seen if s.at > began + 1.2]) >= 20
+
+
+@run
+async def test_evacuated_failure_domain_gets_no_calls_until_it_is_taken_back() -> None:
+    """Guards against calls to servers of a zone that operators have emptied."""
+    async with fleet.running("rota", "rota") as members:
+        emptied, staying = members
+        instances = (
+            fleet.published(emptied, failure_domain="b"),
+            fleet.published(staying),
+        )
+        for member in members:
+            member.store.publish(instances=instances, evacuated=("b",))
+        await fleet.wait_until(lambda: fleet.is_known(members), 1.0)
+        for member in members:
+            assert await ask_often(member, member.host, per_s=40.0, for_s=0.5) == 20
+        assert not emptied.endpoint.seen
+        fleet.publish(members)
+        await fleet.wait_until(lambda: fleet.is_known(members), 1.0)
+        await fleet.wait_until(lambda: emptied.node.facts()[emptied.endpoint.instance])
+        assert await ask_often(staying, "back", per_s=40.0, for_s=0.5) == 20
+        assert await ask_often(emptied, "own", per_s=40.0, for_s=0.5) == 20
+        assert emptied.endpoint.seen
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -70,7 +70,11 @@
             "has_more": True,
             "as_of": 7,
         },
-        {"items": [server_item("i-3")], "has_more": False, "as_of": 9},
+        {
+            "items": [item("op/evacuate/z-1", b"{}"), server_item("i-3")],
+            "has_more": False,
+            "as_of": 9,
+        },
     ]
     asked: list[str] = []
 
@@ -85,6 +89,7 @@
         assert published.configuration is not None
         assert published.configuration.version == 12
         assert [instance.id for instance in published.instances] == ["i-1", "i-3"]
+        assert published.evacuated == ("z-1",)
         assert "after=servers%2Fi-2" in asked[1]
         assert not any("serializable" in target for target in asked)
 
@@ -119,6 +124,9 @@
         server_item("i-4"),
         {"key": "servers/i-4", "revision": 9, "deleted": True},
         item("elsewhere", b"x"),
+        item("op/evacuate/z-1", b""),
+        item("op/evacuate/z-2", b"{}"),
+        {"key": "op/evacuate/z-2", "revision": 10, "deleted": True},
     ]
 
     async def check() -> None:
@@ -129,6 +137,7 @@
         assert [i.id for i in changes.instances] == ["i-1"]
         assert changes.instances[0].leaving
         assert set(changes.removed) == {"i-2", "i-3", "i-4"}
+        assert (changes.evacuated, changes.restored) == (("z-1",), ("z-2",))
 
     asyncio.run(check())
 
