Let no timer win over a connection or an end that came in a stall

After a stall of more than half a second while a connection to the endpoint was opened, the endpoint counted as down and its waiting calls were refused; an answer without a length whose end came in the stall was answered with 504. Cause: the time-out of connecting won over a connection that was open, and unread bytes were looked at, but not the end of the stream. Evidence, before: test_stall_while_connecting_does_not_count_as_an_endpoint_that_is_down: Failure(kind=UNREACHABLE), test_answer_that_ends_with_its_connection_is_delivered_ after_a_stall: Failure(kind=DEADLINE_UNKNOWN); after: both pass. Change: one function for all of these; a deadline that is due late by more than 20 ms lets what has arrived be read for 50 ms. It takes no task of its own any more.

--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -232,38 +232,36 @@
         If it cannot be opened in time.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
-        _, channel = await loop.create_connection(
-            functools.partial(Channel, probes), *address
-        )
+    opening = loop.create_connection(functools.partial(Channel, probes), *address)
+    _, channel = await finish_by(clock.now() + timeout_s, opening)
     return channel
 
 
-async def finish_by(
-    deadline: float, work: typing.Coroutine[typing.Any, typing.Any, T]
-) -> T:
-    """Return the result of `work`, which takes an answer that must come in time.
+async def finish_by(deadline: float, work: typing.Awaitable[T]) -> T:
+    """Return the result of `work`, which takes what must come by a deadline.
 
     After a stall of the process the deadline is due in the same turn of the event loop
-    as bytes that arrived long before; these are read first.
+    as what arrived long before; this is taken first.
 
     Raises
     ------
     TimeoutError
         If the deadline passes; `work` is cancelled.
     """
-    task = asyncio.ensure_future(work)
-    try:
-        await asyncio.wait((task,), timeout=max(0.0, deadline - clock.now()))
-        if not task.done() and clock.now() - deadline > STALL_S:
-            await asyncio.wait((task,), timeout=READ_UNREAD_S)
-        if not task.done():
-            raise TimeoutError
-        return task.result()
-    finally:
-        if not task.done():
-            task.cancel()
-            await asyncio.wait((task,))
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as limit:
+        left_s = max(0.0, deadline - clock.now())
+        timer = loop.call_later(left_s, _expire, limit, deadline)
+        try:
+            return await work
+        finally:
+            timer.cancel()
+
+
+def _expire(limit: asyncio.Timeout, deadline: float) -> None:
+    now = asyncio.get_running_loop().time()
+    has_stalled = clock.now() - deadline > STALL_S
+    limit.reschedule(now + READ_UNREAD_S if has_stalled else now)
 
 
 async def run_while_open(
