Use no connection to a former address of the endpoint after a reload

Calls and polls went on to the former address while its connections were kept. Evidence: test_connection_to_a_former_address_is_not_used_after_a_reload, before: ['former', 'former'] == ['former', 'present']; after: passes. Change: a kept connection remembers the address to which it was opened.

--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -35,6 +35,7 @@
     """An idle connection, since a monotonic time, usable for some seconds."""
 
     stream: channel.Channel
+    address: channel.Address
     since: float
     limit_s: float
 
@@ -44,6 +45,7 @@
     """A connection for one request, and whether its time passed without a byte."""
 
     stream: channel.Channel
+    address: channel.Address
     is_kept: bool
     is_silent: bool = False
 
@@ -164,7 +166,7 @@
             if isinstance(outcome, Ok) and reader.reusable and reader.is_clean():
                 kept = stream.is_idle
                 if kept:
-                    self._keep(stream, outcome.ok_value)
+                    self._keep(opened, outcome.ok_value)
             return outcome
         except TimeoutError:
             opened.is_silent = stream.is_idle and not reader.started
@@ -234,8 +236,9 @@
             if not exchange.idempotent:
                 limit_s = min(limit_s, MAX_IDLE_ONCE_S)
             usable = kept.stream.is_idle and now - kept.since < limit_s
+            usable = usable and kept.address == self.address
             if usable and self._silences.doubt.is_trusted(self.address, kept.since):
-                return Ok(_Opened(kept.stream, is_kept=True))
+                return Ok(_Opened(kept.stream, kept.address, is_kept=True))
             if not kept.stream.is_idle:
                 self.unexpected_answers += not kept.stream.is_lost
             kept.stream.close()
@@ -245,25 +248,26 @@
         timeout_s = min(CONNECT_TIMEOUT_S, exchange.deadline - clock.now())
         if timeout_s <= 0.0:
             return _fail(errors.Kind.DEADLINE_NOT_RUN, "no time left to connect")
-        role = silences.Role.ENDPOINT
+        role, address = silences.Role.ENDPOINT, self.address
         try:
-            stream = await self._silences.connect(role, self.address, timeout_s)
+            stream = await self._silences.connect(role, address, timeout_s)
         except OSError as error:
             if isinstance(error, ConnectionRefusedError):
                 self.refused_at = clock.now()
             return _fail(errors.Kind.UNREACHABLE, f"endpoint: {error}")
         self.connections_opened += 1
-        return Ok(_Opened(stream, is_kept=False))
+        return Ok(_Opened(stream, address, is_kept=False))
 
-    def _keep(self, stream: channel.Channel, response: http.Response) -> None:
+    def _keep(self, opened: _Opened, response: http.Response) -> None:
         limit_s = MAX_IDLE_S
         stated = header_rules.keep_alive_s(response.headers)
         if stated is not None:
             limit_s = min(limit_s, stated * IDLE_SHARE)
         if limit_s <= 0.0 or len(self._kept) >= MAX_IDLE_CONNECTIONS:
-            stream.close()
+            opened.stream.close()
             return
-        self._kept.append(_Kept(stream, clock.now(), limit_s))
+        kept = _Kept(opened.stream, opened.address, clock.now(), limit_s)
+        self._kept.append(kept)
 
 
 def encode(method: str, target: str, headers: model.Headers, body: bytes) -> bytes:
