Start a node's task again after a cancellation from inside

A task that follows loads, polls or watches would have ended for good, as CancelledError is not an Exception. Evidence: test_task_that_is_cancelled_from_inside_runs_again, before: TimeoutError after 2 s; after: passes. Change: only a cancellation of the task itself ends it.

--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -455,6 +455,12 @@
     while True:
         try:
             await work()
+        except asyncio.CancelledError:
+            running = asyncio.current_task()
+            if running is None or running.cancelling():
+                raise
+            # Not this task has been cancelled, but something that it waited for.
+            logger.exception("task has failed", extra={"fields": {"task": name}})
         except Exception:
             logger.exception("task has failed", extra={"fields": {"task": name}})
         await asyncio.sleep(RESTART_S)
