--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -18,7 +18,10 @@
     "drain",
     "vanish",
 )
-KINDS = (*NODE_KINDS, *LINK_KINDS, *STORE_KINDS, *ENDPOINT_KINDS, "publish")
+DRAWN_KINDS = (*NODE_KINDS, *LINK_KINDS, *STORE_KINDS, *ENDPOINT_KINDS, "publish")
+# Open connections of a link go silent for good, while new ones work.
+SILENCE_KIND = "silence-open"
+KINDS = (*DRAWN_KINDS, SILENCE_KIND)
 # Events of a run, and their lengths in seconds.
 MIN_EVENTS, MAX_EVENTS = 4, 10
 MIN_LENGTH_S, MAX_LENGTH_S = 0.2, 2.5
@@ -26,6 +29,9 @@
 TOGETHER_SHARE = 0.35
 # Share of runs with planned work alone, in which nothing at all may be noticed.
 PLANNED_SHARE = 0.3
+# Share of other runs with one silence of open connections. It is drawn apart, so that
+# the other events of a seed stay as they were.
+SILENCE_SHARE = 0.5
 # Seeds whose runs failed once, with four nodes and eight seconds, and the cause.
 KEPT_SEEDS = {
     30: "the soak replaced one endpoint twice at a time",
@@ -52,7 +58,7 @@
 def draw(seed: int, nodes: int, seconds: float) -> list[Event]:
     """Return the events of a run, in order; the same for the same arguments."""
     rng = random.Random(f"soak/{seed}/{nodes}/{seconds}")
-    kinds = KINDS
+    kinds = DRAWN_KINDS
     if rng.random() < PLANNED_SHARE:
         kinds = tuple(sorted(PLANNED))
     events: list[Event] = []
@@ -64,6 +70,10 @@
         event = Event(at, rng.choice(kinds), rng.randrange(nodes), length_s)
         if not any(_excludes(other, event) for other in events):
             events.append(event)
+    apart = random.Random(f"soak/silence/{seed}/{nodes}/{seconds}")
+    if kinds is DRAWN_KINDS and apart.random() < SILENCE_SHARE:
+        at = apart.uniform(0.5, seconds - MAX_LENGTH_S)
+        events.append(Event(at, SILENCE_KIND, apart.randrange(nodes), 0.0))
     return sorted(events, key=lambda event: event.at)
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -151,6 +151,7 @@
             "drain": self._drain,
             "vanish": self._vanish,
             "publish": self._publish,
+            plan.SILENCE_KIND: self._silence_open,
         }
         actions |= dict.fromkeys(plan.LINK_KINDS, self._disturb_link)
         actions |= dict.fromkeys(plan.STORE_KINDS[:3], self._disturb_store)
@@ -193,6 +194,9 @@
         await asyncio.sleep(event.for_s)
         link.mode = ""
 
+    async def _silence_open(self, event: plan.Event) -> None:
+        self._links_by_host[self._nodes[event.node].host].silence_open()
+
     async def _disturb_store(self, event: plan.Event) -> None:
         self._store.mode = event.kind
         await asyncio.sleep(event.for_s)
--- a/tests/bench/soak/test_plan.py
+++ b/tests/bench/soak/test_plan.py
@@ -34,3 +34,10 @@
             if event.kind in ("drain", "vanish")
         ]
         assert len(replaced) == len(set(replaced))
+
+
+def test_silence_of_open_connections_changes_no_other_event_of_a_seed() -> None:
+    drawn = plan.draw(30, 4, 8.0)
+    others = [event.kind for event in drawn if event.kind != plan.SILENCE_KIND]
+    # As drawn when this seed was kept.
+    assert others == ["vanish", "reload", "reload", "drain", "vanish"]
--- a/tests/bench/soak/test_run.py
+++ b/tests/bench/soak/test_run.py
@@ -8,8 +8,8 @@
 from bench.soak import checks, plan, run
 
 SECONDS = 4.0
-# One with planned work alone, and one with several kinds of faults.
-SEEDS = (2, 11)
+# Several kinds of faults; in the last, the open connections of a link go silent.
+SEEDS = (2, 11, 26)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
