Give endpoints longer to acknowledge, and forget restarted nodes

Cause: bytes that an endpoint is slow to read, such as an upload, count as unacknowledged while its window is closed; half a second ended such connections. The start of a process was kept for nodes that had started anew.

--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -125,6 +125,7 @@
 
     def forget(self, host: str) -> None:
         """Close the idle connections to a node that has started anew."""
+        self._started_by_host.pop(host, None)
         for line in self._idle_by_host.pop(host, ()):
             line.connection.stream.abort()
 
--- a/src/snipelink/mesh/silences.py
+++ b/src/snipelink/mesh/silences.py
@@ -17,8 +17,9 @@
 # Nodes are 1 to 2 ms away. Links may lose 15% of the packets for seconds; what was lost
 # is sent again after about 0.2, 0.6 and 1.4 s, so two losses in a row are survived.
 NODE_PROBES = channel.Probes(idle_s=1, interval_s=1, count=2, user_timeout_ms=800)
-# The endpoint is on the same machine, where no packets are lost.
-ENDPOINT_PROBES = channel.Probes(idle_s=1, interval_s=1, count=1, user_timeout_ms=500)
+# The endpoint is on the same machine, where no packets are lost; but bytes that it is
+# slow to read count as unacknowledged while its window is closed.
+ENDPOINT_PROBES = channel.Probes(idle_s=1, interval_s=1, count=1, user_timeout_ms=1000)
 
 
 class Role(enum.Enum):
