--- a/tests/mesh/test_sending.py
+++ b/tests/mesh/test_sending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 
 import pytest
@@ -208,6 +209,24 @@
         each.close()
 
 
+@run
+async def test_body_that_is_still_on_its_way_is_not_sent_again() -> None:
+    """On a slow link, each large body would otherwise be sent three times."""
+    host, proxy_host = loopback.next_host(), loopback.next_host()
+    link, runner = links.Link(host, proxy_host, PORT, {}), _Slow()
+    await link.start()
+    port = peers.PeerPort(received.Received(runner, 1), catalog.Catalog(2.0))
+    await port.start((host, PORT))
+    client = peers.PeerClient(PORT, silences.Silences())
+    assert (await client.call(proxy_host, INSTANCE, _call("c0"))).is_success
+    link.mode = "delay"
+    upload = dataclasses.replace(_call("c1", for_s=5.0), body=b"x" * 600_000)
+    assert (await client.call(proxy_host, INSTANCE, upload)).is_success
+    assert client.calls_sent_again == 0
+    for each in (client, port, link):
+        each.close()
+
+
 class _Port:
     """Sends attempts to a node's runs on connections of their own."""
 
