--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -8,6 +8,7 @@
 import typing
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest import mock
 
 import hypothesis
 import hypothesis.strategies as st
@@ -21,6 +22,7 @@
     attempts,
     calls,
     catalog,
+    containment,
     dispatch,
     loads,
     objects,
@@ -277,13 +279,17 @@
         ),
         clock.now(),
     )
+    rng = random.Random(1)
     return dispatch.Dispatcher(
         subject.own,
         fleet.NAMES,
         subject.catalog,
         subject.attempts,
+        containment.Containment(
+            "n", mock.create_autospec(loads.LoadExchange), subject.metrics, rng
+        ),
         subject.metrics,
-        random.Random(1),
+        rng,
     )
 
 
--- a/tests/mesh/test_containment.py
+++ b/tests/mesh/test_containment.py
@@ -12,7 +12,7 @@
 from snipelink import clock, errors
 from snipelink.decide import crashes, rhythm
 from snipelink.generated import mesh
-from snipelink.mesh import calls, channel, containment, loads, peers
+from snipelink.mesh import calls, channel, containment, loads, peers, silences
 from snipelink.observe import metrics
 from snipelink.session import http
 from tests.mesh import fleet
@@ -297,7 +297,7 @@
             await contain(members)
             await asyncio.sleep(KNOWN_WITHIN_S)
             reached = killers_seen(members)
-            client = peers.PeerClient(fleet.PEER_PORT)
+            client = peers.PeerClient(fleet.PEER_PORT, silences.Silences())
             for member in members:
                 instance = member.endpoint.instance
                 outcome = await client.call(member.host, instance, make_call())
