Never run an attempt again that has been forgotten

Cause: a machine stood still from 9.7 to 13.0 s with the call running. Its caller's node sent the attempt again; the sending was read after the machine woke up, when the attempt had passed its deadline by more than two seconds and was forgotten, so it ran as a new one. Change: attempts are numbered upwards by their sender, and a node keeps the highest number of each sender that it has forgotten; what is not above it may have run, and is answered so. An attempt that still runs is not forgotten.

--- a/src/snipelink/mesh/messages.py
+++ b/src/snipelink/mesh/messages.py
@@ -36,6 +36,17 @@
     started_ms: int
 
 
+def identity(sender: str, number: int) -> str:
+    """Return the unique name of an attempt of a process, numbered upwards."""
+    return f"{sender}-{number}"
+
+
+def split_identity(name: str) -> tuple[str, int]:
+    """Return the sending process and the number of an attempt."""
+    sender, _, number = name.rpartition("-")
+    return sender, int(number) if number.isascii() and number.isdigit() else 0
+
+
 def encode_call(call: calls.Call, instance: str, attempt: Attempt, now: float) -> bytes:
     """Return the message that asks a node to run a call."""
     return _encoder.encode(
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -78,7 +78,7 @@
             if isinstance(opened, Err):
                 return calls.Outcome(failure=opened.err_value)
             line = opened.ok_value
-        identity = f"{self._prefix}-{next(self._numbers)}"
+        identity = messages.identity(self._prefix, next(self._numbers))
         sent = sending.Sending(call, address, instance, identity, self._silences)
         self._in_flight.add(sent)
         sent_at = clock.now()
--- a/src/snipelink/mesh/received.py
+++ b/src/snipelink/mesh/received.py
@@ -67,8 +67,9 @@
             collections.OrderedDict()
         )
         self._held_bytes = 0
-        # Monotonic time until which an attempt may be unknown though it has arrived.
-        self._forgetful_until = 0.0
+        # Highest number of an attempt that was forgotten, by the sending process; its
+        # attempts are numbered upwards.
+        self._forgotten_by_sender: dict[str, int] = {}
         self.in_flight = 0
 
     async def serve(self, connection: frames.FrameChannel, message: mesh.Call) -> bool:
@@ -83,7 +84,7 @@
         now = clock.now()
         self._forget(now)
         run = self._runs_by_attempt.get(message.attempt) if message.attempt else None
-        if run is None and message.sending and not self._knows_all(message, now):
+        if run is None and not self._is_new(message):
             unknown = _lost("the node cannot tell whether the call has run")
             return await self._reply(connection, message.call_id, unknown)
         if run is None:
@@ -97,9 +98,17 @@
             run.holder, run.sending = connection, message.sending
         return await self._finish(connection, run)
 
-    def _knows_all(self, message: mesh.Call, now: float) -> bool:
-        """Whether an attempt that is unknown here has certainly not arrived before."""
-        return message.started_ms == self._started_ms and now > self._forgetful_until
+    def _is_new(self, message: mesh.Call) -> bool:
+        """Whether an attempt that is not remembered has certainly not arrived before.
+
+        Any sending may have been held up for long, as by a machine that stood still.
+        """
+        if not message.attempt:
+            return True
+        if message.sending and message.started_ms != self._started_ms:
+            return False
+        sender, number = messages.split_identity(message.attempt)
+        return number > self._forgotten_by_sender.get(sender, -1)
 
     def _start(
         self, connection: frames.FrameChannel, message: mesh.Call, now: float
@@ -169,16 +178,18 @@
         run.task = dropped
 
     def _forget(self, now: float) -> None:
-        """Forget attempts that are not sent again, the oldest first."""
+        """Forget attempts that have ended and are not sent again, the oldest first."""
         while self._runs_by_attempt:
             identity, run = next(iter(self._runs_by_attempt.items()))
-            if now <= run.until:
-                if len(self._runs_by_attempt) < MAX_REMEMBERED:
-                    return
-                self._forgetful_until = max(self._forgetful_until, run.until)
+            is_full = len(self._runs_by_attempt) >= MAX_REMEMBERED
+            if not run.task.done() or (now <= run.until and not is_full):
+                return
             del self._runs_by_attempt[identity]
             self._held_bytes -= run.held_bytes
             run.held_bytes = 0
+            sender, number = messages.split_identity(identity)
+            known = self._forgotten_by_sender.get(sender, -1)
+            self._forgotten_by_sender[sender] = max(known, number)
 
 
 def _outcome(run: asyncio.Future[calls.Outcome]) -> calls.Outcome:
