--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -280,14 +280,14 @@
         clock.now(),
     )
     rng = random.Random(1)
+    exchange = mock.create_autospec(loads.LoadExchange, instance=True)
+    exchange.receivers_by_kind = {}
     return dispatch.Dispatcher(
         subject.own,
         fleet.NAMES,
         subject.catalog,
         subject.attempts,
-        containment.Containment(
-            "n", mock.create_autospec(loads.LoadExchange), subject.metrics, rng
-        ),
+        containment.Containment("n", exchange, subject.metrics, rng),
         subject.metrics,
         rng,
     )
