Count the time of a call from the first byte of its frame

Cause: a node took the time that is left of a call, as told by the node that sent it, from the moment at which the whole frame had been read. What callers saw: nothing directly. A large body on a slow link took its time, and the endpoint was told that time again: more than its caller had left. Change: FrameChannel notes when the frame that it returns began to arrive, and the times of a received call count from there. Why it works: the start is noted when bytes arrive for an empty buffer, and is moved to the last bytes when a frame is taken out, as for requests of callers.

--- a/src/snipelink/mesh/frames.py
+++ b/src/snipelink/mesh/frames.py
@@ -4,6 +4,7 @@
 
 import enum
 
+from snipelink import clock
 from snipelink.mesh import channel
 from snipelink.session import frames
 
@@ -30,11 +31,19 @@
     ----------
     stream : Channel
         The connection.
+
+    Attributes
+    ----------
+    frame_since : float
+        Monotonic time at which the frame that was returned last began to arrive.
     """
 
     def __init__(self, stream: channel.Channel) -> None:
         self.stream = stream
         self._buffer = bytearray()
+        # Times of the first byte in the buffer, and of the last bytes.
+        self._begun_at = self._fed_at = clock.now()
+        self.frame_since = self._begun_at
 
     @property
     def is_idle(self) -> bool:
@@ -65,6 +74,10 @@
                 if self._buffer:
                     raise frames.FrameError("connection closed inside a frame")
                 return None
+            self._fed_at = clock.now()
+            if not self._buffer:
+                # A kept connection has been idle until now.
+                self._begun_at = self._fed_at
             self._buffer += data
 
     def _take(self) -> tuple[Kind, bytes] | None:
@@ -78,6 +91,8 @@
             return None
         payload = bytes(self._buffer[start:end])
         del self._buffer[:end]
+        # What is left came with the last bytes.
+        self.frame_since, self._begun_at = self._begun_at, self._fed_at
         try:
             kind = Kind(payload[:1])
         except ValueError:
--- a/src/snipelink/mesh/messages.py
+++ b/src/snipelink/mesh/messages.py
@@ -65,8 +65,14 @@
     return _call_decoder.decode(payload)
 
 
-def to_call(message: mesh.Call, now: float) -> calls.Call:
-    """Return the call that a message asks for."""
+def to_call(message: mesh.Call, arrived: float) -> calls.Call:
+    """Return the call that a message asks for.
+
+    Parameters
+    ----------
+    arrived : float
+        Monotonic time at which the message began to arrive; its times count from it.
+    """
     return calls.Call(
         message.call_id,
         message.service,
@@ -75,9 +81,9 @@
         message.target,
         [(name, value) for name, value in message.headers],
         message.body,
-        now,
-        now + message.target_ms / 1000.0,
-        now + message.remaining_ms / 1000.0,
+        arrived,
+        arrived + message.target_ms / 1000.0,
+        arrived + message.remaining_ms / 1000.0,
         message.priority,
         message.idempotent,
         message.work_ms / 1000.0,
--- a/src/snipelink/mesh/received.py
+++ b/src/snipelink/mesh/received.py
@@ -87,7 +87,7 @@
             unknown = _lost("the node cannot tell whether the call has run")
             return await self._reply(connection, message.call_id, unknown)
         if run is None:
-            run = self._start(connection, message, now)
+            run = self._start(connection, message)
         elif message.sending <= run.sending:
             # An earlier sending that was held up on the way.
             return False
@@ -101,10 +101,9 @@
         """Whether an attempt that is unknown here has certainly not arrived before."""
         return message.started_ms == self._started_ms and now > self._forgetful_until
 
-    def _start(
-        self, connection: frames.FrameChannel, message: mesh.Call, now: float
-    ) -> _Run:
-        call = messages.to_call(message, now)
+    def _start(self, connection: frames.FrameChannel, message: mesh.Call) -> _Run:
+        # The caller's time runs while the message arrives.
+        call = messages.to_call(message, connection.frame_since)
         task = asyncio.ensure_future(self._runner.run(call, message.instance))
         until = call.deadline + REMEMBER_S
         run = _Run(
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from snipelink import clock
 from snipelink.generated import mesh
 from snipelink.mesh import channel, frames, node
 from snipelink.session import frames as framing
@@ -74,3 +75,43 @@
             assert received[0] is frames.Kind.REPLY
 
     asyncio.run(check())
+
+
+@test_node.run
+async def test_time_of_a_call_does_not_run_while_its_connection_is_idle() -> None:
+    """Guards against counting the time between two calls on a kept connection."""
+    async with fleet.running("rota") as members:
+        stream = await connect(members[0])
+        connection = frames.FrameChannel(stream)
+        for call_id in ("c1", "c2"):
+            stream.write(call_frame(members[0], call_id, remaining_ms=2000))
+            received = await connection.receive()
+            assert received is not None
+            assert received[0] is frames.Kind.REPLY
+            await asyncio.sleep(0.8)
+        for seen in members[0].endpoint.seen:
+            assert int(seen.request.header(fleet.NAMES.remaining_ms)) > 1750
+        stream.abort()
+
+
+@test_node.run
+async def test_times_of_frames_that_arrive_together_start_with_their_bytes() -> None:
+    """Guards against counting a frame's time from the start of the one before it."""
+    first, second = (
+        framing.LENGTH.pack(3) + frames.Kind.CALL.value + payload
+        for payload in (b"c1", b"c2")
+    )
+    stream = channel.Channel()
+    connection = frames.FrameChannel(stream)
+    await asyncio.sleep(0.05)
+    began = clock.now()
+    stream.data_received(first[:2])
+    receiving = asyncio.ensure_future(connection.receive())
+    await asyncio.sleep(0.05)
+    stream.data_received(first[2:] + second[:2])
+    assert await receiving == (frames.Kind.CALL, b"c1")
+    assert began <= connection.frame_since < began + 0.04
+    await asyncio.sleep(0.05)
+    stream.data_received(second[2:])
+    assert await connection.receive() == (frames.Kind.CALL, b"c2")
+    assert began + 0.04 < connection.frame_since < began + 0.09
