Wait at a stop for a call whose frame is arriving

Cause: a node that stops counted calls of other nodes from the moment at which the whole frame had been read. While only a part had arrived the node counted as idle and closed the connection. What callers saw: 502 connection-lost from their own node for a call that had not run, and no further attempt if it may run only once: the sender cannot tell. Change: PeerPort counts connections on which bytes of a frame have arrived that was not returned yet, read or not, as calls in flight. Why it works: the stop ends early only without calls in flight. The frame is read to its end and its call is run or refused with a reply. A peer that never ends its frame holds the stop until the end of the grace period at most.

--- a/src/snipelink/mesh/frames.py
+++ b/src/snipelink/mesh/frames.py
@@ -50,6 +50,11 @@
         """Whether the connection is open and nothing has been received."""
         return self.stream.is_idle and not self._buffer
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether bytes of a frame that was not returned yet have arrived."""
+        return not self.is_idle and not self.stream.ended.is_set()
+
     def send(self, kind: Kind, payload: bytes) -> None:
         """Send one frame; raises ``ConnectionError``."""
         head = frames.LENGTH.pack(len(payload) + 1) + kind.value
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -179,12 +179,18 @@
     def __init__(self, runs: received.Received, known: catalog.Catalog) -> None:
         self._received = runs
         self._catalog = known
+        self._connections: set[frames.FrameChannel] = set()
         self._listener: channel.Listener | None = None
 
     @property
     def calls_in_flight(self) -> int:
-        """Calls of other nodes that wait, run or are being answered."""
-        return self._received.in_flight
+        """Calls of other nodes that arrive, wait, run or are being answered.
+
+        A frame that has arrived in part counts as a call: its sender could not tell
+        whether it has run if the connection ended now. Other frames are a few bytes.
+        """
+        arriving = sum(each.is_receiving for each in self._connections)
+        return self._received.in_flight + arriving
 
     async def start(self, address: channel.Address) -> None:
         """Accept connections."""
@@ -199,6 +205,7 @@
         # A call is in flight until the kernel has its reply; see a planned stop.
         stream.drain_fully()
         connection = frames.FrameChannel(stream)
+        self._connections.add(connection)
         try:
             while True:
                 frame = await connection.receive()
@@ -221,6 +228,8 @@
                 "connection of a node is closed",
                 extra={"fields": {"host": stream.peer_host, "error": str(error)}},
             )
+        finally:
+            self._connections.discard(connection)
 
     def _send_published(self, connection: frames.FrameChannel, payload: bytes) -> None:
         request = _request_decoder.decode(payload)
