Answer the calls that a stop cuts off

Cause: a node whose grace period ended closed the connections of its callers although requests on them had no answer: those that waited beside its own endpoint, and those that waited or ran at an endpoint. What callers saw: the connection ended without an answer. They could not tell whether the request had run, also where no endpoint had ever been sent it. Evidence: test_stop_answers_what_still_waits_for_an_endpoint failed before with "the connection ended without an answer"; so did the new test_stop_tells_of_calls_whether_they_may_have_run. Both pass now. Change: 0.4 s before the end of the grace period the node refuses the calls that wait for its own endpoint with `leaving`, those of other nodes too, and starts no further attempt. 0.05 s later it answers its callers' other calls with 502 `connection-lost`, and closes its ports once all answers have been handed to the kernel and their readers have closed, 0.25 s after the start of this at the latest unless the process stalls. The frame of a call is built in tests/mesh/fleet.py now, for both tests that send one. Why it works: the refusals are settled before the rest is cut off, and a call with an attempt that may have run is never told that it has not. `stopped` is not used: its 503 would promise that the call has not run. Calls of other nodes that run end with their connection, which their senders take as an unknown outcome.

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -158,8 +158,7 @@
     def admit(self, now: float) -> None:
         """Start the calls that may start, and refuse those that wait in vain."""
         if not self.state.is_accepting:
-            for key in self.slots.withdraw_all():
-                self._wake(key, errors.Kind.LEAVING, "the endpoint takes no calls")
+            self.refuse_waiting("the endpoint takes no calls")
             return
         started, refused = self.slots.sweep(now)
         for key in started:
@@ -167,6 +166,11 @@
         for each in refused:
             self._wake(each.key, errors.Kind.OVERLOADED, each.reason)
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse all calls that wait: none of them has been sent to the endpoint."""
+        for key in self.slots.withdraw_all():
+            self._wake(key, errors.Kind.LEAVING, reason)
+
     async def _wait(self, key: int) -> calls.Outcome | None:
         """Wait for a slot; return the outcome of a call that is given up."""
         admitted = asyncio.get_running_loop().create_future()
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import random
 
@@ -77,6 +78,9 @@
         self._rng = rng
         # Monotonic time at which this node stops, once that is known.
         self.stops_at: float | None = None
+        self._is_stopping = False
+        # Each call in flight; a time limit is set when the node stops.
+        self._until_stop: set[asyncio.Timeout] = set()
         self._splitters_by_route: dict[objects.Route, split.Splitter] = {}
 
     async def answer(self, request: http.Request, arrived: float) -> http.Response:
@@ -104,14 +108,26 @@
             )
             return self._finish(request, call_id, route.name, outcome, arrived)
         call = self._build(request, call_id, route, arrived)
-        if self.stops_at is not None and call.deadline > self.stops_at:
+        if self._is_stopping or (
+            self.stops_at is not None and call.deadline > self.stops_at
+        ):
             # It may last until its deadline, and must not be cut off before.
             after_s = refusal.retry_after_s(NO_ENDPOINT_RETRY_AFTER_S, self._rng)
             outcome = calls.fail(errors.Kind.LEAVING, "the node is leaving", after_s)
         else:
-            outcome = await self._run(call)
+            outcome = await self._run_until_stop(call)
         return self._finish(request, call_id, route.name, outcome, arrived, call)
 
+    def stop(self) -> None:
+        """Start no further attempts; calls that were refused are told so."""
+        self._is_stopping = True
+
+    def cut_off(self) -> None:
+        """Answer the calls that still wait or run: whether they ran is unknown."""
+        now = asyncio.get_running_loop().time()
+        for limit in self._until_stop:
+            limit.reschedule(now)
+
     def on_catalog_change(self, now: float) -> None:
         """Forget what belongs to routes that are no longer published."""
         self._attempts.on_catalog_change(now)
@@ -165,6 +181,21 @@
         route = table.match(request.host, request.path) if table else None
         return route is not None and route.idempotent
 
+    async def _run_until_stop(self, call: calls.Call) -> calls.Outcome:
+        limit = asyncio.timeout(None)
+        try:
+            async with limit:
+                self._until_stop.add(limit)
+                return await self._run(call)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            # Not `stopped`: its 503 would promise callers that the call has not run.
+            detail = "the node has stopped"
+            return calls.fail(errors.Kind.CONNECTION_LOST, detail, reached=True)
+        finally:
+            self._until_stop.discard(limit)
+
     async def _run(self, call: calls.Call) -> calls.Outcome:
         """Try endpoints until one answers, or there is no use in trying further."""
         tried: set[str] = set()
@@ -210,7 +241,7 @@
         refusals: int,
         now: float,
     ) -> bool:
-        if containment.is_suspect(latest):
+        if self._is_stopping or containment.is_suspect(latest):
             return False
         if arrivals >= call.max_attempts or refusals >= MAX_REFUSALS:
             return False
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -46,6 +46,9 @@
 QUIET_S = 0.4
 # Time before the end of the grace period at which the node stops anyway, seconds.
 STOP_MARGIN_S = 0.4
+# Part of that margin for the answers to calls that are cut off, seconds; they are on
+# the same machine or a few milliseconds away. The rest is for the end of the process.
+STOP_ANSWERS_S = 0.25
 STOP_POLL_S = 0.05
 # Time after which a task that failed starts again, seconds.
 RESTART_S = 0.2
@@ -272,9 +275,26 @@
             if now - started >= MIN_LEAVE_S and quiet and not busy:
                 break
         cut = self._calls_in_flight()
+        if cut:
+            await self._answer_rest(stops_at + STOP_ANSWERS_S)
         self.close()
         return cut
 
+    async def _answer_rest(self, until: float) -> None:
+        """Answer the calls that are cut off, until about a monotonic time."""
+        self._dispatcher.stop()
+        self._runner.refuse_waiting("the node is leaving")
+        # Their refusals arrive before the others are cut off, and say that they have
+        # not run.
+        await asyncio.sleep(STOP_POLL_S)
+        self._dispatcher.cut_off()
+        while True:
+            # After a stall, too, the answers get the time to be written.
+            await asyncio.sleep(STOP_POLL_S)
+            busy = self._calls_in_flight() or self._callers.lingering
+            if not busy or clock.now() + STOP_POLL_S > until:
+                return
+
     def _calls_in_flight(self) -> int:
         return self._callers.requests_in_flight + self._peer_port.calls_in_flight
 
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -9,12 +9,24 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from unittest import mock
 
+import msgspec
+
 from bench import loopback
 from bench.soak import links
 from snipelink import clock
 from snipelink.decide import allowance
-from snipelink.mesh import catalog, channel, node, objects, settings, watcher
+from snipelink.generated import mesh
+from snipelink.mesh import (
+    catalog,
+    channel,
+    frames,
+    node,
+    objects,
+    settings,
+    watcher,
+)
 from snipelink.session import answers, http, memory, requests
+from snipelink.session import frames as framing
 
 NAMES = settings.HeaderNames()
 PATHS = node.Paths(ready="/ready", metrics="/metrics")
@@ -379,6 +391,27 @@
     )
 
 
+def call_frame(member: Member, call_id: str, *, remaining_ms: int) -> bytes:
+    """Return the bytes with which another node sends a call."""
+    call = mesh.Call(
+        call_id,
+        member.endpoint.instance,
+        member.endpoint.service,
+        "GET",
+        "/view/1",
+        [["host", "example"]],
+        b"",
+        remaining_ms,
+        remaining_ms,
+        10,
+        2,
+        True,
+        "archive",
+    )
+    payload = msgspec.msgpack.encode(call)
+    return framing.LENGTH.pack(len(payload) + 1) + frames.Kind.CALL.value + payload
+
+
 async def wait_until(condition: Callable[[], bool], timeout_s: float = 5.0) -> None:
     async with asyncio.timeout(timeout_s):
         while not condition():
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -10,7 +10,7 @@
 
 from snipelink import clock
 from snipelink.decide import placement
-from snipelink.mesh import channel, node, objects, retries
+from snipelink.mesh import channel, frames, messages, node, objects, retries
 from snipelink.session import http
 from tests.mesh import fleet
 
@@ -548,6 +548,53 @@
         assert response is not None, "the connection ended without an answer"
 
 
+def test_stop_tells_of_calls_whether_they_may_have_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a 503 for a call that runs, and no answer for one that waits."""
+    # The own endpoint takes calls until the end, and some still wait for it then.
+    monkeypatch.setattr(node, "ENDPOINT_LEAVE_S", 60.0)
+
+    async def check() -> None:
+        times = {"timeout_s": 12.0, "target_s": 10.0}
+        routes = await both_routes("rota", **times)
+        async with fleet.running("rota", routes=routes) as members:
+            member = members[0]
+            fields = {fleet.NAMES.remaining_ms: "12000"}
+            clients = [await fleet.Client.open(member) for _ in range(2)]
+            for index in range(20):
+                assert (await clients[0].ask(f"w{index}", **fields)).status == 200
+            member.endpoint.script = hang
+            member.endpoint.slots = 1
+            slots = member.node._runner.slots
+            await fleet.wait_until(lambda: slots.limit == 1)
+            clients[0].send("runs", "/claim/1", "POST", b"x", **fields)
+            await fleet.wait_until(lambda: arrivals(members, "runs") == 1)
+            clients[1].send("waits", **fields)
+            stream = await channel.connect((member.host, fleet.PEER_PORT), 1.0)
+            stream.write(fleet.call_frame(member, "waits-too", remaining_ms=12000))
+            await fleet.wait_until(lambda: slots.waiting_count == 2)
+            stopped_at = clock.now()
+            member.stop.set()
+            told = []
+            for client in clients:
+                response = await client.receive()
+                assert response is not None, "the connection ended without an answer"
+                headers = dict(response.headers)
+                told.append((response.status, headers["snipelink-ran"]))
+            assert told == [(502, "unknown"), (503, "not-run")]
+            received = await frames.FrameChannel(stream).receive()
+            assert received is not None
+            assert received[0] is frames.Kind.REPLY
+            assert messages.decode_reply(received[1]).failure == "leaving"
+            assert len(member.endpoint.seen) == 21
+            assert member.task is not None
+            await member.task
+            assert clock.now() - stopped_at < fleet.BOUNDS.grace_s
+
+    asyncio.run(check())
+
+
 @run
 async def test_leaving_endpoint_gets_no_calls_while_there_is_another() -> None:
     async with fleet.running("rota", "rota") as members:
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -5,37 +5,14 @@
 import asyncio
 import dataclasses
 
-import msgspec
 import pytest
 
 from snipelink import clock
-from snipelink.generated import mesh
 from snipelink.mesh import channel, frames, node
 from snipelink.session import frames as framing
 from tests.mesh import fleet, test_node
 
 
-def call_frame(member: fleet.Member, call_id: str, *, remaining_ms: int) -> bytes:
-    """Return the bytes with which another node sends a call."""
-    call = mesh.Call(
-        call_id,
-        member.endpoint.instance,
-        member.endpoint.service,
-        "GET",
-        "/view/1",
-        [["host", "example"]],
-        b"",
-        remaining_ms,
-        remaining_ms,
-        10,
-        2,
-        True,
-        "archive",
-    )
-    payload = msgspec.msgpack.encode(call)
-    return framing.LENGTH.pack(len(payload) + 1) + frames.Kind.CALL.value + payload
-
-
 async def connect(member: fleet.Member) -> channel.Channel:
     return await channel.connect((member.host, fleet.PEER_PORT), 1.0)
 
@@ -44,7 +21,7 @@
 async def test_time_of_a_call_runs_while_its_frame_arrives() -> None:
     """A large body takes its time on a slow link; the endpoint got that time again."""
     async with fleet.running("rota") as members:
-        data = call_frame(members[0], "c1", remaining_ms=2000)
+        data = fleet.call_frame(members[0], "c1", remaining_ms=2000)
         stream = await connect(members[0])
         stream.write(data[:50])
         await asyncio.sleep(0.8)
@@ -64,7 +41,7 @@
 
     async def check() -> None:
         async with fleet.running("rota") as members:
-            data = call_frame(members[0], "c1", remaining_ms=4000)
+            data = fleet.call_frame(members[0], "c1", remaining_ms=4000)
             stream = await connect(members[0])
             stream.write(data[:50])
             members[0].stop.set()
@@ -84,7 +61,7 @@
         stream = await connect(members[0])
         connection = frames.FrameChannel(stream)
         for call_id in ("c1", "c2"):
-            stream.write(call_frame(members[0], call_id, remaining_ms=2000))
+            stream.write(fleet.call_frame(members[0], call_id, remaining_ms=2000))
             received = await connection.receive()
             assert received is not None
             assert received[0] is frames.Kind.REPLY
