--- a/src/snipelink/mesh/received.py
+++ b/src/snipelink/mesh/received.py
@@ -88,7 +88,7 @@
             unknown = _lost("the node cannot tell whether the call has run")
             return await self._reply(connection, message.call_id, unknown)
         if run is None:
-            run = self._start(connection, message, now)
+            run = self._start(connection, message)
         elif message.sending <= run.sending:
             # An earlier sending that was held up on the way.
             return False
@@ -110,10 +110,9 @@
         sender, number = messages.split_identity(message.attempt)
         return number > self._forgotten_by_sender.get(sender, -1)
 
-    def _start(
-        self, connection: frames.FrameChannel, message: mesh.Call, now: float
-    ) -> _Run:
-        call = messages.to_call(message, now)
+    def _start(self, connection: frames.FrameChannel, message: mesh.Call) -> _Run:
+        # The caller's time runs while the message arrives.
+        call = messages.to_call(message, connection.frame_since)
         task = asyncio.ensure_future(self._runner.run(call, message.instance))
         until = call.deadline + REMEMBER_S
         run = _Run(
