Return the memory of a request's body once it is answered

Cause: the bytes of bodies were charged to the connection and returned only when no request was pending. A caller that always has the next request read never came to that, and kept the charge of all its answered bodies. A pause in which a body was still arriving returned the bytes of that body as well. What callers saw: 503 "no memory for the request body", and the connection closed, once the bodies of the connections without a pause came to 64 MiB. Change: what was charged for a request moves to its pending entry when it is read or refused, and is returned with its answer or when the connection is given up. A body that is being read stays charged to the connection. Why it works: bytes are charged while the reader parses a request, so what is charged when it returns one belongs to that request, framing of chunks included. tests/session/test_memory.py checks this on plain and chunked bodies, and test_memory_of_bodies_is_returned_however_their_requests_end on a refused body and on a caller that leaves in the middle of one.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -37,10 +37,14 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Pending:
-    """A request that has been read, and the task that answers it once started."""
+    """A request that has been read, and the task that answers it once started.
+
+    `body` is the memory of what was read of its body.
+    """
 
     request: http.Request | None
     arrived: float
+    body: memory.PoolCharge
     refused: errors.Failure | None = None
     task: asyncio.Task[http.Response] | None = None
 
@@ -170,6 +174,7 @@
         self._port = port
         self._stream = stream
         self._limits = _WidestLimits(port.limits)
+        # Memory of the body that is being read.
         self._charge = memory.PoolCharge(port.pool)
         names = port.names
         single = frozenset({names.call_id, names.remaining_ms})
@@ -204,6 +209,7 @@
             cause = self._closing.cause
         self._charge.settle()
         for entry in self._pending:
+            entry.body.settle()
             started = entry.task is not None
             if entry.task is not None:
                 entry.task.cancel()
@@ -234,7 +240,8 @@
         except Exception:
             logger.exception("requests could not be read")
             failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
-            self._pending.append(_Pending(None, clock.now(), failure))
+            body = self._charge.split()
+            self._pending.append(_Pending(None, clock.now(), body, failure))
             self._changed.set()
 
     async def _read_requests(self) -> None:
@@ -257,12 +264,14 @@
             while (request := self._reader.next_request()) is not None:
                 request.peer = self._stream.peer_host
                 # The caller's time runs while its request arrives.
-                self._add(_Pending(request, self._request_since))
+                body = self._charge.split()
+                self._add(_Pending(request, self._request_since, body))
                 self._request_since = self._fed_at
             if self._reader.take_wants_continue():
                 self._stream.write(requests.CONTINUE)
         except requests.Refused as refused:
-            self._add(_Pending(None, self._fed_at, refused.failure))
+            body = self._charge.split()
+            self._add(_Pending(None, self._fed_at, body, refused.failure))
             return False
         self._changed.set()
         return True
@@ -320,12 +329,11 @@
         try:
             await self._stream.drain()
         finally:
+            entry.body.settle()
             if entry.task is not None:
                 self._port.requests_in_flight -= 1
         self._start_due()
         self._changed.set()
-        if not self._pending:
-            self._charge.settle()
 
     async def _answer(self, entry: _Pending) -> None:
         request, task = entry.request, entry.task
--- a/src/snipelink/session/memory.py
+++ b/src/snipelink/session/memory.py
@@ -69,7 +69,7 @@
 
 
 class PoolCharge:
-    """Bytes that one connection holds of a pool."""
+    """Bytes that one connection, or one request, holds of a pool."""
 
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
@@ -84,7 +84,13 @@
         self._size += size
         return True
 
+    def split(self) -> PoolCharge:
+        """Return a charge that holds all bytes of this one, which then holds none."""
+        other = PoolCharge(self._pool)
+        other._size, self._size = self._size, 0
+        return other
+
     def settle(self) -> None:
-        """Return all bytes of this connection."""
+        """Return all bytes of this charge."""
         self._pool.used -= self._size
         self._size = 0
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -263,6 +263,35 @@
             assert response.status == 200, f"c{index - 1} is refused"
 
 
+@test_node.run
+async def test_memory_of_bodies_is_returned_however_their_requests_end() -> None:
+    """Guards against a pool that fills up by bodies that nobody holds any more."""
+    routes = await test_node.both_routes("rota")
+    async with fleet.running("rota", routes=routes) as members:
+        pool = members[0].node._callers.pool
+        pool.limit = 3000
+        client = await fleet.Client.open(members[0])
+        fields = {"path": "/claim/1", "method": "POST"}
+        response = await client.ask("c0", body=b"x" * 1000, **fields)
+        assert response.status == 200
+        await fleet.wait_until(lambda: pool.used == 0)
+        # Refused after a part of it has been read.
+        response = await client.ask("c1", body=b"x" * 9000, **fields)
+        assert response.status == 503
+        assert await client.receive() is None
+        await fleet.wait_until(lambda: pool.used == 0)
+        # The caller leaves while its first call runs and its second body arrives.
+        members[0].endpoint.script = test_node.hang
+        client = await fleet.Client.open(members[0])
+        client.send("c2", body=b"x" * 1000, **fields)
+        await fleet.wait_until(lambda: test_node.arrivals(members, "c2") == 1)
+        head = ["POST /claim/1 HTTP/1.1", "host: example", "content-length: 900"]
+        client.stream.write(http.encode_head(head) + b"x" * 500)
+        await fleet.wait_until(lambda: pool.used == 1500)
+        client.stream.abort()
+        await fleet.wait_until(lambda: pool.used == 0)
+
+
 @test_node.run
 async def test_connection_is_kept_for_a_longer_idle_time_that_came_later() -> None:
     """Callers reuse it by the newer limit, and met the close by the older one."""
--- /dev/null
+++ b/tests/session/test_memory.py
@@ -0,0 +1,58 @@
+"""Memory of bodies that are held."""
+
+from __future__ import annotations
+
+import pytest
+
+from snipelink.mesh import objects
+from snipelink.session import memory, requests
+
+HEAD = b"POST /p HTTP/1.1\r\nHost: a.example\r\n"
+PLAIN = HEAD + b"Content-Length: 5\r\n\r\nhello"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+
+
+def test_bytes_beyond_the_limit_are_refused_and_not_held() -> None:
+    pool = memory.Pool(10)
+    charge = memory.PoolCharge(pool)
+    assert charge.charge(10)
+    assert not charge.charge(1)
+    assert (pool.used, pool.refused) == (10, 1)
+    charge.settle()
+    charge.settle()
+    assert pool.used == 0
+
+
+def test_split_moves_the_bytes_and_returns_them_once() -> None:
+    """Guards against bytes of one request that are returned with those of another."""
+    pool = memory.Pool(10)
+    charge = memory.PoolCharge(pool)
+    assert charge.charge(3)
+    first = charge.split()
+    assert charge.charge(4)
+    first.settle()
+    first.settle()
+    assert pool.used == 4
+    charge.settle()
+    assert pool.used == 0
+
+
+@pytest.mark.parametrize("request_bytes", [PLAIN, CHUNKED])
+def test_body_that_is_read_in_part_stays_charged(request_bytes: bytes) -> None:
+    """Guards against a body whose bytes go with the answer before it."""
+    pool = memory.Pool(100)
+    charge = memory.PoolCharge(pool)
+    reader = requests.RequestReader(objects.CallerLimits(), charge)
+    reader.feed(request_bytes + request_bytes[: request_bytes.index(b"llo")])
+    assert reader.next_request() is not None
+    first = charge.split()
+    whole = pool.used
+    assert whole >= 5
+    assert reader.next_request() is None
+    first.settle()
+    assert pool.used == 2
+    reader.feed(request_bytes[request_bytes.index(b"llo") :])
+    assert reader.next_request() is not None
+    assert pool.used == whole
+    charge.split().settle()
+    assert pool.used == 0
