Bound what a mesh node earns and banks by its part of the allowance

Cause: three things grew the repeats at a service beyond its bound. Answers to calls of endpoints earn repeats though they are no requests of the rule; calls that a repeated run makes count as repeats at the called service; and expired deposits filled the reserve of each node up to one attempt for each service, whatever part of the reserve was granted to it, so N nodes banked N attempts. What callers saw: nothing. Change: budgets with an own window bank no more than what is granted now, and count no more than that beyond the deposits of a window. What answers earn in a window is bounded by half of the node's part of the allowance, and RATIO_SHARE is 0.1 instead of 0.15. The budgets of snipelink-node are as before. Why it works: the three shares of the allowance add up to 1, so in steady state the repeats of one service stay within the allowance in a fleet of any size, however few of its calls are requests. What repeated runs call comes on top and is bounded by the allowance times the calls of a run, not by the load. Not covered: a service with few requests of its own whose callers repeat runs that call it often: both sums may then pass its bound. Nodes do not know which calls are requests. Cost: fewer repeats where there are many requests.

--- a/src/snipelink/mesh/retries.py
+++ b/src/snipelink/mesh/retries.py
@@ -8,14 +8,18 @@
 from snipelink.mesh import settings
 from snipelink.retry import budget
 
-# Share of the retry budget that is used, of its allowance and of its ratio: calls that
-# a repeated call makes count as repeats at the services they go to, and calls of
-# endpoints do not count as requests there.
+# Shares of the allowance that all nodes may spend on the repeats of one service in a
+# window: without deposits, as reserves, and as what answers earn. Their sum is 1:
+# answers to calls of endpoints earn repeats although these calls are no requests of the
+# rule, so only the allowance is sure to cover the repeats of a service. The first two
+# are half of it, as kills can double what is used in a window.
 ALLOWANCE_SHARE = 0.3
-RATIO_SHARE = 0.15
-# Share of the allowance that the reserves of all nodes have without deposits. With the
-# share above it is half of the allowance, as kills can double what is used in a window.
 RESERVE_SHARE = 0.2
+EARNED_SHARE = 0.5
+# Share of the ratio that is used. Calls that a repeated run makes count as repeats at
+# the service they go to. With 0.15 the sum there went beyond the bound on sites with
+# seven or more calls of endpoints for each request (clpw-mesh).
+RATIO_SHARE = 0.1
 
 
 class Retries:
@@ -64,6 +68,8 @@
                 ratio, 0.0, bounds.retry_window_s, reserve=0.0, own_window=True
             )
             self._budgets_by_service[service] = known
+        whole = bounds.retry_allowance / self._part.machines(now)
+        known.set_earned_bound(whole * EARNED_SHARE)
         part = self._part.of(bounds.retry_allowance, bounds.retry_window_s, now)
         known.set_allowance(part * ALLOWANCE_SHARE)
         known.grant_reserve(part * RESERVE_SHARE)
--- a/src/snipelink/retry/budget.py
+++ b/src/snipelink/retry/budget.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 import threading
 
 LIFETIME_S = 10.0
@@ -55,8 +56,12 @@
         Attempts that are kept from the start; further ones must be earned or granted.
     own_window : bool
         Whether the attempts of any window that ends with one are at most ``ratio``
-        times the deposits of that window alone, plus one, plus ``allowance``. Otherwise
-        what was earned in a window without failures doubles what the next one spends.
+        times the deposits of that window alone, plus the reserve that was granted, plus
+        ``allowance``. Otherwise what was earned in a window without failures doubles
+        what the next one spends. Expired deposits then refill the reserve only up to
+        what is granted at the time, so that the reserves of many nodes together stay
+        within what was granted to all. `set_earned_bound` may bound the deposits of a
+        window further.
     """
 
     def __init__(
@@ -76,6 +81,9 @@
         self._granted_at: collections.deque[float] = collections.deque()
         self._lock = threading.Lock()
         self._granted_reserve = self._reserve = reserve if ratio > 0 else 0.0
+        # Most that the reserve may hold now.
+        self._reserve_bound = self._reserve if own_window else RESERVE
+        self._earned_bound = math.inf
         self._batches: collections.deque[list[float]] = collections.deque()
         self._sum = 0.0
         # Tokens of the deposits of the last window, spent or not, by time.
@@ -113,13 +121,24 @@
         with self._lock:
             self._allowance = allowance
 
+    def set_earned_bound(self, bound: float) -> None:
+        """Change what the deposits of a window may pay; needs an own window."""
+        with self._lock:
+            self._earned_bound = bound
+
     def grant_reserve(self, granted: float) -> None:
-        """Raise what has been granted to the reserve without deposits, once for all."""
+        """Change what is granted to the reserve; only a new maximum adds to it.
+
+        With an own window, a lower grant also lowers what the reserve may hold.
+        """
         with self._lock:
+            if self._own_window:
+                self._reserve_bound = min(granted, RESERVE)
+                self._reserve = min(self._reserve, self._reserve_bound)
             added = min(granted, RESERVE) - self._granted_reserve
             if self._ratio > 0 and added > 0.0:
                 self._granted_reserve += added
-                self._reserve = min(RESERVE, self._reserve + added)
+                self._reserve = min(self._reserve_bound, self._reserve + added)
 
     def available(self, now: float) -> float:
         """Return the attempts that could be spent now."""
@@ -146,7 +165,8 @@
         if not self._own_window:
             return True
         paid = len(self._granted_at) - len(self._allowed_at)
-        return paid + 1 <= self._earned_sum + RESERVE + ROUNDING
+        earned = min(self._earned_sum, self._earned_bound)
+        return paid + 1 <= earned + self._reserve_bound + ROUNDING
 
     def _note_earned(self, now: float) -> None:
         if self._earned and now - self._earned[-1][0] < BATCH_S:
@@ -168,7 +188,7 @@
         while batches and now - batches[0][0] >= self._window_s:
             tokens = batches.popleft()[1]
             self._sum -= tokens
-            self._reserve = min(RESERVE, self._reserve + tokens)
+            self._reserve = min(self._reserve_bound, self._reserve + tokens)
         if not batches:
             self._sum = 0.0
 
--- a/tests/mesh/test_retries.py
+++ b/tests/mesh/test_retries.py
@@ -378,3 +378,26 @@
     """
     repeats, bound = _repeats_at_called_service(SITES[name], needed)
     assert repeats <= bound
+
+
+@pytest.mark.parametrize("machines", [1, 2, 9, 40, 80, 200])
+@pytest.mark.parametrize("answers_per_s", [1, 20, 200])
+def test_own_repeats_of_a_service_that_only_endpoints_call_stay_within_the_extra(
+    machines: int, answers_per_s: int
+) -> None:
+    """Guards against repeats that grow with calls that are no requests of the rule.
+
+    Each node answers that many calls a second, and all need a further attempt.
+    """
+    nodes = [_retries() for _ in range(machines)]
+    for node in nodes:
+        node.on_published(machines, 0.0)
+    granted_at: list[float] = []
+    for second in range(20, 45):
+        for node in nodes:
+            for _ in range(answers_per_s):
+                if second >= 30 and node.try_spend(SERVICE, second):
+                    granted_at.append(second)
+                node.on_answer(SERVICE, second)
+    for start in range(30, 36):
+        assert _count(granted_at, start, start + WINDOW_S) <= EXTRA
--- a/tests/retry/test_budget.py
+++ b/tests/retry/test_budget.py
@@ -127,3 +127,38 @@
     state = tested.state(10.9)
     assert (state.granted, state.spent_of_allowance, state.earned) == (3, 2, 0.0)
     assert tested.state(11.0).granted == tested.state(11.0).spent_of_allowance == 0
+
+
+def test_reserve_of_an_own_window_holds_no_more_than_is_granted() -> None:
+    """Guards against many nodes each of which banks a whole attempt."""
+    subject = budget.Budget(0.1, reserve=0.0, own_window=True)
+    subject.grant_reserve(0.25)
+    for _ in range(7):
+        subject.deposit(0.0)
+    # The deposits have expired, and filled the reserve.
+    assert subject.state(20.0).earned == 0.25
+    for _ in range(7):
+        subject.deposit(20.0)
+    assert not subject.try_spend(20.0)
+    subject.deposit(20.0)
+    assert subject.try_spend(20.0)
+
+
+def test_reserve_falls_with_what_is_granted_and_is_granted_once() -> None:
+    """Guards against a fleet that grows, with reserves of when it was small."""
+    subject = budget.Budget(0.1, reserve=0.0, own_window=True)
+    subject.grant_reserve(1.0)
+    subject.grant_reserve(0.25)
+    assert subject.state(0.0).earned == 0.25
+    subject.grant_reserve(1.0)
+    assert subject.state(0.0).earned == 0.25
+
+
+def test_bound_of_what_is_earned_holds_in_a_window() -> None:
+    """Guards against repeats that grow with calls the rule does not count."""
+    subject = budget.Budget(0.1, reserve=0.0, own_window=True)
+    subject.set_earned_bound(2.5)
+    for now in (0.0, 20.0):
+        for _ in range(100):
+            subject.deposit(now)
+        assert sum(subject.try_spend(now) for _ in range(10)) == 2
