Share what the nodes of a service learn about their endpoints' concurrency

Cause: under overload each node learnt by itself how many calls its endpoint should run at once. Ruled out: waiting in the queue (0.1 s at most there) and slow hosts (the same on both). Change: load reports carry the measured levels, every 0.5 s to each follower; a node adds those of its service's other endpoints, with bounded weight, to its own. The replay has cold servers after an outage ("restart") and exchanges measurements as nodes do; its tests fail with the exchange removed.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -8,7 +8,7 @@
   --seeds N      Number of seeds for each combination [default: 10].
   --seconds S    Simulated seconds of arrivals [default: 20].
   --load X       Load relative to the capacity; 0.7, 1.0, 1.5 and 2.0 by default.
-  --case NAME    steady, burst, slow, fewer or crowded; all by default.
+  --case NAME    steady, burst, slow, fewer, crowded or restart; all by default.
   --policy NAME  Only this policy; all by default.
 
 The simulation models callers by arrival times, endpoints by slots, and nodes by load
@@ -46,7 +46,11 @@
 SPEED_PHASE_S = 0.5
 SLOW_TIME_SHARE = 0.25
 SLOW_FACTOR = 7.0
+# Servers that have just started work half as fast.
+COLD_FACTOR = 2.0
 LOAD_INFO_AGE_S = 0.03
+# Interval at which the nodes use what the others have measured, seconds.
+PEER_SAMPLES_INTERVAL_S = 0.5
 # Share of the slots in use above which servers slow down in the case "crowded".
 SATURATION_SHARE = 0.8
 LATE_VALUE_SHARE = 0.1
@@ -115,6 +119,7 @@
         rng: random.Random,
         extra_slowness: float,
         saturation_slowdown: float = 1.0,
+        cold_s: float = 0.0,
     ) -> None:
         self.name = name
         self.slots = slots.Slots(0.0, slowness_period.PeriodEstimator())
@@ -126,6 +131,7 @@
         self._rng = rng
         self._extra_slowness = extra_slowness
         self._saturation_slowdown = saturation_slowdown
+        self._cold_s = cold_s
         self._work_done_s = 0.0
         self._advanced_at = 0.0
 
@@ -138,7 +144,8 @@
         """Start the next speed phase with a randomly drawn slowness."""
         self._advance(now)
         slow = SLOW_FACTOR if self._rng.random() < SLOW_TIME_SHARE else 1.0
-        self.progress.set_slowness(slow * self._extra_slowness, now)
+        cold = COLD_FACTOR if now < self._cold_s else 1.0
+        self.progress.set_slowness(slow * cold * self._extra_slowness, now)
 
     def run(self, call: Call, now: float) -> None:
         """Start a call in a slot."""
@@ -301,12 +308,18 @@
         Number of servers that are down in the second half.
     saturation_slowdown : float
         Factor by which work takes longer with all slots in use than with free slots.
+    cold_s : float
+        Seconds from the start for which all servers are cold.
+    returning_s : float
+        Seconds of arrivals that come at once at the start, as after an outage.
     """
 
     burst: float = 1.0
     first_server_slowness: float = 1.0
     lost_servers: int = 0
     saturation_slowdown: float = 1.0
+    cold_s: float = 0.0
+    returning_s: float = 0.0
 
 
 CASES = {
@@ -315,6 +328,7 @@
     "slow": Case(first_server_slowness=5.0),
     "fewer": Case(lost_servers=2),
     "crowded": Case(saturation_slowdown=1.7),
+    "restart": Case(saturation_slowdown=1.7, cold_s=3.0, returning_s=0.3),
 }
 
 
@@ -338,6 +352,7 @@
                 speeds,
                 case.first_server_slowness if index == 0 else 1.0,
                 case.saturation_slowdown,
+                case.cold_s,
             )
             for index in range(SERVER_COUNT)
         }
@@ -346,6 +361,7 @@
         self._case = case
         self._seconds = seconds
         self._snapshots: list[tuple[float, list[placement.Candidate]]] = []
+        self._peer_samples_at = 0.0
 
     def live_servers(self) -> list[Server]:
         """Return the servers that are up."""
@@ -402,6 +418,17 @@
                 self._update_availability(event, now)
                 self._policy.on_slots_freed(event, self, now)
             self._snapshots.append((now, self.candidates(0.0, now)))
+            if now - self._peer_samples_at >= PEER_SAMPLES_INTERVAL_S:
+                self._exchange_samples(now)
+
+    def _exchange_samples(self, now: float) -> None:
+        """Pass the concurrency levels that each server measured on to the others."""
+        self._peer_samples_at = now
+        servers = self.live_servers()
+        samples = [server.slots.level_samples(now) for server in servers]
+        for index, server in enumerate(servers):
+            others = samples[:index] + samples[index + 1 :]
+            server.slots.set_peer_samples(others, now)
 
     def _update_availability(self, server: Server, now: float) -> None:
         is_lost = int(server.name) >= SERVER_COUNT - self._case.lost_servers
@@ -441,8 +468,11 @@
         now += rng.expovariate(rate)
         if now >= seconds:
             return calls
+        arrived = max(0.0, now - case.returning_s)
         kind = rng.choices(CALL_KINDS, [kind.share for kind in CALL_KINDS])[0]
-        calls.append(Call(key, kind, now, kind.work_s * rng.lognormvariate(-0.04, 0.3)))
+        calls.append(
+            Call(key, kind, arrived, kind.work_s * rng.lognormvariate(-0.04, 0.3))
+        )
     return calls
 
 
--- a/src/snipelink/decide/slots.py
+++ b/src/snipelink/decide/slots.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Iterable, Sequence
 
 from snipelink.decide import (
     concurrency_limit,
@@ -158,7 +159,20 @@
         self.progress.set_slowness(1.0, now)
         self._concurrency_limit.reset()
         self.slow_start.on_new_process(now)
-        self.limit = self.capacity
+        self.limit = self._concurrency_limit.limit(self.capacity, now)
+
+    def level_samples(self, now: float) -> list[concurrency_limit.LevelSample]:
+        """Return the measured concurrency levels to report to other nodes."""
+        return self._concurrency_limit.samples(now)
+
+    def set_peer_samples(
+        self,
+        samples_by_peer: Iterable[Sequence[concurrency_limit.LevelSample]],
+        now: float,
+    ) -> None:
+        """Use the levels measured on endpoints of the same service and capacity."""
+        self._concurrency_limit.set_peer_samples(samples_by_peer)
+        self.limit = self._concurrency_limit.limit(self.capacity, now)
 
     def on_answer(self, key: int, now: float) -> float:
         """Record the answer to a running call; return its work in seconds.
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -321,8 +321,11 @@
             "remaining_ms": request.header(self._names.remaining_ms),
             **_outcome_fields(outcome),
         }
-        if call is not None and call.choice is not None:
-            fields |= _choice_fields(call.choice)
+        if call is not None:
+            fields["to_target_s"] = round(call.target_at - arrived_at, 3)
+            fields["expected_work_s"] = round(call.work_s, 3)
+            if call.choice is not None:
+                fields |= _choice_fields(call.choice)
         logger.info("call is answered", extra={"fields": fields})
         if outcome.response is not None:
             return self._strip_headers(outcome.response)
--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -8,14 +8,21 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 import typing
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import msgspec
 
 from snipelink import clock
-from snipelink.decide import placement, reporting, slowness_period, work_estimation
+from snipelink.decide import (
+    concurrency_limit,
+    placement,
+    reporting,
+    slowness_period,
+    work_estimation,
+)
 from snipelink.generated import mesh
 from snipelink.mesh import channel, published_state
 
@@ -41,6 +48,12 @@
 # time until a report that includes the call arrives.
 UNREPORTED_CALL_S = 0.08
 
+# Fields of a measured level: concurrency, percentage of the expected work, weight.
+LEVEL_SAMPLE_FIELD_COUNT = 3
+# Interval at which a follower gets the measured levels. They change more slowly than
+# the load, and traffic between failure domains is billed.
+LEVEL_SAMPLES_INTERVAL_S = 0.5
+
 # The first byte of a datagram is the kind of its payload.
 LOAD_KIND = b"L"
 FOLLOW_KIND = b"F"
@@ -58,6 +71,7 @@
     expires_at: float
     last_sent_at: float
     last_report: reporting.LoadReport | None
+    levels_sent_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,6 +88,8 @@
         Work that the endpoint has done since its first report.
     unreported_sent_at : list of float
         Monotonic times at which this node sent calls that the report may not include.
+    level_samples : list of LevelSample
+        Measured concurrency levels in the last report that had any.
     """
 
     report: mesh.Load
@@ -81,6 +97,9 @@
     received_at: float
     progress: work_estimation.EndpointProgress
     unreported_sent_at: list[float] = dataclasses.field(default_factory=list)
+    level_samples: list[concurrency_limit.LevelSample] = dataclasses.field(
+        default_factory=list
+    )
 
     def unreported_call_count(self, now: float) -> int:
         """Return the number of sent calls that the report may not include yet."""
@@ -127,10 +146,14 @@
         if previous is not None and previous.report.instance == load.instance:
             previous.report, previous.received_at = load, now
             previous.progress.set_slowness(slowness, now)
+            previous.level_samples = (
+                decode_level_samples(load) or previous.level_samples
+            )
             return True
         progress = work_estimation.EndpointProgress(now, self._period_estimator)
         progress.set_slowness(slowness, now)
-        endpoint_load = EndpointLoad(load, host, now, progress)
+        levels = decode_level_samples(load)
+        endpoint_load = EndpointLoad(load, host, now, progress, level_samples=levels)
         self.loads_by_host[host] = endpoint_load
         if load.instance:
             self.loads_by_instance[load.instance] = endpoint_load
@@ -353,7 +376,7 @@
         notified_first = self._hosts_to_notify_first(report)
         self._last_report = report
         self._next_report_at = now + reporting.REPEAT_INTERVAL_S
-        payload = b""
+        payload_by_content: dict[bool, bytes] = {}
         for host, follower in list(self._followers_by_host.items()):
             if now > follower.expires_at:
                 del self._followers_by_host[host]
@@ -363,9 +386,13 @@
             if sent is not None and host not in notified_first:
                 due_s = reporting.interval_s(sent, report, near=follower.is_near)
             if now - follower.last_sent_at >= due_s:
-                payload = payload or _encoder.encode(load)
+                has_levels = now - follower.levels_sent_at >= LEVEL_SAMPLES_INTERVAL_S
+                if has_levels:
+                    follower.levels_sent_at = now
+                if has_levels not in payload_by_content:
+                    payload_by_content[has_levels] = _encode_load(load, has_levels)
                 follower.last_sent_at, follower.last_report = now, report
-                self.send_datagram(LOAD_KIND, payload, host)
+                self.send_datagram(LOAD_KIND, payload_by_content[has_levels], host)
                 continue
             self._next_report_at = min(
                 self._next_report_at, follower.last_sent_at + due_s
@@ -412,6 +439,31 @@
         self.sent_datagrams += 1
 
 
+def encode_level_samples(
+    samples: Iterable[concurrency_limit.LevelSample],
+) -> list[list[int]]:
+    """Return measured concurrency levels as they are sent in a report."""
+    return [
+        [sample.level, round(sample.mean_ratio * 100), round(sample.weight_calls)]
+        for sample in samples
+    ]
+
+
+def decode_level_samples(load: mesh.Load) -> list[concurrency_limit.LevelSample]:
+    """Return the measured concurrency levels in a report, without implausible ones."""
+    return [
+        concurrency_limit.LevelSample(entry[0], entry[1] / 100.0, float(entry[2]))
+        for entry in load.level_samples
+        if len(entry) == LEVEL_SAMPLE_FIELD_COUNT and min(entry) > 0
+    ]
+
+
+def _encode_load(load: mesh.Load, has_levels: bool) -> bytes:
+    if not has_levels and load.level_samples:
+        load = msgspec.structs.replace(load, level_samples=[])
+    return _encoder.encode(load)
+
+
 def _summarize(load: mesh.Load) -> reporting.LoadReport:
     return reporting.LoadReport(
         load.running + load.waiting,
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -355,6 +355,7 @@
                 self._poison_guard.request_known_crashes()
             self._poison_guard.run_due_work(now)
             self._loads.expire(self._followed_hosts, now)
+            self._update_peer_samples(now)
             if self._is_store_unavailable(now):
                 self._catalog.on_store_unavailable(now)
             await asyncio.sleep(FOLLOW_INTERVAL_S)
@@ -463,8 +464,23 @@
             self._catalog.revision,
             self._catalog.configuration_version,
             self._watcher.is_store_unavailable(now),
+            slots.capacity,
+            load_reports.encode_level_samples(slots.level_samples(now)),
         )
 
+    def _update_peer_samples(self, now: float) -> None:
+        """Pass on the concurrency levels that other nodes of the service measured."""
+        slots, service = self._runner.slots, self._settings.service
+        own_instance = self._runner.state.instance
+        samples_by_peer = []
+        for instance in self._catalog.usable_instances(service, now):
+            endpoint_load = self._loads.loads_by_instance.get(instance.id)
+            if endpoint_load is None or instance.id == own_instance:
+                continue
+            if endpoint_load.report.capacity == slots.capacity:
+                samples_by_peer.append(endpoint_load.level_samples)
+        slots.set_peer_samples(samples_by_peer, now)
+
     def _newest_revision(self) -> tuple[int, str]:
         """Return the highest reported revision and a host that reports it.
 
--- a/tests/bench/test_replay.py
+++ b/tests/bench/test_replay.py
@@ -110,3 +110,20 @@
     )
     without_mechanism = _measure("decide", "steady", 1.5)
     assert with_mechanism.goodput >= 0.98 * without_mechanism.goodput
+
+
+@pytest.mark.parametrize(("case", "load"), [("crowded", 1.5), ("restart", 1.0)])
+def test_nodes_learn_levels_of_concurrency_from_each_other(
+    monkeypatch: pytest.MonkeyPatch, case: str, load: float
+) -> None:
+    """Guards against each node learning at the expense of its callers.
+
+    In the case "restart", all nodes have lost their measurements, the servers are cold,
+    and the callers of an outage come at once.
+    """
+    with_mechanism = replay.measure("decide", case, load, SECONDS, range(6))
+    monkeypatch.setattr(
+        concurrency_limit.ConcurrencyLimit, "set_peer_samples", lambda self, _: None
+    )
+    without_mechanism = replay.measure("decide", case, load, SECONDS, range(6))
+    assert with_mechanism.goodput > 1.03 * without_mechanism.goodput
