--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -162,3 +162,12 @@
         published_state.PublishedState(7, None, (_instance("a"),)), NOW
     )
     assert _usable(state) == ["a"]
+
+
+def test_endpoint_that_is_first_read_as_leaving_is_no_last_resort() -> None:
+    """Guards against calls to an endpoint that left while the node was restarted."""
+    restarted = catalog.Catalog(DRAIN_S)
+    leaving = _instance("a", leaving=True)
+    restarted.apply_snapshot(published_state.PublishedState(5, None, (leaving,)), NOW)
+    assert not restarted.usable_instances("rota", NOW)
+    assert not restarted.is_usable("a", NOW)
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -893,3 +893,21 @@
         assert await send_at_rate(staying, "back", per_s=40.0, for_s=0.5) == 20
         assert await send_at_rate(evacuated, "own", per_s=40.0, for_s=0.5) == 20
         assert evacuated.endpoint.received
+
+
+@run
+async def test_nodes_of_a_service_share_measured_levels_of_concurrency() -> None:
+    async with fleet.running("rota", "rota", "archive") as members:
+        first, second, other = (each.node._runner.slots for each in members)
+        await fleet.wait_until(lambda: {first.capacity, other.capacity} == {4})
+        for member in members:
+            member.endpoint.slots = 8
+        await fleet.wait_until(
+            lambda: {s.capacity for s in (first, second, other)} == {8}
+        )
+        now = clock.now()
+        for _ in range(20):
+            for level, ratio in ((5, 1.0), (6, 1.0), (7, 2.0), (8, 3.0)):
+                first._concurrency_limit.record((level, level), ratio, 8, now)
+        await fleet.wait_until(lambda: second.limit == 6)
+        assert other.limit == 8
