--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -8,7 +8,6 @@
 import asyncio
 import dataclasses
 import logging
-import math
 import random
 import typing
 from collections.abc import Callable, Collection, Iterable, Mapping
@@ -50,9 +49,6 @@
 
 # Fields of a measured level: concurrency, percentage of the expected work, weight.
 LEVEL_SAMPLE_FIELD_COUNT = 3
-# Interval at which a follower gets the measured levels. They change more slowly than
-# the load, and traffic between failure domains is billed.
-LEVEL_SAMPLES_INTERVAL_S = 0.5
 
 # The first byte of a datagram is the kind of its payload.
 LOAD_KIND = b"L"
@@ -71,7 +67,6 @@
     expires_at: float
     last_sent_at: float
     last_report: reporting.LoadReport | None
-    levels_sent_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,8 +83,6 @@
         Work that the endpoint has done since its first report.
     unreported_sent_at : list of float
         Monotonic times at which this node sent calls that the report may not include.
-    level_samples : list of LevelSample
-        Measured concurrency levels in the last report that had any.
     """
 
     report: mesh.Load
@@ -97,9 +90,6 @@
     received_at: float
     progress: work_estimation.EndpointProgress
     unreported_sent_at: list[float] = dataclasses.field(default_factory=list)
-    level_samples: list[concurrency_limit.LevelSample] = dataclasses.field(
-        default_factory=list
-    )
 
     def unreported_call_count(self, now: float) -> int:
         """Return the number of sent calls that the report may not include yet."""
@@ -146,14 +136,10 @@
         if previous is not None and previous.report.instance == load.instance:
             previous.report, previous.received_at = load, now
             previous.progress.set_slowness(slowness, now)
-            previous.level_samples = (
-                decode_level_samples(load) or previous.level_samples
-            )
             return True
         progress = work_estimation.EndpointProgress(now, self._period_estimator)
         progress.set_slowness(slowness, now)
-        levels = decode_level_samples(load)
-        endpoint_load = EndpointLoad(load, host, now, progress, level_samples=levels)
+        endpoint_load = EndpointLoad(load, host, now, progress)
         self.loads_by_host[host] = endpoint_load
         if load.instance:
             self.loads_by_instance[load.instance] = endpoint_load
@@ -376,7 +362,7 @@
         notified_first = self._hosts_to_notify_first(report)
         self._last_report = report
         self._next_report_at = now + reporting.REPEAT_INTERVAL_S
-        payload_by_content: dict[bool, bytes] = {}
+        payload = b""
         for host, follower in list(self._followers_by_host.items()):
             if now > follower.expires_at:
                 del self._followers_by_host[host]
@@ -386,13 +372,9 @@
             if sent is not None and host not in notified_first:
                 due_s = reporting.interval_s(sent, report, near=follower.is_near)
             if now - follower.last_sent_at >= due_s:
-                has_levels = now - follower.levels_sent_at >= LEVEL_SAMPLES_INTERVAL_S
-                if has_levels:
-                    follower.levels_sent_at = now
-                if has_levels not in payload_by_content:
-                    payload_by_content[has_levels] = _encode_load(load, has_levels)
+                payload = payload or _encoder.encode(load)
                 follower.last_sent_at, follower.last_report = now, report
-                self.send_datagram(LOAD_KIND, payload_by_content[has_levels], host)
+                self.send_datagram(LOAD_KIND, payload, host)
                 continue
             self._next_report_at = min(
                 self._next_report_at, follower.last_sent_at + due_s
@@ -458,12 +440,6 @@
     ]
 
 
-def _encode_load(load: mesh.Load, has_levels: bool) -> bytes:
-    if not has_levels and load.level_samples:
-        load = msgspec.structs.replace(load, level_samples=[])
-    return _encoder.encode(load)
-
-
 def _summarize(load: mesh.Load) -> reporting.LoadReport:
     return reporting.LoadReport(
         load.running + load.waiting,
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -478,7 +478,9 @@
             if endpoint_load is None or instance.id == own_instance:
                 continue
             if endpoint_load.report.capacity == slots.capacity:
-                samples_by_peer.append(endpoint_load.level_samples)
+                samples_by_peer.append(
+                    load_reports.decode_level_samples(endpoint_load.report)
+                )
         slots.set_peer_samples(samples_by_peer, now)
 
     def _newest_revision(self) -> tuple[int, str]:
