--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -54,11 +54,9 @@
 import docopt
 import msgspec
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT / "platform"))
-
-import platform_bench  # noqa: E402  the directory cannot be a package
+from bench import adapter
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 SOURCE_DIRECTORY = pathlib.Path("src") / "snipelink"
 # Time limit of one play, seconds.
 PLAY_TIMEOUT_S = 1800.0
@@ -134,7 +132,7 @@
     return changed
 
 
-def table(plays_by_variant: dict[str, dict[str, platform_bench.Play]]) -> str:
+def table(plays_by_variant: dict[str, dict[str, adapter.platform_bench.Play]]) -> str:
     """Return the comparison of the variants with the first one.
 
     Parameters
@@ -163,7 +161,7 @@
     return "\n".join(lines)
 
 
-def _mark(play: platform_bench.Play) -> str:
+def _mark(play: adapter.platform_bench.Play) -> str:
     return "!" if play.fault or play.broken_rules else ""
 
 
@@ -201,7 +199,7 @@
         module = tree / SOURCE_DIRECTORY / file
         module.write_text(replace_constant(module.read_text(), name, expression))
     subprocess.run(
-        platform_bench.build_command(bench),
+        adapter.platform_bench.build_command(bench),
         cwd=tree,
         check=True,
         stdout=subprocess.DEVNULL,
@@ -221,7 +219,7 @@
         return
     report.parent.mkdir(parents=True, exist_ok=True)
     unfinished = report.with_suffix(".unfinished")
-    command = platform_bench.play_command(
+    command = adapter.platform_bench.play_command(
         bench, case.site, case.day, case.seed or None, unfinished, why
     )
     with report.with_suffix(".txt").open("w") as output:
@@ -271,7 +269,7 @@
             _collect_journal(tree)
     plays_by_variant = {
         name: {
-            case.name: platform_bench.read_report(_report_path(tree, case))
+            case.name: adapter.platform_bench.read_report(_report_path(tree, case))
             for case in all_cases
             if _report_path(tree, case).exists()
         }
--- a/bench/losses.py
+++ b/bench/losses.py
@@ -30,7 +30,7 @@
 
 import docopt
 
-from bench import experiment
+from bench import adapter
 
 # Work relative to the expected work from which an answer counts as late by crowding.
 CROWDED_WORK_RATIO = 4 / 3
@@ -117,7 +117,7 @@
 def main() -> int:
     """Run the program; return its exit status."""
     arguments = docopt.docopt(__doc__ or "")
-    entries = experiment.platform_bench.read_log(pathlib.Path(arguments["LOG"]))
+    entries = adapter.platform_bench.read_log(pathlib.Path(arguments["LOG"]))
     print(table(entries, float(arguments["--window"]), int(arguments["--least"])))
     return 0
 
--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -235,10 +235,10 @@
             return
         self.instances_by_id[instance.id] = instance
         self._last_resort_until_by_id.pop(instance.id, None)
-        if instance.leaving and previous is not None:
-            self._keep_as_last_resort(instance, now)
         # An endpoint that is first read as leaving is no last resort: it may have been
         # leaving for any time, for example while this process was down.
+        if instance.leaving and previous is not None:
+            self._keep_as_last_resort(instance, now)
         _log_instance("endpoint is published", instance, leaving=instance.leaving)
 
     def _remove(self, instance_id: str, now: float) -> None:
--- a/tests/bench/test_experiment.py
+++ b/tests/bench/test_experiment.py
@@ -6,9 +6,9 @@
 import msgspec
 import pytest
 
-from bench import experiment
+from bench import adapter, experiment
 
-platform_bench = experiment.platform_bench
+platform_bench = adapter.platform_bench
 
 EXPERIMENT = """
 why = "test"
