--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -7,9 +7,9 @@
 Options:
   --bench PROGRAM  Program that plays the days.
   --jobs N         Days that are played at the same time [default: 3].
-  --work DIR       Directory for the variants' source trees and the reports; it keeps
-                   what has been played, so that an interrupted experiment goes on
-                   [default: reports/experiments].
+  --work DIR       Directory for the variants' source trees and the reports, outside the
+                   repository; it keeps what has been played, so that an interrupted
+                   experiment goes on [default: ../experiments].
   --table          Play nothing; print the table of what has been played.
 
 FILE is a TOML file. The first variant is the one that the others are compared with.
