Free a broken-off answer without a garbage collection

Cause: a response reader and its parser refer to each other, so a broken-off answer of up to 16 MB stayed in memory until a garbage collection, while the pool that bounds answers had already released its charge.

The bytes were in the readers, not in sockets and not lost to fragmentation.

Change: ResponseReader.close drops the parser and the bytes; the clients of the endpoint and of the platform's store close it before the charge ends. The same in snipelink-node's client of its endpoint, which had the same cycle. Bodies are joined as they arrive, without a second copy at the end.

--- a/src/snipelink/execute/endpoint_client.py
+++ b/src/snipelink/execute/endpoint_client.py
@@ -14,8 +14,8 @@
 from result import Err, Ok, Result
 
 from snipelink import errors, model
+from snipelink.session import body_buffer, http, memory, streams
 from snipelink.session import headers as header_rules
-from snipelink.session import http, memory, streams
 
 RECEIVE_CHUNK_BYTES = 65536
 MAX_IDLE_CONNECTIONS = 16
@@ -38,10 +38,15 @@
 
 
 class _ResponseReader:
-    """Assembles one response from the callbacks of the HTTP parser."""
+    """Assembles one response from the callbacks of the HTTP parser.
+
+    The reader and its parser refer to each other until `close` is called.
+    """
 
     def __init__(self, method: str, max_bytes: int, budget: memory.Budget) -> None:
-        self.parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self.status = 0
         self.headers: model.Headers = []
         self.done = False
@@ -52,18 +57,24 @@
         self._method = method
         self._max_bytes = max_bytes
         self._budget = budget
-        self._chunks: list[bytes] = []
+        self._body = body_buffer.BodyBuffer()
         self._body_bytes = 0
 
     @property
-    def body(self) -> bytes:
-        return b"".join(self._chunks)
+    def body(self) -> model.Body:
+        return self._body.content
+
+    def close(self) -> None:
+        """Drop the parser and the body."""
+        self._parser = None
+        self._body.take()
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raises ``_InvalidAnswerError``."""
+        assert self._parser is not None
         self.received_bytes += len(data)
         try:
-            self.parser.feed_data(data)
+            self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if isinstance(error.__context__, _InvalidAnswerError):
                 raise error.__context__ from None
@@ -95,8 +106,9 @@
     def on_headers_complete(self) -> None:
         if self.head_complete:
             return
-        status = self.parser.get_status_code()
-        if self.parser.get_http_version() not in ("1.1", "1.0"):
+        assert self._parser is not None
+        status = self._parser.get_status_code()
+        if self._parser.get_http_version() not in ("1.1", "1.0"):
             raise _InvalidAnswerError(errors.Kind.ANSWER_INVALID, "HTTP version")
         if 100 <= status < 200 and status != 101:
             return
@@ -120,7 +132,7 @@
             raise _InvalidAnswerError(
                 errors.Kind.ANSWER_TOO_LARGE, "no memory for the answer"
             )
-        self._chunks.append(data)
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         if self.head_complete:
@@ -131,7 +143,8 @@
     def _check_framing(self) -> None:
         lengths = [value for name, value in self.headers if name == "content-length"]
         codings = [value for name, value in self.headers if name == "transfer-encoding"]
-        version = self.parser.get_http_version()
+        assert self._parser is not None
+        version = self._parser.get_http_version()
         options = header_rules.connection_options(self.headers)
         self.reusable = version == "1.1" and "close" not in options
         if codings and (
@@ -224,7 +237,7 @@
         method: str,
         target: str,
         headers: model.Headers,
-        body: bytes,
+        body: model.Body,
         deadline: float,
         max_answer_bytes: int,
     ) -> Result[http.Response, errors.Failure]:
@@ -254,10 +267,11 @@
             self._release(stream)
         else:
             stream.close()
+        reader.close()
         return outcome
 
     def _encode(
-        self, method: str, target: str, headers: model.Headers, body: bytes
+        self, method: str, target: str, headers: model.Headers, body: model.Body
     ) -> bytes:
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
--- a/src/snipelink/mesh/calls.py
+++ b/src/snipelink/mesh/calls.py
@@ -44,7 +44,7 @@
     method: str
     target: str
     headers: model.Headers
-    body: bytes
+    body: model.Body
     arrived_at: float
     target_at: float
     deadline: float
--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -198,6 +198,7 @@
         except OSError as error:
             return self._connection_lost(reader, str(error))
         finally:
+            reader.close()
             charge.release()
             if not is_returned:
                 stream.abort()
@@ -308,7 +309,7 @@
 
 
 def encode_request(
-    method: str, target: str, headers: model.Headers, body: bytes
+    method: str, target: str, headers: model.Headers, body: model.Body
 ) -> bytes:
     """Encode a request, adding a content-length header where one is needed.
 
--- a/src/snipelink/mesh/messages.py
+++ b/src/snipelink/mesh/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 import msgspec
 
@@ -68,7 +69,7 @@
             call.method,
             call.target,
             [list(field) for field in call.headers],
-            call.body,
+            typing.cast("bytes", call.body),
             _ms(call.deadline - now),
             _ms(call.target_at - now),
             _ms(call.work_s),
@@ -142,7 +143,7 @@
             _ms(outcome.work_s),
             response.status if response else 0,
             [list(field) for field in response.headers] if response else [],
-            response.body if response else b"",
+            typing.cast("bytes", response.body if response else b""),
         )
     )
 
--- a/src/snipelink/model.py
+++ b/src/snipelink/model.py
@@ -5,6 +5,8 @@
 import dataclasses
 
 Headers = list[tuple[str, str]]
+# Large bodies are received into a bytearray, which is not copied to bytes.
+Body = bytes | bytearray
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +116,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: Body
     deadline: float
     endpoint_set: str = ""
     caller: str = ""
@@ -144,6 +146,6 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: Body
     endpoint: str = ""
     load: LoadReport | None = None
--- a/src/snipelink/retry/crash_suspects.py
+++ b/src/snipelink/retry/crash_suspects.py
@@ -31,7 +31,7 @@
     return digest(fields, call.body, FINGERPRINT_BYTES)
 
 
-def digest(fields: Iterable[str], body: bytes, size: int) -> str:
+def digest(fields: Iterable[str], body: model.Body, size: int) -> str:
     """Return a digest of `size` bytes, as hexadecimal text."""
     hashed = hashlib.blake2b(digest_size=size)
     for field in fields:
--- a/src/snipelink/session/http.py
+++ b/src/snipelink/session/http.py
@@ -36,7 +36,7 @@
     method: str
     target: str
     headers: model.Headers
-    body: bytes = b""
+    body: model.Body = b""
     keep_alive: bool = True
     peer: str = ""
     host: str = ""
@@ -55,7 +55,7 @@
 
     status: int
     headers: model.Headers
-    body: bytes = b""
+    body: model.Body = b""
 
 
 def has_no_body(method: str, status: int) -> bool:
--- a/src/snipelink/session/messages.py
+++ b/src/snipelink/session/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -55,7 +57,7 @@
             method=call.method,
             target=call.target,
             headers=_to_header_fields(call.headers),
-            body=call.body,
+            body=typing.cast("bytes", call.body),
             remaining_ms=int((call.deadline - now) * 1000),
             expected_incarnation=incarnation,
             traceparent=call.traceparent,
@@ -119,7 +121,7 @@
         answer = outcome.ok_value
         reply = messages.CallReply(
             call_id=call_id,
-            body=answer.body,
+            body=typing.cast("bytes", answer.body),
             status=answer.status,
             headers=_to_header_fields(answer.headers),
             load=report,
--- a/src/snipelink/session/response_reader.py
+++ b/src/snipelink/session/response_reader.py
@@ -5,8 +5,8 @@
 import httptools
 
 from snipelink import model
+from snipelink.session import body_buffer, http
 from snipelink.session import headers as header_rules
-from snipelink.session import http
 
 # Bound on the bytes of heads, chunk lines and trailers.
 MAX_FRAMING_BYTES = 262144
@@ -19,12 +19,18 @@
 class ResponseReader:
     """Parses the bytes of one connection into complete responses.
 
+    The reader and its parser refer to each other. `close` breaks that cycle; without
+    it, both stay in memory, with the bytes of an unfinished response, until a garbage
+    collection.
+
     Parameters
     ----------
     method : str
         Method of the request that the response answers.
     max_body_bytes : int
         Maximum size of a body.
+    max_framing_bytes : int
+        Maximum size of heads, chunk lines and trailers.
 
     Attributes
     ----------
@@ -34,14 +40,22 @@
         Whether any byte of a response has been received.
     """
 
-    def __init__(self, method: str, max_body_bytes: int) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+    def __init__(
+        self,
+        method: str,
+        max_body_bytes: int,
+        max_framing_bytes: int = MAX_FRAMING_BYTES,
+    ) -> None:
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self._method = method
         self._max_body_bytes = max_body_bytes
+        self._max_framing_bytes = max_framing_bytes
         self._complete: list[http.Response] = []
         self._status = 0
         self._headers: model.Headers = []
-        self._chunks: list[bytes] = []
+        self._body = body_buffer.BodyBuffer()
         self._body_bytes = 0
         self._received_bytes = 0
         self._in_body = False
@@ -58,6 +72,8 @@
             If the bytes violate the protocol or a limit. `next_response` still returns
             the responses that were complete before.
         """
+        if self._parser is None:
+            raise InvalidResponse("the reader is closed")
         self.started = True
         self._received_bytes += len(data)
         try:
@@ -65,7 +81,7 @@
         except httptools.HttpParserError as error:
             self.reusable = False
             raise InvalidResponse(str(error.__context__ or error)) from None
-        if self._received_bytes - self._body_bytes > MAX_FRAMING_BYTES:
+        if self._received_bytes - self._body_bytes > self._max_framing_bytes:
             raise InvalidResponse("too many bytes beside the body")
 
     def feed_eof(self) -> None:
@@ -77,6 +93,14 @@
         if self._in_body and self._ends_at_eof:
             self.on_message_complete()
 
+    def close(self) -> None:
+        """Drop the parser and all bytes that were not returned."""
+        self.reusable = False
+        self._parser = None
+        self._complete.clear()
+        self._headers = []
+        self._body.take()
+
     def next_response(self) -> http.Response | None:
         """Return the next complete response, or None if more bytes are needed."""
         return self._complete.pop(0) if self._complete else None
@@ -88,7 +112,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response; called by the parser."""
         self._headers = []
-        self._chunks = []
+        self._body.take()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; called by the parser."""
@@ -98,6 +122,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the status and the framing; called by the parser."""
+        assert self._parser is not None
         status = self._parser.get_status_code()
         if not 100 <= status <= 599 or status == 101:
             raise InvalidResponse(f"status {status}")
@@ -133,14 +158,13 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
             raise InvalidResponse("body too large")
-        self._chunks.append(data)
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Add the finished response to the complete ones; called by the parser."""
         if not self._in_body:
             return
         self._in_body = False
-        response = http.Response(self._status, self._headers, b"".join(self._chunks))
+        response = http.Response(self._status, self._headers, self._body.take())
         self._complete.append(response)
         self._headers = []
-        self._chunks = []
--- a/tests/execute/test_endpoint_client.py
+++ b/tests/execute/test_endpoint_client.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
 import contextlib
+import gc
 import socket
 import threading
 import time
 import typing
+import weakref
 
 import pytest
 from hypothesis import given, seed, settings
@@ -310,3 +312,18 @@
     with contextlib.suppress(endpoint_client._InvalidAnswerError):
         reader.feed(script[:position] + inserted + script[position:])
     assert len(reader.body) <= MAX_BYTES
+
+
+def test_closed_reader_is_freed_without_a_garbage_collection() -> None:
+    """Guards against broken-off answers that stay in memory beyond their budget."""
+    gc.disable()
+    try:
+        reader = endpoint_client._ResponseReader("GET", MAX_BYTES, memory.Budget(10000))
+        with contextlib.suppress(endpoint_client._InvalidAnswerError):
+            reader.feed(SIZED.split(b"\r\n\r\n")[0] + b"\r\n\r\na")
+        reader.close()
+        freed = weakref.ref(reader)
+        del reader
+        assert freed() is None
+    finally:
+        gc.enable()
--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import dataclasses
+import gc
 import socket
 import threading
 import time
+import tracemalloc
 from collections.abc import Awaitable, Callable, Iterator
 
 import pytest
@@ -16,6 +18,8 @@
 from tests.mesh import fleet
 
 ADDRESS = (loopback.next_host(), 21395)
+# Bytes that may stay in memory after broken-off answers: buffers of a few connections.
+MAX_RETAINED_BYTES = 1 << 20
 
 
 def _answer(call_id: str, *fields: str) -> bytes:
@@ -345,3 +349,45 @@
     kinds = asyncio.run(check())
     assert errors.Kind.ANSWER_TOO_LARGE in kinds
     assert set(kinds) <= {errors.Kind.ANSWER_TOO_LARGE, errors.Kind.ANSWER_INVALID}
+
+
+@pytest.mark.parametrize("head", ["", "transfer-encoding: chunked\r\n"])
+def test_answers_without_end_leave_no_bytes_in_memory(head: str) -> None:
+    """Guards against a node that exceeds its memory limit and loses its other calls.
+
+    A faulty endpoint sent answers without end. Each was broken off at its maximum size
+    but stayed in memory until a garbage collection.
+    """
+    block = b"10000\r\n" + bytes(65536) + b"\r\n" if head else bytes(65536)
+
+    async def serve(stream: channel.Channel) -> None:
+        await stream.receive()
+        stream.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+        with contextlib.suppress(ConnectionError):
+            while True:
+                stream.write(block)
+                await stream.drain()
+
+    async def check() -> None:
+        listener = await channel.listen(ADDRESS, serve, 10)
+        client = endpoint.EndpointClient(ADDRESS, fleet.NAMES)
+        request = dataclasses.replace(_request("c"), deadline=clock.now() + 30.0)
+        tracemalloc.start()
+        before, _ = tracemalloc.get_traced_memory()
+        try:
+            for _ in range(3):
+                answered = await client.send(request)
+                assert answered.unwrap_err().kind is errors.Kind.ANSWER_INVALID
+            await asyncio.sleep(0.05)
+            after, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            client.close()
+            listener.close()
+        assert after - before < MAX_RETAINED_BYTES
+
+    gc.disable()
+    try:
+        asyncio.run(check())
+    finally:
+        gc.enable()
--- a/tests/session/test_response_reader.py
+++ b/tests/session/test_response_reader.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import gc
+import weakref
+
 import pytest
 
 from snipelink.session import response_reader
@@ -114,3 +117,42 @@
     with pytest.raises(response_reader.InvalidResponse):
         reader.feed(data)
     assert reader.next_response() is None
+
+
+def test_closed_reader_is_freed_without_a_garbage_collection() -> None:
+    """Guards against broken-off answers that stay in memory.
+
+    The reader and its parser referred to each other until a garbage collection, which
+    hardly ever ran.
+    """
+    gc.disable()
+    try:
+        reader = _reader()
+        reader.feed(HEAD + b"content-length: 900\r\n\r\n" + b"x" * 800)
+        reader.close()
+        freed = weakref.ref(reader)
+        del reader
+        assert freed() is None
+    finally:
+        gc.enable()
+
+
+def test_reader_that_is_closed_after_a_violation_holds_no_bytes() -> None:
+    """Guards against an answer without end that stays in memory after its limit."""
+    gc.disable()
+    try:
+        reader = _reader()
+        with pytest.raises(response_reader.InvalidResponse):
+            reader.feed(HEAD + b"\r\n" + b"x" * 2000)
+        reader.close()
+        freed = weakref.ref(reader)
+        del reader
+        assert freed() is None
+    finally:
+        gc.enable()
+
+
+def test_head_above_its_limit_is_refused() -> None:
+    reader = response_reader.ResponseReader("GET", 1000, 100)
+    with pytest.raises(response_reader.InvalidResponse):
+        reader.feed(b"HTTP/1.1 200 OK\r\nx: " + b"a" * 100)
