Free the body of an upload with its request

Change: a body leaves the reader with its request; RequestReader.close drops the parser and all bytes, and all ports that read requests call it.

Tests: test_answered_uploads_of_closed_connections_leave_no_bytes_in_memory failed before with 21,084,651 bytes (bound 1 MB) and passes now.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -242,6 +242,7 @@
         if self._drain.cause is not None and self._drain.may_close:
             # This side had already decided to close the connection.
             cause = self._drain.cause
+        self._reader.close()
         self._body_charge.release()
         for entry in self._pending:
             entry.body_charge.release()
--- a/src/snipelink/mesh/status.py
+++ b/src/snipelink/mesh/status.py
@@ -65,6 +65,8 @@
                 "connection to a status port has failed",
                 extra={"fields": {"peer": stream.peer_host, "error": str(error)}},
             )
+        finally:
+            reader.close()
 
     def _encode_answer(self, request: http.Request) -> bytes:
         make_response = self._response_factories_by_path.get(request.path)
--- a/src/snipelink/session/caller_server.py
+++ b/src/snipelink/session/caller_server.py
@@ -58,7 +58,7 @@
                 server.budget.release()
                 self.busy = False
         except request_reader.RequestRefused as refused:
-            del reader
+            reader.close()
             server.budget.release()
             self._send_refusal(server, stream, refused.failure)
         except OSError:
@@ -66,6 +66,7 @@
         except Exception:
             logger.exception("caller connection failed")
         finally:
+            reader.close()
             server.budget.release()
             stream.close()
             self.close()
--- a/src/snipelink/session/request_reader.py
+++ b/src/snipelink/session/request_reader.py
@@ -13,7 +13,7 @@
 import httptools
 
 from snipelink import errors, model
-from snipelink.session import http, memory, request_target
+from snipelink.session import body_buffer, http, memory, request_target
 
 # Bounds on the number of headers and on the length of a chunk line or trailer.
 MAX_HEADERS = 100
@@ -86,6 +86,10 @@
 class RequestReader:
     """Parses the bytes of one connection into requests, one at a time.
 
+    The reader and its parser refer to each other. `close` breaks that cycle; without
+    it, both stay in memory, with the bytes of an unfinished request, until a garbage
+    collection.
+
     Parameters
     ----------
     limits : Limits
@@ -105,7 +109,9 @@
         self._limits = limits
         self._single_value_names = _SINGLE_VALUE_NAMES | single_value_names
         self._budget = budget
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(
+            self
+        )
         self._buffer = bytearray()
         self._scanned_bytes = 0
         self._request: http.Request | None = None
@@ -119,7 +125,7 @@
         self._in_trailers = False
         self._is_complete = False
         self._expects_continue = False
-        self._chunks: list[bytes] = []
+        self._body = body_buffer.BodyBuffer()
         self._body_bytes = 0
 
     def has_partial_request(self) -> bool:
@@ -153,12 +159,20 @@
             if not self._read_body():
                 return None
         request = self._request
-        if request is not None and self._chunks:
-            request.body = b"".join(self._chunks)
+        if request is not None:
+            request.body = self._body.take()
         self._request = None
         self._expects_continue = False
         return request
 
+    def close(self) -> None:
+        """Drop the parser and all bytes that were not returned."""
+        self._parser = None
+        self._request = None
+        self._buffer.clear()
+        self._headers = []
+        self._body.take()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; called by the parser."""
         if self._in_trailers:
@@ -173,11 +187,12 @@
 
     def on_headers_complete(self) -> None:
         """Save the keep-alive flag, which the parser resets; called by the parser."""
+        assert self._parser is not None
         self._keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body; called by the parser."""
-        self._chunks.append(data)
+        self._body.append(data)
         self._body_bytes += len(data)
 
     def on_message_complete(self) -> None:
@@ -203,10 +218,11 @@
         self._scanned_bytes = 0
         self._headers = []
         self._single_values = {}
-        self._chunks = []
+        self._body.take()
         self._body_bytes = self._unread_body_bytes = self._chunk_framing_bytes = 0
         self._is_chunked = self._in_trailers = self._is_complete = False
         upgrade = False
+        assert self._parser is not None
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -330,6 +346,7 @@
     def _feed_parser(self, size: int) -> bytes:
         data = bytes(self._buffer[:size])
         del self._buffer[:size]
+        assert self._parser is not None
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -169,8 +169,16 @@
 
     async def _answer(self, stream: channel.Channel) -> None:
         reader = request_reader.RequestReader(
-            published_state.CallerLimits(), memory.PoolCharge(memory.Pool(1 << 20))
+            published_state.CallerLimits(), memory.PoolCharge(memory.Pool(1 << 28))
         )
+        try:
+            await self._answer_requests(stream, reader)
+        finally:
+            reader.close()
+
+    async def _answer_requests(
+        self, stream: channel.Channel, reader: request_reader.RequestReader
+    ) -> None:
         has_carried_poll = False
         while True:
             request = reader.next_request()
--- a/tests/mesh/test_uploads.py
+++ b/tests/mesh/test_uploads.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
+import tracemalloc
 
 import pytest
 
@@ -13,6 +15,9 @@
 
 UPLOAD = {"idempotent": False, "prefix": "/claim/", "timeout_s": 3.0, "target_s": 1.0}
 BODY = random.Random(1).randbytes(360_000)
+LARGE_BODY = bytes(4 << 20)
+# Bytes that a node may hold once all uploads are answered: buffers of connections.
+MAX_RETAINED_BYTES = 1 << 20
 
 
 async def _upload_routes() -> tuple[published_state.Route, ...]:
@@ -199,3 +204,49 @@
             assert answered.status == 200
 
     asyncio.run(check())
+
+
+async def _bytes_held_after_uploads(
+    members: list[fleet.Member], *, on_new_connections: bool
+) -> int:
+    """Return the growth of the memory by uploads that the endpoint has dropped."""
+    sender, receiver = members[1], members[0]
+    client = await fleet.Client.open(sender)
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        for index in range(4):
+            if on_new_connections:
+                client.stream.close()
+                client = await fleet.Client.open(sender)
+            response = await client.call(
+                f"c{index}", path="/claim/1", method="POST", body=LARGE_BODY
+            )
+            assert response.status == 200
+            receiver.endpoint.received.clear()
+        client.stream.close()
+        await asyncio.sleep(0.2)
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return after - before
+
+
+def test_answered_uploads_of_closed_connections_leave_no_bytes_in_memory() -> None:
+    """Guards against a node that exceeds its memory limit and loses its calls.
+
+    The reader of a caller's connection kept the last body until a garbage collection.
+    """
+
+    @test_node.run
+    async def check() -> None:
+        async with fleet.running("rota", routes=await _upload_routes()) as members:
+            members.append(members[0])
+            held = await _bytes_held_after_uploads(members, on_new_connections=True)
+        assert held < MAX_RETAINED_BYTES
+
+    gc.disable()
+    try:
+        check()
+    finally:
+        gc.enable()
--- a/tests/session/test_memory.py
+++ b/tests/session/test_memory.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
+
 import pytest
 
 from snipelink.mesh import published_state
@@ -56,3 +59,39 @@
     assert pool.used == whole
     charge.detach().release()
     assert pool.used == 0
+
+
+@pytest.mark.parametrize("request_bytes", [PLAIN, CHUNKED])
+def test_closed_reader_is_freed_without_a_garbage_collection(
+    request_bytes: bytes,
+) -> None:
+    """Guards against bodies of closed connections that stay in memory.
+
+    The reader and its parser referred to each other until a garbage collection.
+    """
+    charge = memory.PoolCharge(memory.Pool(100))
+    gc.disable()
+    try:
+        reader = request_reader.RequestReader(published_state.CallerLimits(), charge)
+        reader.feed(request_bytes + request_bytes[:-2])
+        assert reader.next_request() is not None
+        reader.close()
+        freed = weakref.ref(reader)
+        del reader
+        assert freed() is None
+    finally:
+        gc.enable()
+
+
+@pytest.mark.parametrize("request_bytes", [PLAIN, CHUNKED])
+def test_returned_body_is_not_kept_by_its_reader(request_bytes: bytes) -> None:
+    """Guards against an idle connection that keeps the last body."""
+    charge = memory.PoolCharge(memory.Pool(100))
+    reader = request_reader.RequestReader(published_state.CallerLimits(), charge)
+    reader.feed(request_bytes)
+    request = reader.next_request()
+    assert request is not None
+    body = request.body
+    del request
+    assert body == b"hello"
+    assert not any(held is body for held in gc.get_referents(reader._body))
