Bound the bytes that a node buffers, and hold a passing upload once

Cause: each idle connection between nodes kept its last call twice in the local variables of the method that serves it; every step of the way copied the body; and nothing bounded the calls of other nodes.

Change: a frame is served in a method of its own. A large frame is received into one buffer that the decoded body refers to; bodies are sent in slices, not joined with their heads. mesh/buffers.py sizes the pools of all messages from the memory limit of the settings, with gauges and a log line when one is full. The time to send a body now also delays a retransmission on a new connection.

tests/mesh/test_uploads.py: the test that replaced callers.MAX_BODY_BYTES sets the limit of the pool instead, since the size is no longer a constant; same bound.

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -11,7 +11,7 @@
 
 from result import Err
 
-from snipelink import clock, errors
+from snipelink import clock, errors, model
 from snipelink.decide import polling, retry_after, slots, slowness_period
 from snipelink.mesh import calls, endpoint, poison_requests, settings
 from snipelink.session import headers as header_rules
@@ -294,12 +294,12 @@
         self, key: int, call: calls.Call, instance: str, started_at: float
     ) -> calls.Outcome:
         try:
-            payload = self._encode(call, instance, started_at)
+            payload, body = self._encode(call, instance, started_at)
         except ValueError as error:
             return calls.failed_outcome(errors.Kind.BAD_REQUEST, str(error))
         result = await self._client.send(
             endpoint.EndpointRequest(
-                call.call_id, call.method, payload, call.deadline, call.idempotent
+                call.call_id, call.method, payload, call.deadline, call.idempotent, body
             )
         )
         now = clock.now()
@@ -325,7 +325,10 @@
         self._poison_guard.on_call_answered(call)
         return calls.Outcome(response, reached=True, work_s=work_s)
 
-    def _encode(self, call: calls.Call, instance: str, now: float) -> bytes:
+    def _encode(
+        self, call: calls.Call, instance: str, now: float
+    ) -> tuple[bytes, model.Body]:
+        """Return the encoded request, and its body if it is too large to be copied."""
         remaining_ms = max(1, int((call.deadline - now) * 1000))
         mesh_headers = [
             (self._names.call_id, call.call_id),
@@ -333,9 +336,12 @@
             (self._names.expected_instance, instance),
             (self._names.caller_service, call.caller_service),
         ]
-        return endpoint.encode_request(
-            call.method, call.target, call.headers + mesh_headers, call.body
+        head = endpoint.encode_request_head(
+            call.method, call.target, call.headers + mesh_headers, len(call.body)
         )
+        if len(call.body) <= http.MAX_COPIED_BODY_BYTES:
+            return head + call.body, b""
+        return head, call.body
 
     def _check_response(self, response: http.Response) -> calls.Outcome | None:
         """Return the failure that the endpoint's response means, or None."""
--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -27,8 +27,6 @@
 # The connection therefore stays open for twice `dispatch.DEFAULT_REMAINING_MS`, longer
 # than any request is open; the work for a request is bounded by its deadline.
 KEEPALIVE = channel.KeepAlive(idle_s=15, interval_s=15, count=4, user_timeout_ms=60_000)
-# Maximum bytes of request bodies in memory, a share of the smallest machine's memory.
-MAX_BODY_BYTES = 1 << 26
 # Retry time for a request that was refused for lack of memory, seconds: about the
 # duration of a call, after which memory is free again.
 BODY_RETRY_AFTER_S = 0.5
@@ -128,11 +126,11 @@
         Returns the limits of the configuration in force.
     metrics_registry : Metrics
         Records the number of requests that got no answer.
+    pool : Pool
+        Memory of request bodies.
 
     Attributes
     ----------
-    pool : Pool
-        Memory of request bodies.
     is_leaving : bool
         Whether the node is shutting down, so that connections are drained.
     is_closed : bool
@@ -151,11 +149,12 @@
         header_names: settings.HeaderNames,
         limits: Callable[[], published_state.CallerLimits],
         metrics_registry: metrics.Metrics,
+        pool: memory.Pool,
     ) -> None:
         self.dispatcher = dispatcher
         self.names = header_names
         self.limits = limits
-        self.pool = memory.Pool(MAX_BODY_BYTES)
+        self.pool = pool
         self.is_leaving = False
         self.is_closed = False
         self.last_request_at = 0.0
@@ -398,12 +397,16 @@
             is_leaving=self._port.is_leaving, has_next_request=len(self._pending) > 1
         )
         try:
-            data = http.encode_response(response, request.method, keep_alive)
+            parts = http.encode_response_parts(response, request.method, keep_alive)
         except ValueError:
             logger.exception("answer could not be encoded")
             response = self._internal_error(request)
-            data = http.encode_response(response, request.method, keep_alive)
-        self._stream.write(data)
+            parts = http.encode_response_parts(response, request.method, keep_alive)
+        head, body = parts
+        if len(body) <= http.MAX_COPIED_BODY_BYTES:
+            self._stream.write(head + body)
+        else:
+            await self._stream.write_parts(head, body)
         self._drain.on_request_answered()
 
     def _internal_error(self, request: http.Request) -> http.Response:
--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -9,10 +9,13 @@
 import typing
 from collections.abc import Callable
 
-from snipelink import clock
+from snipelink import clock, model
 
 # Unread bytes above which the connection stops reading, which throttles the peer.
 MAX_UNREAD_BYTES = 262144
+# Bytes that are passed to the event loop at a time. It copies what the kernel does not
+# take, so a large message would be held twice.
+WRITE_SLICE_BYTES = 262144
 # Lateness of a timer above which the event loop counts as stalled, seconds: a few
 # iterations of the loop.
 STALL_THRESHOLD_S = 0.02
@@ -176,7 +179,7 @@
             self._is_reading_paused = False
         return data
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: model.Body) -> None:
         """Queue bytes for sending without waiting.
 
         Raises
@@ -188,6 +191,20 @@
             raise ConnectionResetError("the connection is closed")
         self._transport.write(data)
 
+    async def write_parts(self, *parts: model.Body) -> None:
+        """Send the parts of a large message, waiting while the peer does not read.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection is closed.
+        """
+        for part in parts:
+            view = memoryview(part)
+            for start in range(0, len(view), WRITE_SLICE_BYTES):
+                self.write(view[start : start + WRITE_SLICE_BYTES])
+                await self.drain()
+
     async def drain(self) -> None:
         """Wait until the write buffer is below its limit.
 
--- a/src/snipelink/mesh/deduplication.py
+++ b/src/snipelink/mesh/deduplication.py
@@ -189,7 +189,7 @@
         self, connection: frames.FrameChannel, call_id: str, outcome: calls.Outcome
     ) -> bool:
         reply = messages.encode_reply(call_id, outcome)
-        connection.send(frames.Kind.REPLY, reply)
+        await connection.send_parts(frames.Kind.REPLY, reply)
         await connection.stream.drain()
         return True
 
--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import dataclasses
 import math
@@ -59,6 +60,22 @@
     is_silent: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerLimits:
+    """Bounds on one answer.
+
+    Attributes
+    ----------
+    max_body_bytes : int
+        Maximum size of the body.
+    max_framing_bytes : int
+        Maximum size of heads, chunk lines and trailers.
+    """
+
+    max_body_bytes: int
+    max_framing_bytes: int = response_reader.MAX_FRAMING_BYTES
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointRequest:
     """One HTTP request to the endpoint.
@@ -68,7 +85,9 @@
     call_id : str
         Identity that the answer must echo; empty if the request carries none.
     payload : bytes
-        Encoded request.
+        Encoded request, up to its body.
+    body : Body
+        Body of the request, if it is not part of the payload.
     deadline : float
         Monotonic time in seconds by which the answer must be complete.
     idempotent : bool
@@ -80,6 +99,7 @@
     payload: bytes
     deadline: float
     idempotent: bool
+    body: model.Body = b""
 
 
 class EndpointClient:
@@ -93,6 +113,10 @@
         Names of the HTTP headers that the mesh adds or reads.
     monitor : ConnectionMonitor or None
         Opens connections and records those whose peer stops answering.
+    pool : Pool or None
+        Memory of answers; None for a pool of `MAX_BUFFERED_ANSWERS_BYTES`.
+    limits : AnswerLimits
+        Bounds on each answer.
 
     Attributes
     ----------
@@ -106,12 +130,17 @@
         address: channel.Address,
         header_names: settings.HeaderNames,
         monitor: connection_monitor.ConnectionMonitor | None = None,
+        pool: memory.Pool | None = None,
+        limits: AnswerLimits | None = None,
     ) -> None:
         self.address = address
         self._connection_monitor = monitor or connection_monitor.ConnectionMonitor()
         self._header_names = header_names
         self._idle_connections: collections.deque[_IdleConnection] = collections.deque()
-        self._pool = memory.Pool(MAX_BUFFERED_ANSWERS_BYTES)
+        self._pool = pool or memory.Pool(MAX_BUFFERED_ANSWERS_BYTES)
+        self._limits = limits or AnswerLimits(MAX_ANSWER_BYTES)
+        # Bodies that are still being sent although their answers are complete.
+        self._unfinished: set[asyncio.Task[None]] = set()
         self.connections_opened = 0
         self.unexpected_answers = 0
         self.polls_repeated = 0
@@ -164,6 +193,8 @@
 
     def close(self) -> None:
         """Close the idle connections."""
+        for task in self._unfinished:
+            task.cancel()
         while self._idle_connections:
             self._idle_connections.pop().stream.close()
 
@@ -176,17 +207,24 @@
         earlier than the deadline of the request.
         """
         stream, sent_at = opened.stream, clock.now()
-        reader = response_reader.ResponseReader(request.method, MAX_ANSWER_BYTES)
+        reader = response_reader.ResponseReader(
+            request.method, self._limits.max_body_bytes, self._limits.max_framing_bytes
+        )
         charge = memory.PoolCharge(self._pool)
         is_returned = False
+        sending: asyncio.Task[None] | None = None
         try:
             stream.write(request.payload)
+            if request.body:
+                sending = asyncio.ensure_future(_send_body(stream, request.body))
             reading = self._read(stream, reader, request, charge)
             outcome = await channel.run_until_deadline(deadline, reading)
-            if isinstance(outcome, Ok) and reader.reusable and reader.is_idle():
-                is_returned = stream.is_idle
-                if is_returned:
-                    self._return_to_pool(opened, outcome.ok_value)
+            if isinstance(outcome, Ok):
+                if isinstance(outcome.ok_value.body, memory.ChargedBuffer):
+                    outcome.ok_value.body.charge = charge.detach()
+                if reader.reusable and reader.is_idle() and stream.is_idle:
+                    is_returned = True
+                    self._release(opened, outcome.ok_value, sending, request.deadline)
             return outcome
         except TimeoutError:
             opened.is_silent = stream.is_idle and not reader.started
@@ -201,6 +239,8 @@
             reader.close()
             charge.release()
             if not is_returned:
+                if sending is not None:
+                    sending.cancel()
                 stream.abort()
 
     async def _read(
@@ -294,6 +334,47 @@
         self.connections_opened += 1
         return Ok(_ActiveConnection(stream, address, is_pooled=False))
 
+    def _release(
+        self,
+        opened: _ActiveConnection,
+        response: http.Response,
+        sending: asyncio.Task[None] | None,
+        deadline: float,
+    ) -> None:
+        """Return a connection to the pool once the request is sent completely.
+
+        An endpoint may answer before it has read a long body. It then reads the rest,
+        which must not be cut.
+        """
+        if sending is None or sending.done():
+            self._return_to_pool(opened, response)
+            return
+        finishing = asyncio.ensure_future(
+            self._finish_sending(opened, response, sending, deadline)
+        )
+        self._unfinished.add(finishing)
+        finishing.add_done_callback(self._unfinished.discard)
+
+    async def _finish_sending(
+        self,
+        opened: _ActiveConnection,
+        response: http.Response,
+        sending: asyncio.Task[None],
+        deadline: float,
+    ) -> None:
+        is_sent = False
+        try:
+            await channel.run_until_deadline(deadline, sending)
+            is_sent = opened.stream.is_idle
+        except TimeoutError:
+            # The endpoint does not read the rest, so the connection is of no use.
+            pass
+        finally:
+            if is_sent:
+                self._return_to_pool(opened, response)
+            else:
+                opened.stream.abort()
+
     def _return_to_pool(
         self, opened: _ActiveConnection, response: http.Response
     ) -> None:
@@ -308,11 +389,32 @@
         self._idle_connections.append(idle)
 
 
+async def _send_body(stream: channel.Channel, body: model.Body) -> None:
+    try:
+        await stream.write_parts(body)
+    except ConnectionError:
+        # The task that reads the answer reports the end of the connection.
+        pass
+
+
 def encode_request(
     method: str, target: str, headers: model.Headers, body: model.Body
 ) -> bytes:
     """Encode a request, adding a content-length header where one is needed.
 
+    Raises
+    ------
+    ValueError
+        If a header contains a line break, a NUL or a character outside Latin-1.
+    """
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: str, target: str, headers: model.Headers, body_bytes: int
+) -> bytes:
+    """Encode a request up to its body of `body_bytes` bytes.
+
     Raises
     ------
     ValueError
@@ -320,9 +422,9 @@
     """
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
-    if body or method in ("POST", "PUT", "PATCH"):
-        lines.append(f"content-length: {len(body)}")
-    return http.encode_head(lines) + body
+    if body_bytes or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"content-length: {body_bytes}")
+    return http.encode_head(lines)
 
 
 def _fail(kind: errors.Kind, detail: str) -> Err[errors.Failure]:
--- a/src/snipelink/mesh/messages.py
+++ b/src/snipelink/mesh/messages.py
@@ -3,21 +3,29 @@
 from __future__ import annotations
 
 import dataclasses
-import typing
+import struct
 
 import msgspec
 
-from snipelink import errors
+from snipelink import errors, model
 from snipelink.generated import mesh
 from snipelink.mesh import calls
 from snipelink.session import http
 
+# Heads of an array of up to 2^16 elements and of up to 2^32 bytes in msgpack.
+_ARRAY_16_HEAD = struct.Struct(">BH")
+_BIN_32_HEAD = struct.Struct(">BI")
+
 _encoder = msgspec.msgpack.Encoder()
 _call_decoder = msgspec.msgpack.Decoder(mesh.Call)
 _accepted_decoder = msgspec.msgpack.Decoder(mesh.Accepted)
 _reply_decoder = msgspec.msgpack.Decoder(mesh.Reply)
 
 
+# Parts of one message, which are sent one after the other.
+Parts = tuple[model.Body, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptHeader:
     """Identification of an attempt in a call message.
@@ -59,31 +67,30 @@
 
 def encode_call(
     call: calls.Call, instance: str, header: AttemptHeader, now: float
-) -> bytes:
-    """Return the encoded message that requests a node to run a call."""
-    return _encoder.encode(
-        mesh.Call(
-            call.call_id,
-            instance,
-            call.service,
-            call.method,
-            call.target,
-            [list(field) for field in call.headers],
-            typing.cast("bytes", call.body),
-            _ms(call.deadline - now),
-            _ms(call.target_at - now),
-            _ms(call.work_s),
-            call.priority,
-            call.idempotent,
-            call.caller_service,
-            header.attempt_id,
-            header.number,
-            header.started_ms,
-        )
+) -> Parts:
+    """Return the parts of the message that requests a node to run a call."""
+    message = mesh.Call(
+        call.call_id,
+        instance,
+        call.service,
+        call.method,
+        call.target,
+        [list(field) for field in call.headers],
+        memoryview(b""),
+        _ms(call.deadline - now),
+        _ms(call.target_at - now),
+        _ms(call.work_s),
+        call.priority,
+        call.idempotent,
+        call.caller_service,
+        header.attempt_id,
+        header.number,
+        header.started_ms,
     )
+    return _encode_with_body(message, call.body)
 
 
-def decode_call(payload: bytes) -> mesh.Call:
+def decode_call(payload: bytes | memoryview) -> mesh.Call:
     """Decode a call message; raises ``MsgspecError`` if it is invalid."""
     return _call_decoder.decode(payload)
 
@@ -120,32 +127,31 @@
     return _encoder.encode(mesh.Accepted(started_ms))
 
 
-def decode_accepted(payload: bytes) -> mesh.Accepted:
+def decode_accepted(payload: bytes | memoryview) -> mesh.Accepted:
     """Decode an acknowledgement; raises ``MsgspecError`` if it is invalid."""
     return _accepted_decoder.decode(payload)
 
 
-def decode_reply(payload: bytes) -> mesh.Reply:
+def decode_reply(payload: bytes | memoryview) -> mesh.Reply:
     """Decode a reply; raises ``MsgspecError`` if it is invalid."""
     return _reply_decoder.decode(payload)
 
 
-def encode_reply(call_id: str, outcome: calls.Outcome) -> bytes:
-    """Return the encoded message that carries the outcome of a call."""
+def encode_reply(call_id: str, outcome: calls.Outcome) -> Parts:
+    """Return the parts of the message that carries the outcome of a call."""
     failure, response = outcome.failure, outcome.response
-    return _encoder.encode(
-        mesh.Reply(
-            call_id,
-            failure.kind.value if failure else "",
-            failure.detail if failure else "",
-            _ms(failure.retry_after_s) if failure else 0,
-            outcome.reached,
-            _ms(outcome.work_s),
-            response.status if response else 0,
-            [list(field) for field in response.headers] if response else [],
-            typing.cast("bytes", response.body if response else b""),
-        )
+    message = mesh.Reply(
+        call_id,
+        failure.kind.value if failure else "",
+        failure.detail if failure else "",
+        _ms(failure.retry_after_s) if failure else 0,
+        outcome.reached,
+        _ms(outcome.work_s),
+        response.status if response else 0,
+        [list(field) for field in response.headers] if response else [],
+        memoryview(b""),
     )
+    return _encode_with_body(message, response.body if response else b"")
 
 
 def to_outcome(reply: mesh.Reply) -> calls.Outcome:
@@ -162,5 +168,18 @@
     return calls.Outcome(response, reached=True, work_s=reply.work_ms / 1000.0)
 
 
+def _encode_with_body(message: mesh.Call | mesh.Reply, body: model.Body) -> Parts:
+    """Encode a message with a body; a large body is a part of its own, not copied."""
+    if len(body) <= http.MAX_COPIED_BODY_BYTES:
+        message.body = memoryview(body)
+        return (_encoder.encode(message),)
+    fields = msgspec.structs.astuple(message)
+    index = message.__struct_fields__.index("body")
+    before = b"".join(_encoder.encode(field) for field in fields[:index])
+    after = b"".join(_encoder.encode(field) for field in fields[index + 1 :])
+    head = _ARRAY_16_HEAD.pack(0xDC, len(fields)) + before
+    return head + _BIN_32_HEAD.pack(0xC6, len(body)), body, after
+
+
 def _ms(seconds: float) -> int:
     return int(seconds * 1000)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -23,6 +23,7 @@
 from snipelink.mesh import (
     admission,
     attempts,
+    buffers,
     callers,
     catalog,
     connection_monitor,
@@ -112,14 +113,21 @@
         self._catalog = catalog.Catalog(node_settings.bounds.drain_s)
         self._loads = load_reports.LoadTable(self._period_estimator)
         self.connection_monitor = connection_monitor.ConnectionMonitor()
+        self._buffers = buffers.Buffers.for_memory_limit(node_settings.memory_bytes)
         self._endpoint = endpoint.EndpointClient(
-            node_settings.endpoint_address, header_names, self.connection_monitor
+            node_settings.endpoint_address,
+            header_names,
+            self.connection_monitor,
+            self._buffers.endpoint_answers,
         )
         # Health polls use a separate connection pool. Their answers carry no call
         # identity, so a late duplicate answer on a shared connection could be taken
         # for the answer to a call.
         self._poll_client = endpoint.EndpointClient(
-            node_settings.endpoint_address, header_names, self.connection_monitor
+            node_settings.endpoint_address,
+            header_names,
+            self.connection_monitor,
+            self._buffers.health_answers,
         )
         self._load_exchange = load_reports.LoadExchange(
             node_settings.host,
@@ -144,9 +152,13 @@
             self._period_estimator,
             self._poison_guard,
         )
-        self._peers = peers.PeerClient(node_settings.peer_port, self.connection_monitor)
+        self._peers = peers.PeerClient(
+            node_settings.peer_port, self.connection_monitor, self._buffers.peer_replies
+        )
         self._peer_port = peers.PeerPort(
-            deduplication.Deduplicator(self._runner, self._started_ms), self._catalog
+            deduplication.Deduplicator(self._runner, self._started_ms),
+            self._catalog,
+            self._buffers.peer_calls,
         )
         self._endpoint_subset = subsetting.EndpointSubset(node_settings.host)
         self._followed_hosts: dict[str, bool] = {}
@@ -170,7 +182,11 @@
             rng,
         )
         self._callers = callers.CallerPort(
-            self._dispatcher, header_names, self._caller_limits, self._metrics
+            self._dispatcher,
+            header_names,
+            self._caller_limits,
+            self._metrics,
+            self._buffers.caller_requests,
         )
         self._poller = health.Poller(
             self._poll_client,
@@ -550,6 +566,7 @@
             "nodes_followed": lambda: len(self._followed_hosts),
             "nodes_following": lambda: self._load_exchange.follower_count,
         }
+        self._buffers.register_gauges(self._metrics)
         for name, read in values.items():
             self._metrics.gauge(f"snipelink_mesh_{name}", name.replace("_", " "), read)
 
--- a/src/snipelink/mesh/peer_attempts.py
+++ b/src/snipelink/mesh/peer_attempts.py
@@ -19,6 +19,7 @@
 from snipelink import clock, errors
 from snipelink.mesh import calls, channel, connection_monitor, frames, messages
 from snipelink.session import frames as framing
+from snipelink.session import memory
 
 logger = logging.getLogger(__name__)
 
@@ -109,6 +110,8 @@
         Unique name of the attempt.
     monitor : ConnectionMonitor
         Opens connections and records those whose peer stops answering.
+    reply_pool : Pool or None
+        Memory of large replies; None for no limit.
 
     Attributes
     ----------
@@ -125,17 +128,17 @@
         instance: str,
         attempt_id: str,
         monitor: connection_monitor.ConnectionMonitor,
+        reply_pool: memory.Pool | None = None,
     ) -> None:
         self._call = call
+        self._reply_pool = reply_pool
         self._address = address
         self._instance = instance
         self._attempt_id = attempt_id
         self._connection_monitor = monitor
         self._transmissions: list[_Transmission] = []
         self._started_ms = 0
-        self._accept_timeout_s = (
-            ACCEPT_TIMEOUT_S + len(call.body) / MIN_LINK_BYTES_PER_S
-        )
+        self._sending_s = len(call.body) / MIN_LINK_BYTES_PER_S
         self._waker: asyncio.Future[None] | None = None
         self.reusable: PeerConnection | None = None
         self.retransmission_count = 0
@@ -242,11 +245,12 @@
                 transmission.acknowledged_at + HEARTBEAT_INTERVAL_S + ACCEPT_TIMEOUT_S
             )
         # A new connection is unlikely to be silent, and needs a round trip to open.
-        return transmission.started_at + (
-            self._accept_timeout_s
+        accept_timeout_s = (
+            ACCEPT_TIMEOUT_S
             if transmission.is_pooled
             else NEW_CONNECTION_ACCEPT_TIMEOUT_S
         )
+        return transmission.started_at + accept_timeout_s + self._sending_s
 
     def _is_possibly_silent(self, transmission: _Transmission) -> bool:
         reuse_policy, acknowledged_at = (
@@ -278,15 +282,15 @@
         if transmission.connection is None:
             stream = await self._connect()
             transmission.connection = PeerConnection(
-                frames.FrameChannel(stream), 0, clock.now()
+                frames.FrameChannel(stream, self._reply_pool), 0, clock.now()
             )
         connection = transmission.connection
         header = messages.AttemptHeader(
             self._attempt_id, transmission.number, self._started_ms
         )
-        payload = messages.encode_call(self._call, self._instance, header, clock.now())
+        parts = messages.encode_call(self._call, self._instance, header, clock.now())
         kind = frames.Kind.CALL_AGAIN if transmission.number else frames.Kind.CALL
-        connection.frame_channel.send(kind, payload)
+        await connection.frame_channel.send_parts(kind, parts)
         while True:
             received = await connection.frame_channel.receive()
             if received is None:
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -25,6 +25,7 @@
     published_state,
 )
 from snipelink.session import frames as framing
+from snipelink.session import memory
 
 logger = logging.getLogger(__name__)
 
@@ -51,12 +52,18 @@
         Port on which the nodes of all machines accept calls.
     monitor : ConnectionMonitor
         Opens connections and records those whose peer stops answering.
+    reply_pool : Pool or None
+        Memory of large replies; None for no limit.
     """
 
     def __init__(
-        self, port: int, monitor: connection_monitor.ConnectionMonitor
+        self,
+        port: int,
+        monitor: connection_monitor.ConnectionMonitor,
+        reply_pool: memory.Pool | None = None,
     ) -> None:
         self._port = port
+        self._reply_pool = reply_pool
         self._connection_monitor = monitor
         self._idle_by_host: dict[
             str, collections.deque[peer_attempts.PeerConnection]
@@ -86,7 +93,12 @@
             self._attempt_id_prefix, next(self._attempt_numbers)
         )
         attempt = peer_attempts.PeerAttempt(
-            call, address, instance, attempt_id, self._connection_monitor
+            call,
+            address,
+            instance,
+            attempt_id,
+            self._connection_monitor,
+            self._reply_pool,
         )
         self._attempts_in_flight.add(attempt)
         sent_at = clock.now()
@@ -176,7 +188,7 @@
             return Err(errors.Failure(errors.Kind.UNREACHABLE, detail))
         return Ok(
             peer_attempts.PeerConnection(
-                frames.FrameChannel(stream), started_ms, clock.now()
+                frames.FrameChannel(stream, self._reply_pool), started_ms, clock.now()
             )
         )
 
@@ -200,11 +212,17 @@
         Runs each received attempt once on the local endpoint.
     service_catalog : Catalog
         Source of the published state that other nodes request.
+    call_pool : Pool or None
+        Memory of large calls; None for no limit.
     """
 
     def __init__(
-        self, deduplicator: deduplication.Deduplicator, service_catalog: catalog.Catalog
+        self,
+        deduplicator: deduplication.Deduplicator,
+        service_catalog: catalog.Catalog,
+        call_pool: memory.Pool | None = None,
     ) -> None:
+        self._call_pool = call_pool
         self._deduplicator = deduplicator
         self._catalog = service_catalog
         self._connections: set[frames.FrameChannel] = set()
@@ -234,22 +252,11 @@
         # During a graceful shutdown, a call counts as in flight until the kernel has
         # taken its whole reply.
         stream.disable_write_buffer()
-        connection = frames.FrameChannel(stream)
+        connection = frames.FrameChannel(stream, self._call_pool)
         self._connections.add(connection)
         try:
-            while True:
-                frame = await connection.receive()
-                if frame is None:
-                    return
-                kind, payload = frame
-                if kind is frames.Kind.PUBLISHED_REQUEST:
-                    self._send_published(connection, payload)
-                elif kind in (frames.Kind.CALL, frames.Kind.CALL_AGAIN):
-                    message = messages.decode_call(payload)
-                    if not await self._deduplicator.serve(connection, message):
-                        return
-                else:
-                    raise framing.FrameError(f"unexpected frame of kind {kind.name}")
+            while await self._serve_frame(connection):
+                pass
         except ConnectionError:
             # The other node closed the connection; it logs the outcome of the call.
             return
@@ -261,7 +268,27 @@
         finally:
             self._connections.discard(connection)
 
-    def _send_published(self, connection: frames.FrameChannel, payload: bytes) -> None:
+    async def _serve_frame(self, connection: frames.FrameChannel) -> bool:
+        """Serve the next frame; return whether the connection may be kept.
+
+        The frame is a local variable of this method, so that a connection that waits
+        for its next frame does not keep the last one in memory.
+        """
+        frame = await connection.receive()
+        if frame is None:
+            return False
+        kind, payload = frame
+        if kind is frames.Kind.PUBLISHED_REQUEST:
+            self._send_published(connection, payload)
+            return True
+        if kind not in (frames.Kind.CALL, frames.Kind.CALL_AGAIN):
+            raise framing.FrameError(f"unexpected frame of kind {kind.name}")
+        message = messages.decode_call(payload)
+        return await self._deduplicator.serve(connection, message)
+
+    def _send_published(
+        self, connection: frames.FrameChannel, payload: bytes | memoryview
+    ) -> None:
         request = _request_decoder.decode(payload)
         changes = self._catalog.changes_since(request.after)
         if changes is not None:
--- a/src/snipelink/mesh/settings.py
+++ b/src/snipelink/mesh/settings.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from snipelink.mesh import buffers
+
 # Fields that may change while the node runs, because they are read for each call.
 RELOADABLE_FIELDS = frozenset(
     {"service", "failure_domain", "endpoint_address", "bounds"}
@@ -63,6 +65,8 @@
     peer_port, load_port : int
         TCP port for calls between nodes and UDP port for load reports. All machines
         use the same ports.
+    memory_bytes : int
+        Memory that the process may use.
     """
 
     node: str
@@ -77,6 +81,7 @@
     peer_port: int
     load_port: int
     bounds: Bounds
+    memory_bytes: int = buffers.DEFAULT_MEMORY_BYTES
 
     def update_from(self, new: Settings) -> tuple[list[str], list[str]]:
         """Apply the changed fields that may change while the node runs.
--- a/src/snipelink/model.py
+++ b/src/snipelink/model.py
@@ -5,8 +5,8 @@
 import dataclasses
 
 Headers = list[tuple[str, str]]
-# Large bodies are received into a bytearray, which is not copied to bytes.
-Body = bytes | bytearray
+# A large body stays in the buffer that it was received into.
+Body = bytes | bytearray | memoryview
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snipelink/session/body_buffer.py
+++ b/src/snipelink/session/body_buffer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from snipelink import model
+from snipelink.session import memory
 
 
 class BodyBuffer:
@@ -26,7 +27,7 @@
             self.content = part
             return
         if not isinstance(self.content, bytearray):
-            self.content = bytearray(self.content)
+            self.content = memory.ChargedBuffer(self.content)
         self.content += part
 
     def take(self) -> model.Body:
--- a/src/snipelink/session/http.py
+++ b/src/snipelink/session/http.py
@@ -11,6 +11,9 @@
 REASONS_BY_STATUS = {status.value: status.phrase for status in http.HTTPStatus} | {
     499: "Client Closed Request"
 }
+# A body up to this size is joined with the head of its message; a larger one is sent
+# after it, because joining would hold it twice.
+MAX_COPIED_BODY_BYTES = 1 << 15
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +69,19 @@
 def encode_response(response: Response, method: str, keep_alive: bool) -> bytes:
     """Return the bytes of a response with its framing headers.
 
+    Raises
+    ------
+    ValueError
+        If a header contains a character that `encode_head` refuses.
+    """
+    return b"".join(encode_response_parts(response, method, keep_alive))
+
+
+def encode_response_parts(
+    response: Response, method: str, keep_alive: bool
+) -> tuple[bytes, model.Body]:
+    """Return the head and the body of a response; the body is not copied.
+
     Raises
     ------
     ValueError
@@ -80,7 +96,7 @@
             length = value
             continue
         lines.append(f"{name}: {value}")
-    body = response.body
+    body: model.Body = response.body
     if has_no_body(method, status):
         body = b""
         if length is not None and status != 204:
@@ -89,7 +105,7 @@
         lines.append(f"content-length: {len(body)}")
     if not keep_alive:
         lines.append("connection: close")
-    return encode_head(lines) + body
+    return encode_head(lines), body
 
 
 def encode_head(lines: list[str]) -> bytes:
--- a/tests/mesh/test_uploads.py
+++ b/tests/mesh/test_uploads.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from snipelink.mesh import callers, channel, published_state
-from snipelink.session import http
+from snipelink.mesh import channel, published_state
+from snipelink.session import http, memory
 from tests.mesh import fleet, test_node
 
 UPLOAD = {"idempotent": False, "prefix": "/claim/", "timeout_s": 3.0, "target_s": 1.0}
@@ -182,14 +182,11 @@
     assert bodies == [BODY] * 5
 
 
-def test_body_beyond_the_memory_limit_is_refused_with_a_retry_time(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(callers, "MAX_BODY_BYTES", 100_000)
-
+def test_body_beyond_the_memory_limit_is_refused_with_a_retry_time() -> None:
     async def check() -> None:
         routes = await _upload_routes()
         async with fleet.running("rota", routes=routes) as members:
+            members[0].node._callers.pool.limit = 100_000
             client = await fleet.Client.open(members[0])
             response = await client.call(
                 "c1", path="/claim/1", method="POST", body=BODY
@@ -210,7 +207,7 @@
     members: list[fleet.Member], *, on_new_connections: bool
 ) -> int:
     """Return the growth of the memory by uploads that the endpoint has dropped."""
-    sender, receiver = members[1], members[0]
+    sender, receiver = members[-1], members[0]
     client = await fleet.Client.open(sender)
     tracemalloc.start()
     try:
@@ -232,17 +229,26 @@
     return after - before
 
 
-def test_answered_uploads_of_closed_connections_leave_no_bytes_in_memory() -> None:
+@pytest.mark.parametrize("services", [("rota",), ("rota", "archive")])
+@pytest.mark.parametrize("on_new_connections", [True, False])
+def test_answered_uploads_leave_no_bytes_in_memory(
+    services: tuple[str, ...], on_new_connections: bool
+) -> None:
     """Guards against a node that exceeds its memory limit and loses its calls.
 
-    The reader of a caller's connection kept the last body until a garbage collection.
+    The reader of a caller's connection kept the last body until a garbage collection,
+    and an idle connection between two nodes kept its last call twice.
     """
 
     @test_node.run
     async def check() -> None:
-        async with fleet.running("rota", routes=await _upload_routes()) as members:
-            members.append(members[0])
-            held = await _bytes_held_after_uploads(members, on_new_connections=True)
+        async with fleet.running(*services, routes=await _upload_routes()) as members:
+            held = await _bytes_held_after_uploads(
+                members, on_new_connections=on_new_connections
+            )
+            for member in members:
+                pools = member.node._buffers
+                assert (pools.caller_requests.used, pools.peer_calls.used) == (0, 0)
         assert held < MAX_RETAINED_BYTES
 
     gc.disable()
@@ -250,3 +256,43 @@
         check()
     finally:
         gc.enable()
+
+
+@test_node.run
+async def test_upload_without_room_at_the_other_node_is_not_run_and_others_are() -> (
+    None
+):
+    """Guards against large calls of other nodes that take any amount of memory."""
+    routes = await _upload_routes()
+    async with fleet.running("rota", "archive", routes=routes) as members:
+        receiver, sender = members
+        receiver.node._buffers.peer_calls.limit = len(BODY)
+        client = await fleet.Client.open(sender)
+        refused = await client.call("c1", path="/claim/1", method="POST", body=BODY)
+        assert refused.status in (502, 503, 504)
+        assert receiver.endpoint.received == []
+        client = await fleet.Client.open(sender)
+        answered = await client.call(
+            "c2", path="/claim/1", method="POST", body=BODY[:20_000]
+        )
+        assert answered.status == 200
+        assert receiver.node._buffers.peer_calls.used == 0
+
+
+@test_node.run
+async def test_upload_that_waits_for_room_runs_once_there_is_some() -> None:
+    routes = await _upload_routes()
+    async with fleet.running("rota", "archive", routes=routes) as members:
+        receiver, sender = members
+        held = memory.PoolCharge(receiver.node._buffers.peer_calls)
+        pool = receiver.node._buffers.peer_calls
+        assert held.charge(pool.limit - pool.limit // memory.RESERVE_DIVISOR)
+        client = await fleet.Client.open(sender)
+        client.send("c1", path="/claim/1", method="POST", body=BODY)
+        await asyncio.sleep(0.3)
+        assert receiver.endpoint.received == []
+        held.release()
+        response = await client.receive()
+        assert response is not None
+        assert response.status == 200
+        assert [each.request.body for each in receiver.endpoint.received] == [BODY]
--- a/tests/session/test_memory.py
+++ b/tests/session/test_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import weakref
 
@@ -95,3 +96,89 @@
     del request
     assert body == b"hello"
     assert not any(held is body for held in gc.get_referents(reader._body))
+
+
+def test_charges_of_two_pools_share_the_limit_of_their_parent() -> None:
+    parent = memory.Pool(10)
+    first = memory.PoolCharge(memory.Pool(8, parent=parent))
+    second = memory.PoolCharge(memory.Pool(8, parent=parent))
+    assert first.charge(8)
+    assert not second.charge(3)
+    assert second.charge(2)
+    first.release()
+    assert parent.used == 2
+    assert second.charge(6)
+
+
+def test_large_charges_leave_room_for_small_ones() -> None:
+    """Guards against small requests that are refused because of a few large ones."""
+    pool = memory.Pool(memory.SMALL_CHARGE_BYTES * 16)
+    large = memory.PoolCharge(pool)
+    reserve = pool.limit // memory.RESERVE_DIVISOR
+    assert not large.charge(pool.limit - reserve + 1)
+    # A charge that grows in small steps is a large one, too.
+    while large.charge(memory.SMALL_CHARGE_BYTES // 2):
+        pass
+    assert pool.used <= pool.limit - reserve
+    assert memory.PoolCharge(pool).charge(reserve // 2)
+
+
+def test_waiting_charges_are_admitted_in_their_order() -> None:
+    async def check() -> None:
+        pool = memory.Pool(10)
+        held = memory.PoolCharge(pool)
+        assert held.charge(8)
+        charges = [memory.PoolCharge(pool) for _ in range(2)]
+        admitted: list[int] = []
+
+        async def wait(index: int, size: int) -> None:
+            assert await charges[index].wait_and_charge(size, 5.0)
+            admitted.append(index)
+
+        tasks = [
+            asyncio.ensure_future(wait(0, 6)),
+            asyncio.ensure_future(wait(1, 1)),
+        ]
+        await asyncio.sleep(0)
+        # The second would fit, but the first must not wait for ever behind small ones.
+        await asyncio.sleep(0.01)
+        assert admitted == []
+        held.release()
+        await asyncio.gather(*tasks)
+        assert admitted == [0, 1]
+        assert pool.used == 7
+
+    asyncio.run(check())
+
+
+def test_charge_that_waits_in_vain_or_is_cancelled_holds_nothing() -> None:
+    async def check() -> None:
+        pool = memory.Pool(10)
+        held = memory.PoolCharge(pool)
+        assert held.charge(8)
+        late = memory.PoolCharge(pool)
+        assert not await late.wait_and_charge(6, 0.01)
+        assert pool.refused == 1
+        waiting = asyncio.ensure_future(late.wait_and_charge(6, 5.0))
+        await asyncio.sleep(0.01)
+        held.release()
+        # Room has been found, and the waiting task is cancelled before it runs.
+        waiting.cancel()
+        await asyncio.wait((waiting,))
+        assert pool.used == 0
+        assert await late.wait_and_charge(6, 0.01)
+        assert pool.used == 6
+
+    asyncio.run(check())
+
+
+def test_charge_of_a_buffer_ends_with_the_buffer() -> None:
+    pool = memory.Pool(10)
+    buffer = memory.ChargedBuffer(b"x" * 5)
+    buffer.charge = memory.PoolCharge(pool)
+    assert buffer.charge.charge(5)
+    view = memoryview(buffer)[1:]
+    del buffer
+    assert pool.used == 5
+    del view
+    assert pool.used == 0
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -74,6 +74,8 @@
     text = _replace_unset_defaults(output.read_text())
     if schema.name.removesuffix(".schema.json") in ARRAY_SCHEMAS:
         text = text.replace("(Struct)", "(Struct, array_like=True)")
+        # A decoded body refers to the bytes of its message instead of a copy of them.
+        text = text.replace("    body: bytes\n", "    body: memoryview\n")
     output.write_text(text)
     subprocess.run(
         [sys.executable, "-m", "ruff", "format", "-q", str(output)],
