--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -30,6 +30,9 @@
 MAX_ANSWER_BYTES = 1 << 24
 MAX_BUFFERED_ANSWERS_BYTES = 1 << 26
 MAX_IDLE_CONNECTIONS = 64
+# Bounds on the answer to a health check, whose content is a few headers.
+HEALTH_BODY_BYTES = 1 << 14
+HEALTH_FRAMING_BYTES = 1 << 14
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +79,9 @@
     max_framing_bytes: int = response_reader.MAX_FRAMING_BYTES
 
 
+HEALTH_LIMITS = AnswerLimits(HEALTH_BODY_BYTES, HEALTH_FRAMING_BYTES)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointRequest:
     """One HTTP request to the endpoint.
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -128,6 +128,7 @@
             header_names,
             self.connection_monitor,
             self._buffers.health_answers,
+            endpoint.HEALTH_LIMITS,
         )
         self._load_exchange = load_reports.LoadExchange(
             node_settings.host,
--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -18,6 +18,8 @@
 from tests.mesh import fleet
 
 ADDRESS = (loopback.next_host(), 21395)
+# Peak memory of reading an answer to a health check, with the stand-in's buffers.
+MAX_HEALTH_CHECK_BYTES = 2 << 20
 # Bytes that may stay in memory after broken-off answers: buffers of a few connections.
 MAX_RETAINED_BYTES = 1 << 20
 
@@ -391,3 +393,37 @@
         asyncio.run(check())
     finally:
         gc.enable()
+
+
+@pytest.mark.parametrize("name", ENDLESS_ANSWERS)
+def test_health_answers_without_end_are_cut_off_after_kilobytes(name: str) -> None:
+    """Guards against a node that exceeds its memory limit by its health checks.
+
+    They were read up to the size of answers to calls, up to thirty times a second.
+    """
+
+    async def serve(stream: channel.Channel) -> None:
+        await stream.receive()
+        await _send_endless(stream, name)
+
+    async def check() -> None:
+        listener = await channel.listen(ADDRESS, serve, 10)
+        async with fleet.running("rota") as members:
+            client = members[0].node._poll_client
+            client.address = ADDRESS
+            request = dataclasses.replace(_request(""), deadline=clock.now() + 5.0)
+            tracemalloc.start()
+            try:
+                for _ in range(4):
+                    assert (await client.send(request)).is_err()
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+                listener.close()
+        assert peak < MAX_HEALTH_CHECK_BYTES
+
+    gc.disable()
+    try:
+        asyncio.run(check())
+    finally:
+        gc.enable()
