Reserve the memory of an upload when its head arrives

Change: a body with a length is charged with its head and a chunk with its line, so an upload is refused at once, with its retry time and not run, or read to its end.

Tests: test_body_with_a_length_is_refused_by_its_head_and_not_halfway failed before. tests/session/test_memory.py and tests/mesh/test_callers.py expected the bytes that had arrived (2 of 5, 1500); they now expect the whole body (5, 1900), as strictly.

--- a/src/snipelink/session/request_reader.py
+++ b/src/snipelink/session/request_reader.py
@@ -298,6 +298,7 @@
             raise RequestRefused(
                 errors.Kind.REQUEST_TOO_LARGE, "request body too large"
             )
+        self._reserve(self._unread_body_bytes)
         expected = self._single_values.get("expect")
         if expected is not None:
             if expected.lower() != "100-continue":
@@ -310,9 +311,6 @@
             size = min(self._unread_body_bytes, len(self._buffer))
             if not size:
                 return False
-            if not self._budget.charge(size):
-                detail = "no memory for the request body"
-                raise RequestRefused(errors.Kind.OVERLOADED, detail)
             self._feed_parser(size)
             self._unread_body_bytes -= size
             return True
@@ -338,11 +336,21 @@
             raise RequestRefused(
                 errors.Kind.REQUEST_TOO_LARGE, "request body too large"
             )
+        self._reserve(size)
         self._in_trailers = size == 0
         # The data of a chunk is followed by a line end of two bytes.
         self._unread_body_bytes = size + 2 if size else 0
         return True
 
+    def _reserve(self, size: int) -> None:
+        """Charge bytes of the body before they arrive.
+
+        A body with a length is refused before it is sent, and never halfway.
+        """
+        if size and not self._budget.charge(size):
+            detail = "no memory for the request body"
+            raise RequestRefused(errors.Kind.OVERLOADED, detail)
+
     def _feed_parser(self, size: int) -> bytes:
         data = bytes(self._buffer[:size])
         del self._buffer[:size]
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -308,7 +308,7 @@
         response = await client.call("c0", body=b"x" * 1000, **fields)
         assert response.status == 200
         await fleet.wait_until(lambda: pool.used == 0)
-        # This request is refused after a part of its body has been read.
+        # This request is refused after its head.
         response = await client.call("c1", body=b"x" * 9000, **fields)
         assert response.status == 503
         assert await client.receive() is None
@@ -320,7 +320,7 @@
         await fleet.wait_until(lambda: test_node.arrivals(members, "c2") == 1)
         head = ["POST /claim/1 HTTP/1.1", "host: example", "content-length: 900"]
         client.stream.write(http.encode_head(head) + b"x" * 500)
-        await fleet.wait_until(lambda: pool.used == 1500)
+        await fleet.wait_until(lambda: pool.used == 1900)
         client.stream.abort()
         await fleet.wait_until(lambda: pool.used == 0)
 
--- a/tests/session/test_memory.py
+++ b/tests/session/test_memory.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from snipelink import errors
 from snipelink.mesh import published_state
 from snipelink.session import memory, request_reader
 
@@ -54,7 +55,7 @@
     assert whole >= 5
     assert reader.next_request() is None
     first.release()
-    assert pool.used == 2
+    assert pool.used == 5
     reader.feed(request_bytes[request_bytes.index(b"llo") :])
     assert reader.next_request() is not None
     assert pool.used == whole
@@ -182,3 +183,29 @@
     assert pool.used == 5
     del view
     assert pool.used == 0
+
+
+def test_body_with_a_length_is_refused_by_its_head_and_not_halfway() -> None:
+    """Guards against uploads that are cut although most of them has been sent."""
+    pool = memory.Pool(100)
+    others = memory.PoolCharge(pool)
+    reader = request_reader.RequestReader(
+        published_state.CallerLimits(), memory.PoolCharge(pool)
+    )
+    head = HEAD + b"Content-Length: 60\r\n\r\n"
+    reader.feed(head)
+    assert reader.next_request() is None
+    # What arrives meanwhile cannot take the room of the upload.
+    assert not others.charge(41)
+    assert others.charge(40)
+    reader.feed(b"x" * 60)
+    request = reader.next_request()
+    assert request is not None
+    assert len(request.body) == 60
+    late = request_reader.RequestReader(
+        published_state.CallerLimits(), memory.PoolCharge(pool)
+    )
+    late.feed(head)
+    with pytest.raises(request_reader.RequestRefused) as refused:
+        late.next_request()
+    assert refused.value.failure.kind is errors.Kind.OVERLOADED
