Keep only the configuration in force for nodes that missed changes

Cause: the history of 256 sets of changes, kept for other nodes, held every decoded version; a set held all versions of one answer of the store.

Change: the history holds no configurations; changes_since adds the one in force. It is bounded by its entries as well as by its sets.

Tests: test_replaced_configurations_are_not_kept and two more failed before.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -23,8 +23,10 @@
 LAPSED_ENTRY_S = 2.2
 # Log lines about unreadable parts of one configuration.
 MAX_LOGGED_PROBLEMS = 20
-# Changes kept in memory for nodes that missed them.
+# Changes kept in memory for nodes that missed them, and the entries and identities in
+# them. A node that is further behind gets a snapshot.
 MAX_HISTORY_COUNT = 256
+MAX_HISTORY_ENTRIES = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +53,31 @@
     restored: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Applied:
+    """Changes that were applied, without their configurations.
+
+    Attributes
+    ----------
+    before : int
+        Revision that they were applied to.
+    has_configuration : bool
+        Whether they contained a configuration. Only the one in force is kept, since
+        versions may come often and take megabytes each.
+    """
+
+    before: int
+    changes: Changes
+    has_configuration: bool
+
+    @property
+    def entry_count(self) -> int:
+        """Number of entries and identities in the changes."""
+        changes = self.changes
+        domain_count = len(changes.evacuated) + len(changes.restored)
+        return len(changes.instances) + len(changes.removed) + domain_count
+
+
 class Catalog:
     """Routes and endpoints, merged from the platform's store and from other nodes.
 
@@ -71,10 +98,8 @@
             str, tuple[published_state.Instance, float]
         ] = {}
         self._lapsed_entries_usable_until = 0.0
-        # Applied changes, each with the revision that they were applied to.
-        self._history: collections.deque[tuple[int, Changes]] = collections.deque(
-            maxlen=MAX_HISTORY_COUNT
-        )
+        self._history: collections.deque[_Applied] = collections.deque()
+        self._history_entry_count = 0
 
     @property
     def configuration_version(self) -> int:
@@ -100,12 +125,16 @@
 
         Returns None if the history in memory does not reach back to that revision.
         """
-        missed = [entry for entry in self._history if entry[1].revision > revision]
+        missed = [each for each in self._history if each.changes.revision > revision]
         if revision >= self.revision:
             return Changes(self.revision)
-        if not missed or missed[0][0] > revision:
+        if not missed or missed[0].before > revision:
             return None
-        return _merge([changes for _, changes in missed])
+        merged = _merge([each.changes for each in missed])
+        if self.route_table and any(each.has_configuration for each in missed):
+            newest = self.route_table.configuration
+            merged = dataclasses.replace(merged, configurations=(newest,))
+        return merged
 
     def apply_snapshot(
         self, published: published_state.PublishedState, now: float
@@ -124,6 +153,7 @@
         self._index_ready_instances()
         self.revision = published.revision
         self._history.clear()
+        self._history_entry_count = 0
         return True
 
     def apply_changes(self, changes: Changes, now: float) -> None:
@@ -140,9 +170,21 @@
             self._set_instance(instance, now)
         if changes != Changes(changes.revision):
             self._index_ready_instances()
-        self._history.append((self.revision, changes))
+        self._keep(changes)
         self.revision = changes.revision
 
+    def _keep(self, changes: Changes) -> None:
+        """Add changes to the history, and drop the oldest ones beyond its bounds."""
+        without = dataclasses.replace(changes, configurations=())
+        applied = _Applied(self.revision, without, bool(changes.configurations))
+        self._history.append(applied)
+        self._history_entry_count += applied.entry_count
+        while (
+            len(self._history) > MAX_HISTORY_COUNT
+            or self._history_entry_count > MAX_HISTORY_ENTRIES
+        ):
+            self._history_entry_count -= self._history.popleft().entry_count
+
     def on_store_unavailable(self, now: float) -> None:
         """Record that the platform's store is unavailable, or was until now."""
         self._lapsed_entries_usable_until = now + LAPSED_ENTRY_S
@@ -263,7 +305,7 @@
 
 
 def _merge(successive: list[Changes]) -> Changes:
-    """Merge successive changes into one."""
+    """Merge successive changes, whose configurations are left out, into one."""
     instances_by_id: dict[str, published_state.Instance] = {}
     removed: dict[str, None] = {}
     evacuated: dict[str, bool] = {}
@@ -278,7 +320,7 @@
             removed.pop(instance.id, None)
     return Changes(
         successive[-1].revision,
-        tuple(each for changes in successive for each in changes.configurations),
+        (),
         tuple(instances_by_id.values()),
         tuple(removed),
         tuple(domain for domain, is_evacuated in evacuated.items() if is_evacuated),
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import weakref
+
 from snipelink.mesh import catalog, published_state
 
 NOW = 100.0
@@ -171,3 +173,50 @@
     restarted.apply_snapshot(published_state.PublishedState(5, None, (leaving,)), NOW)
     assert not restarted.usable_instances("rota", NOW)
     assert not restarted.is_usable("a", NOW)
+
+
+class _Configuration(published_state.Configuration):
+    """A configuration that can be referred to weakly."""
+
+
+def _configuration(version: int) -> published_state.Configuration:
+    return _Configuration(version, (), {}, published_state.CallerLimits())
+
+
+def test_replaced_configurations_are_not_kept() -> None:
+    """Guards against a node that keeps every version, and exceeds its memory limit."""
+    state = _catalog()
+    replaced = []
+    for revision in range(6, 46):
+        configuration = _configuration(revision)
+        replaced.append(weakref.ref(configuration))
+        change = catalog.Changes(revision, configurations=(configuration,))
+        state.apply_changes(change, NOW)
+        del change, configuration
+    assert [each() is not None for each in replaced].count(True) == 1
+
+
+def test_node_that_missed_several_versions_gets_the_one_in_force() -> None:
+    state, late = _catalog(), _catalog()
+    for revision in range(6, 10):
+        change = catalog.Changes(revision, configurations=(_configuration(revision),))
+        state.apply_changes(change, NOW)
+    state.apply_changes(catalog.Changes(10, instances=(_instance("a"),)), NOW)
+    changes = state.changes_since(5)
+    assert changes is not None
+    assert [each.version for each in changes.configurations] == [9]
+    late.apply_changes(changes, NOW)
+    assert late.snapshot() == state.snapshot()
+    only_instances = state.changes_since(9)
+    assert only_instances is not None
+    assert only_instances.configurations == ()
+
+
+def test_history_is_bounded_by_the_number_of_its_entries() -> None:
+    state = _catalog()
+    names = [f"i-{index}" for index in range(catalog.MAX_HISTORY_ENTRIES // 4)]
+    for revision in range(6, 16):
+        instances = tuple(_instance(name, born_ms=revision) for name in names)
+        state.apply_changes(catalog.Changes(revision, instances=instances), NOW)
+    assert state.changes_since(6) is None
+    assert state.changes_since(14) is not None
