Use only whole entries of servers, and run calls of the own service only

Cause: the decoder did not require `version`, `seq` and `cold_left_s` and accepted empty names, port 0 and addresses of no machine. The node beside a server compared the expected process but not the service.

Change: the decoder requires all fields of the page and sane values; entries carry the revision of their write. A node refuses calls of another service than its endpoint's, so even a well-formed wrong entry runs nothing there.

Tests: test_endpoint_does_not_run_calls_of_another_service failed before (the call got 200 of the other service).

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -66,6 +66,8 @@
     ----------
     endpoint_client : EndpointClient
         Connections to the endpoint.
+    node_settings : Settings
+        Source of the endpoint's service.
     header_names : HeaderNames
         Names of the mesh's own headers.
     rng : random.Random
@@ -95,6 +97,7 @@
     def __init__(
         self,
         endpoint_client: endpoint.EndpointClient,
+        node_settings: settings.Settings,
         header_names: settings.HeaderNames,
         rng: random.Random,
         now: float,
@@ -103,6 +106,7 @@
         poison_guard: poison_requests.PoisonRequestGuard,
     ) -> None:
         self._client = endpoint_client
+        self._settings = node_settings
         self._names = header_names
         self._rng = rng
         self._on_change = on_change
@@ -131,7 +135,9 @@
         running one.
         """
         now = clock.now()
-        unavailable = self._unavailable(instance) or self._poison_guard.check(call, now)
+        unavailable = self._unavailable(
+            call.service, instance
+        ) or self._poison_guard.check(call, now)
         if unavailable is not None:
             return unavailable
         if self.stops_at is not None and call.deadline > self.stops_at:
@@ -276,9 +282,16 @@
         }
         logger.info("call is refused", extra={"fields": fields})
 
-    def _unavailable(self, instance: str) -> calls.Outcome | None:
-        """Return the refusal of calls for the process `instance`, or None."""
+    def _unavailable(self, service: str, instance: str) -> calls.Outcome | None:
+        """Return the refusal of calls for a service's process, or None.
+
+        The caller's node may have read the entry of another writer, which names another
+        service than the endpoint's.
+        """
         state = self.state
+        if service != self._settings.service:
+            detail = f"the endpoint belongs to {self._settings.service}"
+            return calls.failed_outcome(errors.Kind.STALE_INCARNATION, detail)
         if instance != state.instance:
             detail = f"the endpoint is {state.instance or 'unknown'}, not {instance}"
             return calls.failed_outcome(errors.Kind.STALE_INCARNATION, detail)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -146,6 +146,7 @@
         )
         self._runner = admission.EndpointRunner(
             self._endpoint,
+            node_settings,
             header_names,
             rng,
             now,
--- a/src/snipelink/mesh/published_state.py
+++ b/src/snipelink/mesh/published_state.py
@@ -93,7 +93,9 @@
     leaving : bool
         Whether the process is about to stop.
     born_ms : int
-        Start time of the process in Unix milliseconds.
+        Start time of the process in Unix milliseconds; 0 if it is not stated.
+    revision : int
+        Revision of the platform's store at which the entry was written; 0 if unknown.
     """
 
     id: str
@@ -102,6 +104,22 @@
     failure_domain: str
     leaving: bool
     born_ms: int = 0
+    revision: int = 0
+
+    def has_same_content(self, other: Instance) -> bool:
+        """Whether two entries differ in their revisions at most."""
+        return dataclasses.replace(self, revision=other.revision) == other
+
+    def is_older_than(self, other: Instance) -> bool:
+        """Whether `other`, an entry of the same identity, replaces this one.
+
+        The last write is in force, as in the store. Start times decide only between
+        entries of unknown revision: another writer may state any start time, and the
+        entries of the endpoint itself must replace that.
+        """
+        if self.revision and other.revision:
+            return self.revision < other.revision
+        return self.born_ms < other.born_ms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -911,3 +912,78 @@
                 first._concurrency_limit.record((level, level), ratio, 8, now)
         await fleet.wait_until(lambda: second.limit == 6)
         assert other.limit == 8
+
+
+@run
+async def test_endpoint_does_not_run_calls_of_another_service() -> None:
+    """Guards against an entry of another writer that names a wrong service.
+
+    Callers of that service got the answers of an endpoint of another one.
+    """
+    async with fleet.running("rota", "archive") as members:
+        wrong = fleet.published_instance(members[1], service="rota")
+        fleet.publish(members, instances=(wrong,))
+        await fleet.wait_until(lambda: fleet.all_up_to_date(members))
+        client = await fleet.Client.open(members[0])
+        response = await client.call("c1")
+        assert response.status in (502, 503, 504)
+        assert members[1].endpoint.received == []
+
+
+@run
+async def test_requests_sent_all_through_a_stop_are_answered_or_not_run() -> None:
+    """Guards against a stop that cuts requests which arrive late in its grace time.
+
+    They were passed on and ended without an answer, also those that run once at most.
+    """
+    requester_count, work_s = 16, 0.4
+    routes = await both_routes("rota")
+    async with fleet.running("rota", "rota", routes=routes) as members:
+        leaving, staying = members
+        leaving.endpoint.work_s = staying.endpoint.work_s = work_s
+        unanswered: list[str] = []
+        refused: list[str] = []
+        answered_count = 0
+
+        async def send_steadily(number: int) -> None:
+            nonlocal answered_count
+            client: fleet.Client | None = None
+            for index in itertools.count():
+                call_id = f"c{number}-{index}"
+                fields = {"path": "/claim/1", "method": "POST", "body": b"x"}
+                try:
+                    client = client or await fleet.Client.open(leaving)
+                    client.send(call_id, **(fields if number % 2 else {}))
+                    response = await client.receive()
+                except ConnectionRefusedError:
+                    return
+                except ConnectionError:
+                    response = None
+                if response is None:
+                    unanswered.append(call_id)
+                    client = None
+                    continue
+                answered_count += response.status == 200
+                if response.status in (429, 503):
+                    refused.append(call_id)
+                if dict(response.headers).get("connection") == "close":
+                    client.stream.close()
+                    client = None
+                await asyncio.sleep(0.02)
+
+        tasks = [
+            asyncio.ensure_future(send_steadily(number))
+            for number in range(requester_count)
+        ]
+        await asyncio.sleep(0.5)
+        leaving.stop.set()
+        assert leaving.task is not None
+        async with asyncio.timeout(fleet.BOUNDS.grace_s):
+            assert await leaving.task == 0
+        async with asyncio.timeout(5.0):
+            await asyncio.gather(*tasks)
+        assert answered_count > requester_count
+        ran = {
+            call_id for call_id in unanswered + refused if arrivals(members, call_id)
+        }
+        assert not ran
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -6,6 +6,7 @@
 
 import platform_documents
 import pytest
+import result
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -26,6 +27,16 @@
 }
 
 
+REVISION = 40
+NOW_MS = 1_700_000_100_000
+
+
+def _decode_server(
+    value: bytes, key: str = "servers/i-7"
+) -> result.Result[published_state.Instance, str]:
+    return platform_documents.decode_server(key, value, REVISION, NOW_MS)
+
+
 def _configuration(**changes: Any) -> bytes:
     document = {
         "version": "r12",
@@ -234,23 +245,21 @@
     if field not in document:
         changed = json.dumps({**document, field: value}).encode()
         assert platform_documents.decode_configuration(changed).unwrap() == known
-    server = platform_documents.decode_server(
-        "servers/i-7", json.dumps(SERVER).encode()
-    )
+    server = _decode_server(json.dumps(SERVER).encode())
     if field not in SERVER:
         entry = json.dumps(SERVER | {field: value}).encode()
-        assert platform_documents.decode_server("servers/i-7", entry) == server
+        assert _decode_server(entry) == server
 
 
 @given(st.binary(max_size=200))
 def test_any_bytes_are_decoded_or_refused(value: bytes) -> None:
     platform_documents.decode_configuration(value)
-    platform_documents.decode_server("servers/i-7", value)
+    _decode_server(value)
 
 
 def test_server_entry_is_decoded_into_an_instance() -> None:
     value = json.dumps(SERVER | {"state": "draining"}).encode()
-    instance = platform_documents.decode_server("servers/i-7", value).unwrap()
+    instance = _decode_server(value).unwrap()
     assert (instance.id, instance.host) == ("i-7", "10.128.0.9")
     assert instance.leaving
     assert instance.born_ms == 1700000000000
@@ -264,17 +273,109 @@
         {"slots": 0},
         {"address": "nowhere"},
         {"service": None},
+        {"service": ""},
+        {"service": "s" * 300_000},
         {"zone": 3},
+        {"zone": ""},
+        {"zone": "z" * 300_000},
+        {"version": None},
+        {"version": 1},
+        {"seq": None},
+        {"seq": "4"},
+        {"seq": True},
+        {"seq": -1},
+        {"cold_left_s": -1},
+        {"cold_left_s": "0"},
+        {"slots": 2**62},
+        {"slots": 10**4000},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:65536"},
+        {"address": "10.128.0.9:-1"},
+        {"address": "0.0.0.0:8080"},
+        {"address": "224.0.0.1:8080"},
+        {"address": "255.255.255.255:8080"},
+        {"born": -1},
+        {"born": 2**62},
+        {"born": 2**64},
+        {"born": 1.5},
+        {"born": "1700000000000"},
+        {"born": None},
     ],
 )
 def test_server_entry_with_an_invalid_field_is_an_error(
     changes: dict[str, Any],
 ) -> None:
     value = json.dumps(SERVER | changes).encode()
-    assert platform_documents.decode_server("servers/i-7", value).is_err()
+    assert _decode_server(value).is_err()
 
 
-@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+@pytest.mark.parametrize("field", sorted(SERVER.keys() - {"born"}))
 def test_server_entry_without_a_required_field_is_an_error(field: str) -> None:
+    """Guards against an entry of another writer that sends calls to a wrong service."""
     value = json.dumps({k: v for k, v in SERVER.items() if k != field}).encode()
-    assert platform_documents.decode_server("servers/i-7", value).is_err()
+    assert _decode_server(value).is_err()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"null",
+        b"[" * 200_000,
+        b'{"service":' * 100_000,
+        b"\xff\xfe",
+        json.dumps([SERVER]).encode(),
+        json.dumps(SERVER).encode()[:-1],
+        json.dumps(SERVER).replace("1700000000000", "9" * 5000).encode(),
+        json.dumps(SERVER).encode("utf-16"),
+    ],
+)
+def test_entry_that_is_no_entry_is_an_error(value: bytes) -> None:
+    """Guards against an entry of another writer that ends the process."""
+    assert _decode_server(value).is_err()
+    assert platform_documents.decode_configuration(value).is_err()
+
+
+def test_entry_without_an_identity_is_an_error() -> None:
+    assert _decode_server(json.dumps(SERVER).encode(), "servers/").is_err()
+
+
+def test_server_that_started_after_a_step_of_the_clock_is_known() -> None:
+    """Guards against refusing all new servers while the own clock is behind."""
+    born = NOW_MS + 60_000
+    entry = json.dumps(SERVER | {"born": born}).encode()
+    assert _decode_server(entry).unwrap().born_ms == born
+
+
+odd_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=20)
+    | st.sampled_from([2**62, 2**64, -(2**63), 10**400, 0, "10.0.0.9:0", "ready"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@given(
+    changes=st.dictionaries(st.sampled_from(sorted(SERVER)), odd_values),
+    missing=st.sets(st.sampled_from(sorted(SERVER))),
+)
+def test_odd_entry_is_refused_or_names_one_server_of_sane_values(
+    changes: dict[str, Any], missing: set[str]
+) -> None:
+    document = {k: v for k, v in (SERVER | changes).items() if k not in missing}
+    decoded = _decode_server(json.dumps(document).encode())
+    if decoded.is_err():
+        return
+    instance = decoded.unwrap()
+    assert not missing - {"born"}
+    assert (instance.id, instance.revision) == ("i-7", REVISION)
+    assert 0 < len(instance.service) <= platform_documents.MAX_NAME_LENGTH
+    assert 0 < len(instance.failure_domain) <= platform_documents.MAX_NAME_LENGTH
+    assert 0 <= instance.born_ms <= NOW_MS + platform_documents.MAX_BORN_AHEAD_MS
