Let the last write of a server's entry be in force

Cause: the catalog ignored entries with a lower start time than the known one, so the server's own entries never replaced it. The same made a node ignore a server that restarted after a backward step of its clock.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -270,12 +270,12 @@
         previous = self.instances_by_id.get(instance.id)
         if previous == instance:
             return
-        if previous is not None and instance.born_ms < previous.born_ms:
-            _log_instance(
-                "entry of a former process is ignored", instance, leaving=False
-            )
+        if previous is not None and instance.is_older_than(previous):
+            _log_instance("older entry is ignored", instance, leaving=instance.leaving)
             return
         self.instances_by_id[instance.id] = instance
+        if previous is not None and instance.has_same_content(previous):
+            return
         self._last_resort_until_by_id.pop(instance.id, None)
         # An endpoint that is first read as leaving is no last resort: it may have been
         # leaving for any time, for example while this process was down.
@@ -339,6 +339,8 @@
                 "service": instance.service,
                 "host": instance.host,
                 "leaving": leaving,
+                "written_at": instance.revision,
+                "born_ms": instance.born_ms,
             }
         },
     )
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import weakref
 
 from snipelink.mesh import catalog, published_state
@@ -74,6 +75,41 @@
     assert _usable(state) == ["a"]
 
 
+def test_own_entry_of_an_endpoint_replaces_one_with_a_later_start_time() -> None:
+    """Guards against one entry of another writer that is in force for ever.
+
+    Its start time was in the future, and what the endpoint itself wrote afterwards was
+    ignored as an entry of a former process.
+    """
+    own = _instance("a", born_ms=1000)
+    state = _catalog(dataclasses.replace(own, revision=4))
+    other = _instance("a", leaving=True, born_ms=2**62)
+    other = dataclasses.replace(other, service="desk", revision=6)
+    state.apply_changes(catalog.Changes(6, instances=(other,)), NOW)
+    own = dataclasses.replace(own, revision=7)
+    state.apply_changes(catalog.Changes(7, instances=(own,)), NOW)
+    assert _usable(state) == ["a"]
+    assert state.instances_by_id == {"a": own}
+
+
+def test_restart_after_a_backward_step_of_the_clock_is_followed() -> None:
+    """Guards against ignoring a restarted endpoint whose start time is lower."""
+    first = _instance("a", born_ms=9000)
+    state = _catalog(dataclasses.replace(first, revision=4))
+    leaving = _instance("a", leaving=True, born_ms=8000)
+    leaving = dataclasses.replace(leaving, revision=8)
+    state.apply_changes(catalog.Changes(8, instances=(leaving,)), NOW)
+    assert state.instances_by_id["a"].leaving
+
+
+def test_older_write_of_an_entry_does_not_replace_a_newer_one() -> None:
+    newer = dataclasses.replace(_instance("a", born_ms=1000), revision=9)
+    state = _catalog(newer)
+    older = dataclasses.replace(_instance("a", leaving=True, born_ms=2000), revision=8)
+    state.apply_changes(catalog.Changes(10, instances=(older,)), NOW)
+    assert state.instances_by_id == {"a": newer}
+
+
 def test_changes_since_a_revision_lead_to_the_same_state() -> None:
     first, second = catalog.Catalog(2.0), catalog.Catalog(2.0)
     for state in (first, second):
