Let the soak fill the buffers of nodes, within their memory limit

Change: five kinds of events, drawn by a generator of their own so that the other events of a seed stay as they are.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -34,6 +34,7 @@
     return [
         *_find_repeated_executions(recorded),
         *_find_executed_refusals(recorded),
+        *_find_misdirected_executions(recorded),
         *_find_invalid_answers(recorded),
         *_find_unanswered_calls(recorded),
         *_find_calls_cut_off_by_shutdown(recorded),
@@ -65,6 +66,17 @@
     ]
 
 
+def _find_misdirected_executions(recorded: history.History) -> list[Violation]:
+    service_by_id = {
+        call.call_id: recorded.service_by_path.get(call.path) for call in recorded.calls
+    }
+    return [
+        Violation("a call runs at its service", f"{each.call_id} at {each.service}")
+        for each in recorded.executions
+        if service_by_id.get(each.call_id) not in (None, each.service)
+    ]
+
+
 def _find_invalid_answers(recorded: history.History) -> list[Violation]:
     return [
         Violation("a success is the endpoint's answer to this call", call.call_id)
--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -18,6 +18,8 @@
 WORK_S = 0.04
 # Factor of the duration of calls while the fault ``slow`` is active.
 SLOWDOWN_FACTOR = 7.0
+MAX_BODY_BYTES = 1 << 27
+ENDLESS_BLOCK = bytes(1 << 18)
 # Share of calls that a fault affects while it is active.
 FAULTY_CALL_RATIO = 0.4
 
@@ -36,11 +38,16 @@
         Identity of the simulated process.
     active_fault : str
         ``slow``, ``refuse`` (status 503), ``break-off`` (connection closed within the
-        answer), ``mute`` (call run but not answered), or empty.
+        answer), ``mute`` (call run but not answered), ``endless`` or
+        ``endless-health`` (body without end in place of an answer to a call or to a
+        health check), or empty.
     """
 
-    def __init__(self, address: channel.Address, recorded: history.History) -> None:
+    def __init__(
+        self, address: channel.Address, service: str, recorded: history.History
+    ) -> None:
         self._address = address
+        self._service = service
         self._history = recorded
         self._listener: channel.Listener | None = None
         self._running = 0
@@ -62,21 +69,41 @@
             self._listener.close()
 
     async def _serve(self, stream: channel.Channel) -> None:
-        charge = memory.PoolCharge(memory.Pool(1 << 20))
-        reader = request_reader.RequestReader(published_state.CallerLimits(), charge)
-        instance = self.instance
-        try:
-            while data := await stream.receive():
-                reader.feed(data)
-                while (request := reader.next_request()) is not None:
-                    await self._answer(stream, request, instance)
-        except ConnectionError:
-            # The node closed the connection, because it gave up the call.
-            return
+        instance, is_open = self.instance, True
+        while is_open:
+            # A connection serves many requests; the charge of each ends with it.
+            pool = memory.Pool(MAX_BODY_BYTES)
+            reader = request_reader.RequestReader(
+                published_state.CallerLimits(), memory.PoolCharge(pool)
+            )
+            try:
+                is_open = await self._serve_request(stream, reader, instance)
+            except ConnectionError:
+                # The node closed the connection, because it gave up the call.
+                return
+            finally:
+                reader.close()
+
+    async def _serve_request(
+        self,
+        stream: channel.Channel,
+        reader: request_reader.RequestReader,
+        instance: str,
+    ) -> bool:
+        """Serve one request; nodes send the next one after its answer."""
+        while (request := reader.next_request()) is None:
+            data = await stream.receive()
+            if not data:
+                return False
+            reader.feed(data)
+        await self._answer(stream, request, instance)
+        return True
 
     async def _answer(
         self, stream: channel.Channel, request: http.Request, instance: str
     ) -> None:
+        if request.path == "/healthz" and self.active_fault == "endless-health":
+            await _send_without_end(stream)
         if request.path == "/healthz":
             headers = [
                 (HEADER_NAMES.instance, instance),
@@ -90,6 +117,8 @@
         fault = self._fault_of_call()
         if expected not in ("", instance):
             self._refuse(stream, call_id, 421)
+        elif self.active_fault == "endless":
+            await _send_without_end(stream)
         elif fault == "refuse" or self._running >= SLOTS:
             self._refuse(stream, call_id, 503)
         else:
@@ -99,7 +128,7 @@
         self, stream: channel.Channel, call_id: str, instance: str, fault: str
     ) -> None:
         self._history.executions.append(
-            history.Execution(call_id, instance, time.monotonic())
+            history.Execution(call_id, instance, time.monotonic(), self._service)
         )
         self._running += 1
         try:
@@ -147,6 +176,14 @@
         return f"{self._running},0,{SLOTS},{int(slowness * 100)}"
 
 
+async def _send_without_end(stream: channel.Channel) -> None:
+    """Send a body without end; raises ``ConnectionError`` once the node closes."""
+    stream.write(b"HTTP/1.1 200 OK\r\n\r\n")
+    while True:
+        await stream.write_parts(ENDLESS_BLOCK)
+        await asyncio.sleep(0)
+
+
 async def _return_true_after(work: Awaitable[None]) -> bool:
     await work
     return True
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -48,11 +48,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Execution:
-    """Start of a call on an endpoint."""
+    """Start of a call on an endpoint of a service."""
 
     call_id: str
     instance: str
     started_at: float
+    service: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +124,10 @@
         Seconds within which a node must exit after SIGTERM.
     timeout_s : float
         Timeout of a call in seconds.
+    service_by_path : dict of str to str
+        Service of each route, by its path prefix.
+    peak_memory_mb_by_node : dict of int to float
+        Most anonymous memory of each node's process, MB.
     recovery_deadline : float
         Time from which calls must succeed, because the faults and their effects are
         over.
@@ -134,11 +139,13 @@
     route_apply_s: float
     grace_s: float
     timeout_s: float
+    service_by_path: dict[str, str] = dataclasses.field(default_factory=dict)
     calls: list[CallRecord] = dataclasses.field(default_factory=list)
     executions: list[Execution] = dataclasses.field(default_factory=list)
     withdrawals: list[Withdrawal] = dataclasses.field(default_factory=list)
     route_publications: list[RoutePublication] = dataclasses.field(default_factory=list)
     fault_intervals: list[FaultInterval] = dataclasses.field(default_factory=list)
     process_exits: list[ProcessExit] = dataclasses.field(default_factory=list)
+    peak_memory_mb_by_node: dict[int, float] = dataclasses.field(default_factory=dict)
     recovery_deadline: float = 0.0
     ends_at: float = 0.0
--- a/bench/soak/nodes.py
+++ b/bench/soak/nodes.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -15,12 +16,13 @@
 from bench.soak import history
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-PROGRAM = ROOT / "platform" / "sidecar.py"
 PEER_PORT, ENDPOINT_PORT, CALLER_PORT, READY_PORT = 21480, 21481, 21482, 21483
 STORE_PORT = 21484
 # Time between the exit of a process and the next start.
 RESTART_DELAY_S = 0.2
 EXIT_POLL_INTERVAL_S = 0.02
+# Memory of the smallest machines. The platform ends a process that exceeds it.
+MEMORY_LIMIT_MB = 200
 SETTINGS_TEMPLATE = """
 [self]
 node_name = "n-{number}"
@@ -28,6 +30,8 @@
 zone = "{zone}"
 app_addr = "{host}:{endpoint_port}"
 service = "{service}"
+[self.limits]
+memory_mb = {memory_mb}
 [network]
 port_range = [{peer_port}, {peer_port}]
 [network.listen]
@@ -52,6 +56,8 @@
     ----------
     directory : Path
         Directory for the settings file and the log of the process.
+    tree : Path
+        Source tree of the program.
     """
 
     def __init__(
@@ -62,7 +68,9 @@
         service: str,
         directory: pathlib.Path,
         recorded: history.History,
+        tree: pathlib.Path = ROOT,
     ) -> None:
+        self._tree = tree
         self._number = number
         self._history = recorded
         self._signal, self._signal_at = "", 0.0
@@ -83,6 +91,7 @@
                 caller_port=CALLER_PORT,
                 ready_port=READY_PORT,
                 store_port=STORE_PORT,
+                memory_mb=MEMORY_LIMIT_MB,
                 drain_s=recorded.drain_s,
                 grace_s=recorded.grace_s,
             )
@@ -97,19 +106,20 @@
         """Run the process and restart it whenever it exits, until cancelled."""
         environment = os.environ | {
             platform_names.SETTINGS_VARIABLE: str(self._settings_file),
-            "PYTHONPATH": str(ROOT / "src"),
+            "PYTHONPATH": str(self._tree / "src"),
         }
         with self._log_file.open("ab") as log:
             while True:
                 self._signal = ""
                 self._process = subprocess.Popen(
-                    [sys.executable, str(PROGRAM)],
+                    [sys.executable, str(self._tree / "platform" / "sidecar.py")],
                     env=environment,
                     stdout=log,
                     stderr=log,
                 )
                 try:
                     while self._process.poll() is None:
+                        self._enforce_memory_limit()
                         await asyncio.sleep(EXIT_POLL_INTERVAL_S)
                 finally:
                     self._kill_process()
@@ -136,6 +146,24 @@
             self._settings_file.read_text() + "# written again\n"
         )
 
+    def memory_mb(self) -> float:
+        """Return the anonymous memory of the process, MB; 0 if it has exited."""
+        assert self._process is not None
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        found = re.search(r"^RssAnon:\s+(\d+) kB", text, re.MULTILINE)
+        return int(found[1]) / 1024.0 if found else 0.0
+
+    def _enforce_memory_limit(self) -> None:
+        """Kill the process above its limit; it then counts as ended by itself."""
+        used_mb = self.memory_mb()
+        peaks = self._history.peak_memory_mb_by_node
+        peaks[self._number] = max(peaks.get(self._number, 0.0), used_mb)
+        if used_mb > MEMORY_LIMIT_MB:
+            self._kill_process()
+
     def _kill_process(self) -> None:
         if self._process is not None and self._process.poll() is None:
             self._process.kill()
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -8,7 +8,22 @@
 # Planned work, during which all invariants must hold: shutdown (``stop``) or ``reload``
 # of a node, replacement of an endpoint whose entry is published as draining (``drain``)
 # or removed at once (``vanish``), and publication of a new route (``publish``).
-PLANNED_KINDS = frozenset({"stop", "reload", "drain", "vanish", "publish"})
+PLANNED_KINDS = frozenset(
+    {
+        "stop",
+        "reload",
+        "drain",
+        "vanish",
+        "publish",
+        "odd-entries",
+        "uploads",
+        "versions",
+    }
+)
+# Kinds that fill the memory of a node or another writer's entries: answers without end
+# to calls and to health checks, entries in the place of an endpoint's own, large
+# uploads, and versions of a growing configuration.
+HOSTILE_KINDS = ("endless", "endless-health", "odd-entries", "uploads", "versions")
 NODE_KINDS = ("kill", "freeze", "stop", "reload")
 LINK_KINDS = ("delay", "reset", "silence-in", "silence-out")
 STORE_KINDS = ("store-refuses", "store-silent", "store-slow", "store-forgets")
@@ -23,10 +38,11 @@
 DRAWN_KINDS = (*NODE_KINDS, *LINK_KINDS, *STORE_KINDS, *ENDPOINT_KINDS, "publish")
 # The open connections of a link transfer no more data and stay open; new ones work.
 SILENCE_OPEN_KIND = "silence-open"
-KINDS = (*DRAWN_KINDS, SILENCE_OPEN_KIND)
+KINDS = (*DRAWN_KINDS, SILENCE_OPEN_KIND, *HOSTILE_KINDS)
 # Number of events that are drawn for a run, and their duration.
 MIN_EVENT_COUNT, MAX_EVENT_COUNT = 4, 10
 MIN_DURATION_S, MAX_DURATION_S = 0.2, 2.5
+HOSTILE_DURATION_S = 2.0 * MAX_DURATION_S
 # Share of events that start at the same time as the event drawn before.
 SIMULTANEOUS_RATIO = 0.35
 # Share of runs that have only planned work, so that all invariants are checked.
@@ -34,6 +50,8 @@
 # Share of the other runs with one event of ``SILENCE_OPEN_KIND``. It is drawn from a
 # separate generator, so that it does not change the other events of a seed.
 SILENCE_OPEN_RATIO = 0.5
+# Share of all runs with one event of ``HOSTILE_KINDS``, drawn in the same way.
+HOSTILE_RATIO = 0.5
 # Seeds that once failed with 4 nodes and 8 seconds, with the cause of the failure.
 REGRESSION_SEEDS = {
     30: "the soak replaced one endpoint twice at a time",
@@ -68,7 +86,7 @@
     rng = random.Random(f"soak/{seed}/{node_count}/{fault_window_s}")
     kinds = DRAWN_KINDS
     if rng.random() < PLANNED_ONLY_RATIO:
-        kinds = tuple(sorted(PLANNED_KINDS))
+        kinds = tuple(sorted(PLANNED_KINDS.difference(HOSTILE_KINDS)))
     events: list[Event] = []
     start_s = 0.5
     for _ in range(rng.randint(MIN_EVENT_COUNT, MAX_EVENT_COUNT)):
@@ -84,10 +102,31 @@
         events.append(
             Event(start_s, SILENCE_OPEN_KIND, silence_rng.randrange(node_count), 0.0)
         )
+    hostile_rng = random.Random(f"soak/hostile/{seed}/{node_count}/{fault_window_s}")
+    if hostile_rng.random() < HOSTILE_RATIO:
+        hostile_kinds = HOSTILE_KINDS
+        if kinds is not DRAWN_KINDS:
+            hostile_kinds = tuple(k for k in HOSTILE_KINDS if k in PLANNED_KINDS)
+        event = Event(
+            hostile_rng.uniform(0.5, fault_window_s - MAX_DURATION_S),
+            hostile_rng.choice(hostile_kinds),
+            hostile_rng.randrange(node_count),
+            HOSTILE_DURATION_S,
+        )
+        if not any(_conflict(other, event) for other in events):
+            events.append(event)
     return sorted(events, key=lambda event: event.start_s)
 
 
 def _conflict(one: Event, other: Event) -> bool:
-    """Whether two events on one node have the same kind or both replace an endpoint."""
-    replaced = {one.kind, other.kind} <= {"drain", "vanish"}
-    return one.node == other.node and (one.kind == other.kind or replaced)
+    """Whether two events on one node have the same kind or change the same thing."""
+    both = {one.kind, other.kind}
+    is_same = (
+        len(both) == 1
+        or both <= {"drain", "vanish", "odd-entries"}
+        or (
+            both <= {"slow", "refuse", "break-off", "mute", "endless", "endless-health"}
+            and bool(both.intersection(HOSTILE_KINDS))
+        )
+    )
+    return one.node == other.node and is_same
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -14,6 +14,8 @@
 
 from bench import loopback
 from bench.soak import callers, endpoints, history, links, nodes, plan, store
+from snipelink.mesh import channel
+from snipelink.session import http
 
 DRAIN_S, ROUTE_APPLY_S, GRACE_S, TIMEOUT_S = 2.0, 2.0, 3.0, 1.0
 SERVICES = ("front", "back")
@@ -24,6 +26,17 @@
 # must succeed.
 RECOVERY_TIME_S = 4.0
 RECOVERY_CHECK_S = 1.5
+# Odd entries under the key of an endpoint: a missing field, values of a wrong type or
+# out of range, and a start time that no later one exceeds.
+ODD_ENTRY_CHANGES: tuple[dict[str, typing.Any], ...] = (
+    {"seq": None},
+    {"version": 7},
+    {"slots": 10**4000},
+    {"address": "10.0.0.9:99999"},
+    {"born": 1 << 62},
+)
+UPLOAD_COUNT, UPLOAD_BYTES = 16, 12 << 20
+VERSION_COUNT, ADDED_ROUTE_COUNT = 100, 4000
 # Time for which a withdrawn server still runs after its drain time.
 SHUTDOWN_LINGER_S = 1.0
 
@@ -37,13 +50,25 @@
         Length in seconds of the period in which faults begin.
     directory : Path
         Directory for the settings and logs of the nodes.
+    events : list of Event or None
+        Faults and planned work; None to draw them from the seed.
+    tree : Path
+        Source tree of the nodes' program.
     """
 
     def __init__(
-        self, seed: int, node_count: int, fault_window_s: float, directory: pathlib.Path
+        self,
+        seed: int,
+        node_count: int,
+        fault_window_s: float,
+        directory: pathlib.Path,
+        events: list[plan.Event] | None = None,
+        tree: pathlib.Path = nodes.ROOT,
     ) -> None:
         self._rng = random.Random(f"run/{seed}")
-        self._events = plan.draw(seed, node_count, fault_window_s)
+        self._events = (
+            plan.draw(seed, node_count, fault_window_s) if events is None else events
+        )
         self._fault_window_s = fault_window_s
         self.history = history.History(DRAIN_S, ROUTE_APPLY_S, GRACE_S, TIMEOUT_S)
         self._store = store.Store()
@@ -54,6 +79,9 @@
             ("/claim/", False, SERVICES[0]),
             ("/list/", True, SERVICES[1]),
         ]
+        self.history.service_by_path = {
+            prefix: service for prefix, _, service in self._routes
+        }
         self._configuration_version = 1
         self._nodes = []
         self._endpoints = []
@@ -62,10 +90,10 @@
             service = SERVICES[number % len(SERVICES)]
             zone = ZONES[number // len(SERVICES) % len(ZONES)]
             self._nodes.append(
-                nodes.Node(number, host, zone, service, directory, self.history)
+                nodes.Node(number, host, zone, service, directory, self.history, tree)
             )
             address = (host, nodes.ENDPOINT_PORT)
-            self._endpoints.append(endpoints.Endpoint(address, self.history))
+            self._endpoints.append(endpoints.Endpoint(address, service, self.history))
             links.Link(host, proxy_host, nodes.PEER_PORT, self._links_by_host)
 
     async def execute(self) -> history.History:
@@ -158,10 +186,13 @@
             "vanish": self._remove_endpoint_entry,
             "publish": self._publish_new_route,
             plan.SILENCE_OPEN_KIND: self._silence_open_connections,
+            "odd-entries": self._replace_entry,
+            "uploads": self._upload,
+            "versions": self._publish_versions,
         }
         actions |= dict.fromkeys(plan.LINK_KINDS, self._inject_link_fault)
         actions |= dict.fromkeys(plan.STORE_KINDS[:3], self._inject_store_fault)
-        for kind in ("slow", "refuse", "break-off", "mute"):
+        for kind in ("slow", "refuse", "break-off", "mute", *plan.HOSTILE_KINDS[:2]):
             actions[kind] = self._inject_endpoint_fault
         return actions
 
@@ -242,24 +273,75 @@
     async def _publish_new_route(self, event: plan.Event) -> None:
         prefix = f"/new{self._configuration_version}/"
         self._routes.append((prefix, True, SERVICES[0]))
+        self.history.service_by_path[prefix] = SERVICES[0]
         at = self._publish_routes()
         self.history.route_publications.append(history.RoutePublication(prefix, at))
         self._paths.append((prefix, True))
 
-    def _publish_routes(self) -> float:
+    async def _replace_entry(self, event: plan.Event) -> None:
+        """Write odd entries in the place of an endpoint's own, which then writes it.
+
+        The odd ones name another service, and are an entry but for one field.
+        """
+        other = SERVICES[1 - SERVICES.index(self._nodes[event.node].service)]
+        key = self._server_key(event.node)
+        for change in ODD_ENTRY_CHANGES:
+            entry = self._server_entry(event.node, "ready") | {"service": other}
+            self._store.put(key, entry | change)
+            await asyncio.sleep(event.duration_s / len(ODD_ENTRY_CHANGES) / 2.0)
+            self._publish_server(event.node, "ready")
+            await asyncio.sleep(event.duration_s / len(ODD_ENTRY_CHANGES) / 2.0)
+
+    async def _upload(self, event: plan.Event) -> None:
+        """Send large bodies one after the other, each on a new connection."""
+        address = (self._nodes[event.node].host, nodes.CALLER_PORT)
+        body = bytes(UPLOAD_BYTES)
+        for index in range(UPLOAD_COUNT):
+            lines = [
+                "POST /claim/upload HTTP/1.1",
+                "host: soak.example",
+                f"{platform_names.HEADER_NAMES.call_id}: upload-{event.node}-{index}",
+                f"content-length: {len(body)}",
+            ]
+            # The node may be down, or refuse the upload while it is sent.
+            with contextlib.suppress(OSError):
+                stream = await channel.connect(address, START_TIMEOUT_S)
+                try:
+                    await stream.write_parts(http.encode_head(lines), body)
+                    await stream.receive()
+                finally:
+                    stream.abort()
+
+    async def _publish_versions(self, event: plan.Event) -> None:
+        """Publish versions of a large configuration in quick succession."""
+        for version in range(VERSION_COUNT):
+            added = [
+                (f"/large{version}-{index}/", True, SERVICES[0])
+                for index in range(ADDED_ROUTE_COUNT)
+            ]
+            self._publish_routes(added)
+            await asyncio.sleep(event.duration_s / VERSION_COUNT)
+        self._publish_routes()
+
+    def _publish_routes(
+        self, added: list[tuple[str, bool, str]] | None = None
+    ) -> float:
         document = store.configuration_document(
-            self._configuration_version, self._routes, TIMEOUT_S
+            self._configuration_version, self._routes + (added or []), TIMEOUT_S
         )
         self._configuration_version += 3
         return self._store.put(platform_names.CONFIGURATION_KEY, document)
 
     def _publish_server(self, number: int, state: str) -> float:
+        entry = self._server_entry(number, state)
+        return self._store.put(self._server_key(number), entry)
+
+    def _server_entry(self, number: int, state: str) -> dict[str, typing.Any]:
         node = self._nodes[number]
         proxy_host = self._links_by_host[node.host].proxy_host
         address = f"{proxy_host}:{nodes.ENDPOINT_PORT}"
         born = int(time.time() * 1000)
-        value = store.server_entry(node.service, address, node.zone, state, born)
-        return self._store.put(self._server_key(number), value)
+        return store.server_entry(node.service, address, node.zone, state, born)
 
     def _server_key(self, number: int) -> str:
         return platform_names.SERVER_KEY_PREFIX + self._endpoints[number].instance
--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -188,7 +188,7 @@
         },
         "limits": {
             "max_header_bytes": 16384,
-            "max_body_bytes": 65536,
+            "max_body_bytes": 1 << 26,
             "header_timeout_s": 3,
             "idle_timeout_s": 15,
         },
--- a/tests/bench/soak/test_checks.py
+++ b/tests/bench/soak/test_checks.py
@@ -58,6 +58,12 @@
     recorded.executions.append(history.Execution("c-3", "i-1", NOW))
 
 
+def _add_misdirected_execution(recorded: history.History) -> None:
+    recorded.service_by_path = {"/claim/": "front", "/list/": "back"}
+    recorded.calls.append(_call_record("c-3", path="/list/"))
+    recorded.executions.append(history.Execution("c-3", "i-1", NOW, "front"))
+
+
 def _add_invalid_answer(recorded: history.History) -> None:
     recorded.calls.append(_call_record("c-3", is_intact=False))
 
@@ -114,6 +120,7 @@
 VIOLATIONS_BY_INVARIANT: dict[str, Callable[[history.History], None]] = {
     "no call runs twice that may run only once": _add_repeated_execution,
     "a refused call has not run": _add_executed_refusal,
+    "a call runs at its service": _add_misdirected_execution,
     "a success is the endpoint's answer to this call": _add_invalid_answer,
     "a call has an answer by its time limit": _add_unanswered_call,
     "a stop cuts off no call that an endpoint runs": _add_call_cut_off_by_shutdown,
--- a/tests/bench/soak/test_run.py
+++ b/tests/bench/soak/test_run.py
@@ -20,3 +20,20 @@
     events = plan.draw(seed, 3, SECONDS)
     assert checks.check(recorded) == [], events
     assert len(recorded.executions) > 100
+
+
+# Stated targets for the anonymous memory of a node at a limit of 300 MB.
+MAX_PEAK_MB = 150.0
+MAX_PEAK_MB_BY_KIND = {"endless": 60.0, "endless-health": 60.0, "odd-entries": 60.0}
+
+
+@pytest.mark.parametrize("kind", plan.HOSTILE_KINDS)
+def test_nodes_stay_within_their_memory_and_routes(
+    kind: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against nodes that end by what servers, callers or other writers send."""
+    events = [plan.Event(0.5, kind, 0, plan.HOSTILE_DURATION_S)]
+    recorded = asyncio.run(run.Run(1, 3, SECONDS, tmp_path, events).execute())
+    assert checks.check(recorded) == []
+    peak_mb = max(recorded.peak_memory_mb_by_node.values())
+    assert 0.0 < peak_mb <= MAX_PEAK_MB_BY_KIND.get(kind, MAX_PEAK_MB)
