Fetch large changes from other nodes as long as they arrive

Cause: many nodes ask the one that knows a new revision at once.

Change: a fetch ends when no byte has arrived for 1 s, not 1 s after its start. Nodes that ask for it get the answer compressed, and the node that answers encodes it once for all that know the same revision. Nodes of the version before get and send what they know, as the field that asks for compression is optional.

Tests: test_large_configuration_arrives_over_a_slow_connection failed before with TimeoutError.

--- a/src/snipelink/mesh/frames.py
+++ b/src/snipelink/mesh/frames.py
@@ -29,6 +29,9 @@
     PUBLISHED_REQUEST = b"Q"
     PUBLISHED = b"P"
     CHANGES = b"D"
+    # The same two with a payload compressed by zlib, for senders that ask for it.
+    PUBLISHED_COMPRESSED = b"Z"
+    CHANGES_COMPRESSED = b"Y"
 
 
 class FrameChannel:
@@ -58,6 +61,11 @@
         self._buffer_started_at = self._last_received_at = clock.now()
         self.frame_started_at = self._buffer_started_at
 
+    @property
+    def last_received_at(self) -> float:
+        """Monotonic time at which the last bytes arrived, or the connection opened."""
+        return self._last_received_at
+
     @property
     def is_idle(self) -> bool:
         """Whether the connection is open and holds no unprocessed bytes."""
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -7,6 +7,7 @@
 import itertools
 import logging
 import secrets
+import zlib
 
 import msgspec
 from result import Err, Ok, Result
@@ -34,9 +35,24 @@
 # A connection that was idle for longer is not reused. The kernel's keepalive probes
 # detect a silent peer within this time.
 MAX_IDLE_S = 20.0
+# Longest time without any byte of the published state that another node sends. A large
+# configuration takes seconds on a slow link that several nodes read from at once; a
+# bound on the whole transfer would end them all, and all would start again.
 PUBLISHED_TIMEOUT_S = 1.0
+# Bound on a decompressed answer.
+MAX_PUBLISHED_BYTES = 1 << 26
+# Encoded answers kept for nodes that ask for the same; after a change, many nodes ask
+# at once.
+MAX_ENCODED_ANSWERS = 4
+# Fast compression: the names and values of a configuration repeat.
+COMPRESSION_LEVEL = 1
 ACCEPT_BACKLOG = 256
 
+COMPRESSED_KINDS_BY_KIND = {
+    frames.Kind.CHANGES: frames.Kind.CHANGES_COMPRESSED,
+    frames.Kind.PUBLISHED: frames.Kind.PUBLISHED_COMPRESSED,
+}
+
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(mesh.PublishedRequest)
 _changes_decoder = msgspec.msgpack.Decoder(catalog.Changes)
@@ -129,22 +145,24 @@
         self, host: str, after: int
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
         """Fetch the changes after a revision, or the whole state, from a node."""
-        request = _encoder.encode(mesh.PublishedRequest(after))
+        request = _encoder.encode(mesh.PublishedRequest(after, True))
         try:
-            async with asyncio.timeout(PUBLISHED_TIMEOUT_S):
-                stream = await channel.connect((host, self._port), CONNECT_TIMEOUT_S)
-                connection = frames.FrameChannel(stream)
-                try:
-                    connection.send(frames.Kind.PUBLISHED_REQUEST, request)
-                    frame = await connection.receive()
-                finally:
-                    stream.abort()
-            if frame is not None and frame[0] is frames.Kind.CHANGES:
-                return Ok(_changes_decoder.decode(frame[1]))
-            if frame is not None and frame[0] is frames.Kind.PUBLISHED:
-                return Ok(_published_decoder.decode(frame[1]))
-            return Err("no published state in the reply")
-        except (OSError, framing.FrameError, msgspec.MsgspecError) as error:
+            stream = await channel.connect((host, self._port), CONNECT_TIMEOUT_S)
+            connection = frames.FrameChannel(stream)
+            try:
+                connection.send(frames.Kind.PUBLISHED_REQUEST, request)
+                frame = await _receive_while_arriving(connection)
+            finally:
+                stream.abort()
+            if frame is None:
+                return Err("no published state in the reply")
+            return Ok(_decode_published(*frame))
+        except (
+            OSError,
+            framing.FrameError,
+            msgspec.MsgspecError,
+            zlib.error,
+        ) as error:
             return Err(str(error) or type(error).__name__)
 
     def drop_idle_connections(self, host: str) -> None:
@@ -223,6 +241,11 @@
         call_pool: memory.Pool | None = None,
     ) -> None:
         self._call_pool = call_pool
+        # Encoded answers by the revision in force, the one that the asking node knows,
+        # and whether they are compressed.
+        self._answers: collections.OrderedDict[
+            tuple[int, int, bool], tuple[frames.Kind, bytes]
+        ] = collections.OrderedDict()
         self._deduplicator = deduplicator
         self._catalog = service_catalog
         self._connections: set[frames.FrameChannel] = set()
@@ -279,20 +302,71 @@
             return False
         kind, payload = frame
         if kind is frames.Kind.PUBLISHED_REQUEST:
-            self._send_published(connection, payload)
+            answer = self._published_answer(_request_decoder.decode(payload))
+            await connection.send_parts(answer[0], (answer[1],))
             return True
         if kind not in (frames.Kind.CALL, frames.Kind.CALL_AGAIN):
             raise framing.FrameError(f"unexpected frame of kind {kind.name}")
         message = messages.decode_call(payload)
         return await self._deduplicator.serve(connection, message)
 
-    def _send_published(
-        self, connection: frames.FrameChannel, payload: bytes | memoryview
-    ) -> None:
-        request = _request_decoder.decode(payload)
-        changes = self._catalog.changes_since(request.after)
-        if changes is not None:
-            connection.send(frames.Kind.CHANGES, _encoder.encode(changes))
-            return
-        published = _encoder.encode(self._catalog.snapshot())
-        connection.send(frames.Kind.PUBLISHED, published)
+    def _published_answer(
+        self, request: mesh.PublishedRequest
+    ) -> tuple[frames.Kind, bytes]:
+        key = (self._catalog.revision, request.after, request.compressed)
+        answer = self._answers.get(key)
+        if answer is None:
+            answer = _encode_published(self._catalog, request)
+            self._answers[key] = answer
+            if len(self._answers) > MAX_ENCODED_ANSWERS:
+                self._answers.popitem(last=False)
+        return answer
+
+
+async def _receive_while_arriving(
+    connection: frames.FrameChannel,
+) -> tuple[frames.Kind, bytes | memoryview] | None:
+    """Return the next frame; raise ``TimeoutError`` once nothing arrives any more."""
+    receiving = asyncio.ensure_future(connection.receive())
+    try:
+        while True:
+            due_at = connection.last_received_at + PUBLISHED_TIMEOUT_S
+            left_s = due_at - clock.now()
+            if left_s <= 0.0:
+                raise TimeoutError("no published state arrives")
+            await asyncio.wait((receiving,), timeout=left_s)
+            if receiving.done():
+                return receiving.result()
+    finally:
+        receiving.cancel()
+
+
+def _encode_published(
+    service_catalog: catalog.Catalog, request: mesh.PublishedRequest
+) -> tuple[frames.Kind, bytes]:
+    changes = service_catalog.changes_since(request.after)
+    if changes is not None:
+        kind, payload = frames.Kind.CHANGES, _encoder.encode(changes)
+    else:
+        kind = frames.Kind.PUBLISHED
+        payload = _encoder.encode(service_catalog.snapshot())
+    if request.compressed:
+        kind = COMPRESSED_KINDS_BY_KIND[kind]
+        payload = zlib.compress(payload, COMPRESSION_LEVEL)
+    return kind, payload
+
+
+def _decode_published(
+    kind: frames.Kind, payload: bytes | memoryview
+) -> published_state.PublishedState | catalog.Changes:
+    """Decode the answer of another node; raises ``FrameError`` for other frames."""
+    if kind in COMPRESSED_KINDS_BY_KIND.values():
+        decompressor = zlib.decompressobj()
+        payload = decompressor.decompress(payload, MAX_PUBLISHED_BYTES)
+        if not decompressor.eof:
+            raise framing.FrameError("published state is not complete or too large")
+    if kind in (frames.Kind.CHANGES, frames.Kind.CHANGES_COMPRESSED):
+        return _changes_decoder.decode(payload)
+    if kind in (frames.Kind.PUBLISHED, frames.Kind.PUBLISHED_COMPRESSED):
+        return _published_decoder.decode(payload)
+    raise framing.FrameError(f"{kind.name} in place of published state")
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -4,11 +4,22 @@
 
 import asyncio
 import dataclasses
+import zlib
 
 import pytest
 
+from bench import loopback
 from snipelink import clock
-from snipelink.mesh import channel, frames, node
+from snipelink.generated import mesh
+from snipelink.mesh import (
+    catalog,
+    channel,
+    connection_monitor,
+    frames,
+    node,
+    peers,
+    published_state,
+)
 from snipelink.session import frames as framing
 from tests.mesh import fleet, test_node
 
@@ -98,3 +109,82 @@
     stream.data_received(second[2:])
     assert await connection.receive() == (frames.Kind.CALL, b"c2")
     assert began + 0.04 < connection.frame_started_at < began + 0.09
+
+
+def _large_configuration(version: int) -> published_state.Configuration:
+    routes = tuple(fleet.route("rota", f"/r{index}/") for index in range(2000))
+    return published_state.Configuration(
+        version, routes, {}, published_state.CallerLimits()
+    )
+
+
+@test_node.run
+async def test_large_configuration_arrives_over_a_slow_connection() -> None:
+    """Guards against nodes that never get a new configuration from others.
+
+    The transfer took longer than its timeout where links were slow, and each node
+    started again from its beginning.
+    """
+    encoded = peers._encoder.encode(
+        catalog.Changes(7, configurations=(_large_configuration(2),))
+    )
+    address = (loopback.next_host(), fleet.PEER_PORT)
+    slice_count = 6
+
+    async def serve(stream: channel.Channel) -> None:
+        connection = frames.FrameChannel(stream)
+        assert await connection.receive() is not None
+        head = framing.LENGTH_PREFIX.pack(len(encoded) + 1)
+        data = head + frames.Kind.CHANGES.value + encoded
+        size = len(data) // slice_count + 1
+        for start in range(0, len(data), size):
+            stream.write(data[start : start + size])
+            await asyncio.sleep(peers.PUBLISHED_TIMEOUT_S / 3.0)
+
+    listener = await channel.listen(address, serve, 1)
+    monitor = connection_monitor.ConnectionMonitor()
+    client = peers.PeerClient(fleet.PEER_PORT, monitor)
+    fetched = await client.fetch_published_state(address[0], 5)
+    listener.close()
+    assert fetched.is_ok(), fetched.unwrap_err()
+    assert fetched.unwrap().revision == 7
+
+
+@test_node.run
+async def test_node_that_sends_no_published_state_is_given_up() -> None:
+    address = (loopback.next_host(), fleet.PEER_PORT)
+
+    async def serve(stream: channel.Channel) -> None:
+        stream.write(b"\0\0")
+        while await stream.receive():
+            pass
+
+    listener = await channel.listen(address, serve, 1)
+    monitor = connection_monitor.ConnectionMonitor()
+    client = peers.PeerClient(fleet.PEER_PORT, monitor)
+    began = clock.now()
+    fetched = await client.fetch_published_state(address[0], 5)
+    listener.close()
+    assert fetched.is_err()
+    assert clock.now() - began < 2.0 * peers.PUBLISHED_TIMEOUT_S
+
+
+def test_compressed_state_equals_the_plain_one_and_is_smaller() -> None:
+    state = catalog.Catalog(2.0)
+    configuration = _large_configuration(2)
+    state.apply_snapshot(published_state.PublishedState(5, configuration, ()), 100.0)
+    request = mesh.PublishedRequest(1)
+    kind, plain = peers._encode_published(state, request)
+    small_kind, small = peers._encode_published(state, mesh.PublishedRequest(1, True))
+    assert kind is frames.Kind.PUBLISHED
+    assert peers._decode_published(small_kind, small) == peers._decode_published(
+        kind, plain
+    )
+    assert len(small) < len(plain) / 5
+
+
+def test_compressed_state_beyond_its_bound_is_refused() -> None:
+    """Guards against a small answer that takes any amount of memory."""
+    bomb = zlib.compress(bytes(peers.MAX_PUBLISHED_BYTES + 1))
+    with pytest.raises(framing.FrameError):
+        peers._decode_published(frames.Kind.PUBLISHED_COMPRESSED, bomb)
