Read the state when the missed changes exceed an answer of the store

Callers would see: old routes in force for up to 20 s at a node that was away during a storm of large configurations. Not seen in a run of a deployment; found by the test.

Cause: an answer above 32 MB counted as a failed read, and the node asked for the same changes again until the store had discarded them.

Tests: test_changes_that_are_too_large_are_replaced_by_a_read failed before with StoreError for both framings.

--- a/src/snipelink/session/response_reader.py
+++ b/src/snipelink/session/response_reader.py
@@ -38,6 +38,8 @@
         Whether the connection may carry another request.
     started : bool
         Whether any byte of a response has been received.
+    is_body_too_large : bool
+        Whether a body exceeded its maximum size.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self._ends_at_eof = False
         self.reusable = True
         self.started = False
+        self.is_body_too_large = False
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -134,8 +137,8 @@
             raise InvalidResponse("more than one length")
         if codings and [c.lower() for c in codings] != ["chunked"]:
             raise InvalidResponse("transfer coding")
-        if lengths and int(lengths[0]) > self._max_body_bytes:
-            raise InvalidResponse("body too large")
+        if lengths:
+            self._check_body_size(int(lengths[0]))
         options = header_rules.connection_options(self._headers)
         if self._parser.get_http_version() != "1.1" or "close" in options:
             self.reusable = False
@@ -156,10 +159,14 @@
     def on_body(self, data: bytes) -> None:
         """Append a part of the body; called by the parser."""
         self._body_bytes += len(data)
-        if self._body_bytes > self._max_body_bytes:
-            raise InvalidResponse("body too large")
+        self._check_body_size(self._body_bytes)
         self._body.append(data)
 
+    def _check_body_size(self, size: int) -> None:
+        if size > self._max_body_bytes:
+            self.is_body_too_large = True
+            raise InvalidResponse("body too large")
+
     def on_message_complete(self) -> None:
         """Add the finished response to the complete ones; called by the parser."""
         if not self._in_body:
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -152,6 +152,28 @@
     asyncio.run(check())
 
 
+@pytest.mark.parametrize("has_length", [True, False])
+def test_changes_that_are_too_large_are_replaced_by_a_read(has_length: bool) -> None:
+    """Guards against a node that cannot catch up after an absence.
+
+    The changes it had missed exceeded the size of an answer, and it asked for the same
+    ones again and again.
+    """
+    events = [item_json("op/config", bytes(1 << 20), 6 + index) for index in range(32)]
+    answer = encode_answer({"events": events, "as_of": 40})
+    if not has_length:
+        lines = answer.split(b"\r\n\r\n", 1)
+        answer = b"HTTP/1.1 200 OK\r\n\r\n" + lines[1]
+
+    async def check() -> None:
+        async with serve_store(lambda request: answer) as client:
+            with pytest.raises(watcher.HistoryLost):
+                await client.watch(5, 1.0)
+            assert client._stream is None
+
+    asyncio.run(check())
+
+
 @pytest.mark.parametrize(
     "answer",
     [
