Ask for a body after the answers before it are written

Change: it is written once no earlier request is unanswered.

Tests: test_body_is_asked_for_after_the_answer_before_it failed before.

--- a/src/snipelink/mesh/callers.py
+++ b/src/snipelink/mesh/callers.py
@@ -302,8 +302,7 @@
                 charge = self._body_charge.detach()
                 self._enqueue(_Pending(request, self._request_started_at, charge))
                 self._request_started_at = self._last_received_at
-            if self._reader.take_continue_expectation():
-                self._stream.write(request_reader.CONTINUE_RESPONSE)
+            self._write_due_continue()
         except request_reader.RequestRefused as refused:
             charge = self._body_charge.detach()
             self._enqueue(
@@ -373,9 +372,15 @@
             entry.body_charge.release()
             if entry.task is not None:
                 self._port.requests_in_flight -= 1
+        self._write_due_continue()
         self._start_ready()
         self._changed.set()
 
+    def _write_due_continue(self) -> None:
+        """Let the caller send a body, once all answers before it are written."""
+        if not self._pending and self._reader.take_continue_expectation():
+            self._stream.write(request_reader.CONTINUE_RESPONSE)
+
     async def _answer(self, entry: _Pending) -> None:
         request, task = entry.request, entry.task
         assert request is not None
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -11,7 +11,7 @@
 
 from snipelink.decide import draining, placement
 from snipelink.mesh import callers, channel, node, published_state
-from snipelink.session import http
+from snipelink.session import http, request_reader
 from tests.mesh import fleet, test_node
 
 # More than the socket buffers of the kernel hold, which grow to 4 MB.
@@ -440,6 +440,33 @@
         await read_large(caller)
 
 
+@test_node.run
+async def test_body_is_asked_for_after_the_answer_before_it() -> None:
+    """Guards against ``100 Continue`` in the middle of an answer in several writes."""
+    routes = await test_node.both_routes("rota")
+    async with fleet.running("rota", routes=routes) as members:
+        members[0].endpoint.script = answer_large
+        caller = await ask_with_small_buffer(members[0])
+        loop = asyncio.get_running_loop()
+        lines = [
+            "POST /claim/1 HTTP/1.1",
+            "host: example",
+            f"{fleet.NAMES.call_id}: c2",
+            "content-length: 5",
+            "expect: 100-continue",
+        ]
+        await loop.sock_sendall(caller, http.encode_head(lines))
+        await asyncio.sleep(0.3)
+        received = b""
+        while not received.endswith(request_reader.CONTINUE_RESPONSE):
+            data = await asyncio.wait_for(loop.sock_recv(caller, 65536), 2.0)
+            assert data, f"the connection ended after {len(received)} bytes"
+            received += data
+        caller.close()
+    body = received.split(b"\r\n\r\n", 1)[1]
+    assert body == b"x" * LARGE_BYTES + request_reader.CONTINUE_RESPONSE
+
+
 def test_node_does_not_stop_before_a_slow_caller_has_its_answer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
