Refuse a large message at once if its pool can never hold it

Charges wait in order, so a call above the size of its pool would have held up the calls behind it for a second.

Tests: test_charge_that_can_never_have_room_does_not_wait.

--- a/src/snipelink/session/memory.py
+++ b/src/snipelink/session/memory.py
@@ -105,12 +105,20 @@
 
     def has_room(self, size: int, held: int = 0) -> bool:
         """Whether a charge that holds `held` bytes may grow by `size` bytes."""
-        reserve = self.limit // RESERVE_DIVISOR
-        limit = self.limit - (reserve if held + size > SMALL_CHARGE_BYTES else 0)
-        if self.used + size > limit:
+        if self.used + size > self._limit_for(held + size):
             return False
         return self._parent is None or self._parent.has_room(size, held)
 
+    def can_hold(self, size: int) -> bool:
+        """Whether a charge of `size` bytes has room while nothing else is charged."""
+        if size > self._limit_for(size):
+            return False
+        return self._parent is None or self._parent.can_hold(size)
+
+    def _limit_for(self, charge_size: int) -> int:
+        reserve = self.limit // RESERVE_DIVISOR
+        return self.limit - (reserve if charge_size > SMALL_CHARGE_BYTES else 0)
+
     def _add(self, size: int) -> None:
         self.used += size
         self.peak = max(self.peak, self.used)
@@ -170,9 +178,13 @@
     async def wait_and_charge(self, size: int, timeout_s: float) -> bool:
         """Charge `size` bytes once there is room; return false after a timeout.
 
-        Charges are admitted in the order in which they started to wait.
+        Charges are admitted in the order in which they started to wait. One that can
+        never have room is refused at once.
         """
         pool = self._pool
+        if not pool.can_hold(size):
+            pool._refuse(size)
+            return False
         if not pool._waiting and pool.has_room(size, self._size):
             return self.charge(size)
         waiting = _Waiting(pool, size, asyncio.get_running_loop().create_future())
--- a/tests/session/test_memory.py
+++ b/tests/session/test_memory.py
@@ -209,3 +209,14 @@
     with pytest.raises(request_reader.RequestRefused) as refused:
         late.next_request()
     assert refused.value.failure.kind is errors.Kind.OVERLOADED
+
+
+def test_charge_that_can_never_have_room_does_not_wait() -> None:
+    """Guards against one oversized message that holds up all that wait behind it."""
+
+    async def check() -> None:
+        pool = memory.Pool(8, parent=memory.Pool(10))
+        assert not await memory.PoolCharge(pool).wait_and_charge(9, 60.0)
+        assert pool.refused == 1
+
+    asyncio.run(check())
