Do not abort a connection that is closed already

Cause: asyncio's transport fails when it is aborted after a close that still had bytes to send and has sent them. No invariant was violated.

Change: Channel.abort does nothing once the connection is closed.

Tests: test_abort_after_a_close_that_sent_the_rest_does_nothing failed before with the same AttributeError.

--- a/src/snipelink/mesh/channel.py
+++ b/src/snipelink/mesh/channel.py
@@ -253,7 +253,9 @@
 
     def abort(self) -> None:
         """Close at once and discard bytes that were not sent."""
-        if self._transport is not None:
+        # A transport that was closed while bytes were left, and has sent them, fails
+        # when it is aborted afterwards.
+        if self._transport is not None and not self._is_closed:
             self._transport.abort()
 
     def _wake_reader(self) -> None:
