Bound a transfer of published state in time and bytes

Change: a transfer ends after 5 s, and another node is asked; its bytes count as replies of other nodes.

Tests: test_transfer_that_never_ends_is_given_up.

--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -39,6 +39,8 @@
 # configuration takes seconds on a slow link that several nodes read from at once; a
 # bound on the whole transfer would end them all, and all would start again.
 PUBLISHED_TIMEOUT_S = 1.0
+# Longest transfer, after which another node is asked.
+MAX_TRANSFER_S = 5.0
 # Bound on a decompressed answer.
 MAX_PUBLISHED_BYTES = 1 << 26
 # Encoded answers kept for nodes that ask for the same; after a change, many nodes ask
@@ -148,7 +150,7 @@
         request = _encoder.encode(mesh.PublishedRequest(after, True))
         try:
             stream = await channel.connect((host, self._port), CONNECT_TIMEOUT_S)
-            connection = frames.FrameChannel(stream)
+            connection = frames.FrameChannel(stream, self._reply_pool)
             try:
                 connection.send(frames.Kind.PUBLISHED_REQUEST, request)
                 frame = await _receive_while_arriving(connection)
@@ -326,12 +328,16 @@
 async def _receive_while_arriving(
     connection: frames.FrameChannel,
 ) -> tuple[frames.Kind, bytes | memoryview] | None:
-    """Return the next frame; raise ``TimeoutError`` once nothing arrives any more."""
+    """Return the next frame; raise ``TimeoutError`` once nothing arrives any more.
+
+    Raises it after `MAX_TRANSFER_S`, too.
+    """
+    ends_at = clock.now() + MAX_TRANSFER_S
     receiving = asyncio.ensure_future(connection.receive())
     try:
         while True:
             due_at = connection.last_received_at + PUBLISHED_TIMEOUT_S
-            left_s = due_at - clock.now()
+            left_s = min(due_at, ends_at) - clock.now()
             if left_s <= 0.0:
                 raise TimeoutError("no published state arrives")
             await asyncio.wait((receiving,), timeout=left_s)
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import zlib
 
@@ -21,6 +22,7 @@
     published_state,
 )
 from snipelink.session import frames as framing
+from snipelink.session import memory
 from tests.mesh import fleet, test_node
 
 
@@ -169,6 +171,32 @@
     assert clock.now() - began < 2.0 * peers.PUBLISHED_TIMEOUT_S
 
 
+@test_node.run
+async def test_transfer_that_never_ends_is_given_up() -> None:
+    """Guards against a node that waits for one other node for ever."""
+    address = (loopback.next_host(), fleet.PEER_PORT)
+
+    async def serve(stream: channel.Channel) -> None:
+        stream.write(framing.LENGTH_PREFIX.pack(1 << 20))
+        with contextlib.suppress(ConnectionError):
+            while not stream.input_ended.is_set():
+                stream.write(b"x")
+                await asyncio.sleep(peers.PUBLISHED_TIMEOUT_S / 4.0)
+
+    listener = await channel.listen(address, serve, 1)
+    monitor = connection_monitor.ConnectionMonitor()
+    pool = memory.Pool(1 << 22)
+    client = peers.PeerClient(fleet.PEER_PORT, monitor, pool)
+    began = clock.now()
+    fetched = await client.fetch_published_state(address[0], 5)
+    listener.close()
+    assert fetched.is_err()
+    assert clock.now() - began < peers.MAX_TRANSFER_S + peers.PUBLISHED_TIMEOUT_S
+    # The transfer is charged as long as it is held.
+    assert pool.peak == 1 << 20
+    await fleet.wait_until(lambda: pool.used == 0)
+
+
 def test_compressed_state_equals_the_plain_one_and_is_smaller() -> None:
     state = catalog.Catalog(2.0)
     configuration = _large_configuration(2)
