Log for how long a node is behind others, and when its event loop is late

The logs could not tell a node that knows of a newer revision and cannot get it from one that was not told, nor from one that is too busy to act. Two log lines and two gauges do. No logic is changed.

--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -63,6 +63,8 @@
 TASK_RESTART_DELAY_S = 0.2
 # Time between two updates of the set of followed nodes and of the silent nodes.
 FOLLOW_INTERVAL_S = 0.2
+# Lateness of a timer that is logged: far above the time slices of a busy processor.
+LOGGED_LOOP_DELAY_S = 0.5
 
 TaskFunction = Callable[[], typing.Awaitable[None]]
 
@@ -164,6 +166,7 @@
         )
         self._endpoint_subset = subsetting.EndpointSubset(node_settings.host)
         self._followed_hosts: dict[str, bool] = {}
+        self._loop_delay_s = 0.0
         self._rng = rng
         call_attempts = attempts.AttemptRunner(
             node_settings,
@@ -376,7 +379,16 @@
             self._update_peer_samples(now)
             if self._is_store_unavailable(now):
                 self._catalog.on_store_unavailable(now)
+            self._watcher.log_lag(now)
             await asyncio.sleep(FOLLOW_INTERVAL_S)
+            self._update_loop_delay(clock.now() - now - FOLLOW_INTERVAL_S)
+
+    def _update_loop_delay(self, delay_s: float) -> None:
+        """Record how late the event loop ran a timer, and log a long delay."""
+        self._loop_delay_s = max(0.0, delay_s)
+        if delay_s > LOGGED_LOOP_DELAY_S:
+            fields = {"delay_s": round(delay_s, 3)}
+            logger.warning("event loop is late", extra={"fields": fields})
 
     def _is_store_unavailable(self, now: float) -> bool:
         """Whether this node, or a node that reports to it, cannot reach the store."""
@@ -460,7 +472,7 @@
             self._started_ms_by_host[host] = load.started_ms
             self._peers.drop_idle_connections(host)
         if load.revision > self._catalog.revision:
-            self._watcher.on_newer_revision()
+            self._watcher.on_newer_revision(load.revision, clock.now())
 
     def _publish_load(self, now: float) -> None:
         self._load_exchange.publish(now)
@@ -565,6 +577,8 @@
             "platform_reads": lambda: self._watcher.read_count,
             "platform_reads_failed": lambda: self._watcher.failed_read_count,
             "load_datagrams_sent": lambda: self._load_exchange.sent_datagrams,
+            "behind_seconds": lambda: self._watcher.behind_s(clock.now()),
+            "event_loop_delay_seconds": lambda: self._loop_delay_s,
             "nodes_followed": lambda: len(self._followed_hosts),
             "nodes_following": lambda: self._load_exchange.follower_count,
         }
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -11,7 +11,7 @@
 from result import Err, Result
 
 from snipelink import clock
-from snipelink.decide import watch_rotation
+from snipelink.decide import revision_lag, watch_rotation
 from snipelink.mesh import catalog, published_state
 
 logger = logging.getLogger(__name__)
@@ -33,6 +33,8 @@
 # Upper bound of the random delay between a report of a newer revision and the request
 # for it.
 PEER_SYNC_JITTER_S = 0.1
+# A node that is behind other nodes for longer than this logs it.
+LOGGED_LAG_S = 1.0
 # Failures for longer than this count as an outage of the store, in which entries of
 # running servers may have expired.
 STORE_OUTAGE_S = 1.0
@@ -106,6 +108,8 @@
         self._last_failure_at = 0.0
         self._behind_since: float | None = None
         self._newer_revision_reported = asyncio.Event()
+        self._lag = revision_lag.RevisionLag()
+        self._logged_lag_since: float | None = None
         self.read_count = 0
         self.failed_read_count = 0
 
@@ -123,10 +127,33 @@
             return False
         return now - self._unavailable_since > STORE_OUTAGE_S
 
-    def on_newer_revision(self) -> None:
+    def behind_s(self, now: float) -> float:
+        """Return for how long this node has missed a revision that others report."""
+        self._lag.on_known(self._catalog.revision)
+        return self._lag.behind_s(now)
+
+    def on_newer_revision(self, revision: int, now: float) -> None:
         """Record that another node reports a newer revision."""
+        self._lag.on_report(revision, now)
         self._newer_revision_reported.set()
 
+    def log_lag(self, now: float) -> None:
+        """Log that the node is behind other nodes, and later that it no longer is."""
+        behind_s = self.behind_s(now)
+        if self._logged_lag_since is None:
+            if behind_s <= LOGGED_LAG_S:
+                return
+            self._logged_lag_since = now - behind_s
+            message = "node is behind other nodes"
+        elif behind_s <= LOGGED_LAG_S:
+            behind_s = now - self._logged_lag_since
+            self._logged_lag_since = None
+            message = "node is no longer behind"
+        else:
+            return
+        fields = {"revision": self._catalog.revision, "behind_s": round(behind_s, 3)}
+        logger.warning(message, extra={"fields": fields})
+
     async def run(self) -> None:
         """Read a snapshot, then watch whenever it is this node's turn.
 
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -272,3 +272,21 @@
 
     asyncio.run(run_watcher())
     assert len(store.calls) >= 1201
+
+
+def test_node_logs_that_it_is_behind_and_that_it_no_longer_is(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    state = catalog.Catalog(2.0)
+    tested = _make_watcher(ScriptedStore([]), state)
+    tested.on_newer_revision(9, 1.0)
+    for now in (1.5, 2.5, 3.0):
+        tested.log_lag(now)
+    state.apply_snapshot(published_state.PublishedState(9, None, ()), 4.0)
+    tested.log_lag(4.0)
+    assert [record.message for record in caplog.records] == [
+        "node is behind other nodes",
+        "node is no longer behind",
+    ]
+    assert tested.behind_s(5.0) == 0.0
