Ask only nodes that are heard for missed changes

Cause: the highest revision ever reported was looked for, near nodes first, also if the only near node that reported it had been silent since. Each request to it ends after 0.3 s and is repeated, while far nodes have the change. Nodes of a failure domain stay behind together, as they all prefer the same host.

Change: silent nodes are left out.

--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -199,6 +199,24 @@
             and now - endpoint_load.received_at <= placement.SILENT_NODE_S
         )
 
+    def newest_revision(
+        self, near_hosts: Collection[str], now: float
+    ) -> tuple[int, list[str]]:
+        """Return the highest revision of the heard nodes, and the hosts to ask for it.
+
+        Hosts in `near_hosts` are preferred to others. Silent nodes hardly answer and
+        are left out, whatever they reported last.
+        """
+        revisions_by_host = {
+            host: each.report.revision
+            for host, each in self.loads_by_host.items()
+            if self.has_recent_report(host, now)
+        }
+        newest = max(revisions_by_host.values(), default=0)
+        hosts = [host for host, known in revisions_by_host.items() if known == newest]
+        near = [host for host in hosts if host in near_hosts]
+        return newest, near or hosts
+
     def expire(self, kept_hosts: Collection[str], now: float) -> None:
         """Remove loads whose last report is older than ``RETENTION_S``.
 
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -518,18 +518,9 @@
 
         Hosts in this failure domain are preferred; ties are broken at random.
         """
-        endpoint_loads = self._loads.loads_by_host.values()
-        newest = max(
-            (endpoint_load.report.revision for endpoint_load in endpoint_loads),
-            default=0,
-        )
-        hosts = [
-            endpoint_load.host
-            for endpoint_load in endpoint_loads
-            if endpoint_load.report.revision == newest
-        ]
-        near = [host for host in hosts if self._followed_hosts.get(host)]
-        return newest, self._rng.choice(near or hosts) if hosts else ""
+        near = {host for host, is_near in self._followed_hosts.items() if is_near}
+        revision, hosts = self._loads.newest_revision(near, clock.now())
+        return revision, self._rng.choice(hosts) if hosts else ""
 
     def _caller_limits(self) -> published_state.CallerLimits:
         table = self._catalog.route_table
