Do not reuse a connection after a refusal or an unnamed answer

Cause: an endpoint may refuse a request before it reads its identity, so a failure without identity counted as the answer to the call that waited. A refusal that is written again on a kept connection is then taken for the answer to the next call.

Change: the connection ends with a refusal and with an answer that does not name the call; the client of snipelink-node ends it after 429 and 503.

--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -40,7 +40,9 @@
         ``slow``, ``refuse`` (status 503), ``break-off`` (connection closed within the
         answer), ``mute`` (call run but not answered), ``endless`` or
         ``endless-health`` (body without end in place of an answer to a call or to a
-        health check), or empty.
+        health check), ``repeat-refusals`` (like ``refuse``, and the refusal is written
+        once more before the answer to the next call), ``cut-heads`` (connection closed
+        within the head of an answer), or empty.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         self._running = 0
         self._call_count = 0
         self._start_count = 0
+        self._refused_streams: set[channel.Channel] = set()
         self.instance = ""
         self.active_fault = ""
 
@@ -83,6 +86,7 @@
                 return
             finally:
                 reader.close()
+        self._refused_streams.discard(stream)
 
     async def _serve_request(
         self,
@@ -115,10 +119,16 @@
         expected = request.header(HEADER_NAMES.expected_instance)
         call_id = request.header(HEADER_NAMES.call_id)
         fault = self._fault_of_call()
+        if stream in self._refused_streams:
+            self._refused_streams.discard(stream)
+            self._refuse(stream, "", 503)
         if expected not in ("", instance):
             self._refuse(stream, call_id, 421)
         elif self.active_fault == "endless":
             await _send_without_end(stream)
+        elif fault == "repeat-refusals":
+            self._refused_streams.add(stream)
+            self._refuse(stream, "", 503)
         elif fault == "refuse" or self._running >= SLOTS:
             self._refuse(stream, call_id, 503)
         else:
@@ -153,10 +163,16 @@
             stream.write(answer[: len(answer) // 2])
             stream.close()
             return
+        if fault == "cut-heads":
+            stream.write(answer[: answer.index(b"\r\n\r\n") // 2])
+            stream.close()
+            return
         stream.write(answer)
 
     def _refuse(self, stream: channel.Channel, call_id: str, status: int) -> None:
-        headers = [(HEADER_NAMES.call_id, call_id), (HEADER_NAMES.not_run, "1")]
+        headers = [(HEADER_NAMES.not_run, "1")]
+        if call_id:
+            headers.append((HEADER_NAMES.call_id, call_id))
         if status == 421:
             headers.append((HEADER_NAMES.instance, self.instance))
         response = http.Response(status, headers, b"")
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -20,10 +20,12 @@
         "versions",
     }
 )
-# Kinds that fill the memory of a node or another writer's entries: answers without end
-# to calls and to health checks, entries in the place of an endpoint's own, large
-# uploads, and versions of a growing configuration.
-HOSTILE_KINDS = ("endless", "endless-health", "odd-entries", "uploads", "versions")
+# Answers without end to calls and to health checks, refusals that are written once more
+# before the next answer, and answers that end within their heads.
+HOSTILE_ENDPOINT_KINDS = ("endless", "endless-health", "repeat-refusals", "cut-heads")
+# Also entries in the place of an endpoint's own, large uploads, and versions of a
+# growing configuration.
+HOSTILE_KINDS = (*HOSTILE_ENDPOINT_KINDS, "odd-entries", "uploads", "versions")
 NODE_KINDS = ("kill", "freeze", "stop", "reload")
 LINK_KINDS = ("delay", "reset", "silence-in", "silence-out")
 STORE_KINDS = ("store-refuses", "store-silent", "store-slow", "store-forgets")
@@ -125,7 +127,7 @@
         len(both) == 1
         or both <= {"drain", "vanish", "odd-entries"}
         or (
-            both <= {"slow", "refuse", "break-off", "mute", "endless", "endless-health"}
+            both <= {"slow", "refuse", "break-off", "mute", *HOSTILE_ENDPOINT_KINDS}
             and bool(both.intersection(HOSTILE_KINDS))
         )
     )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -192,7 +192,8 @@
         }
         actions |= dict.fromkeys(plan.LINK_KINDS, self._inject_link_fault)
         actions |= dict.fromkeys(plan.STORE_KINDS[:3], self._inject_store_fault)
-        for kind in ("slow", "refuse", "break-off", "mute", *plan.HOSTILE_KINDS[:2]):
+        endpoint_kinds = ("slow", "refuse", "break-off", "mute")
+        for kind in (*endpoint_kinds, *plan.HOSTILE_ENDPOINT_KINDS):
             actions[kind] = self._inject_endpoint_fault
         return actions
 
--- a/src/snipelink/execute/endpoint_client.py
+++ b/src/snipelink/execute/endpoint_client.py
@@ -26,6 +26,8 @@
 MAX_ANSWER_HEAD_BYTES = 65536
 # Maximum size of heads, chunk size lines and trailers together.
 MAX_ANSWER_FRAMING_BYTES = 262144
+# Statuses with which endpoints refuse requests that they have not run.
+REFUSAL_STATUSES = frozenset({429, 503})
 
 
 class _InvalidAnswerError(Exception):
@@ -263,7 +265,14 @@
         outcome = self._exchange(stream, payload, reader)
         if reader.has_surplus:
             self._count_unexpected_answer()
-        if isinstance(outcome, Ok) and reader.reusable and not reader.has_surplus:
+        is_clean = reader.reusable and not reader.has_surplus
+        # A faulty endpoint may repeat a refusal, which could then be taken for the
+        # answer to the next request.
+        if (
+            isinstance(outcome, Ok)
+            and is_clean
+            and reader.status not in REFUSAL_STATUSES
+        ):
             self._release(stream)
         else:
             stream.close()
--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -358,7 +358,7 @@
 
     def _check_response(self, response: http.Response) -> calls.Outcome | None:
         """Return the failure that the endpoint's response means, or None."""
-        if response.status == 421:
+        if response.status == endpoint.MISDIRECTED_STATUS:
             other = header_rules.first_value(response.headers, self._names.instance)
             detail = f"the endpoint is now {other}"
             return calls.failed_outcome(
--- a/src/snipelink/mesh/endpoint.py
+++ b/src/snipelink/mesh/endpoint.py
@@ -30,6 +30,8 @@
 MAX_ANSWER_BYTES = 1 << 24
 MAX_BUFFERED_ANSWERS_BYTES = 1 << 26
 MAX_IDLE_CONNECTIONS = 64
+# Answer of an endpoint that is not the instance a request names; it has not run it.
+MISDIRECTED_STATUS = 421
 # Bounds on the answer to a health check, whose content is a few headers.
 HEALTH_BODY_BYTES = 1 << 14
 HEALTH_FRAMING_BYTES = 1 << 14
@@ -228,7 +230,8 @@
             if isinstance(outcome, Ok):
                 if isinstance(outcome.ok_value.body, memory.ChargedBuffer):
                     outcome.ok_value.body.charge = charge.detach()
-                if reader.reusable and reader.is_idle() and stream.is_idle:
+                is_clean = reader.reusable and reader.is_idle() and stream.is_idle
+                if is_clean and self._may_reuse_after(outcome.ok_value, request):
                     is_returned = True
                     self._release(opened, outcome.ok_value, sending, request.deadline)
             return outcome
@@ -297,6 +300,23 @@
         # response need not echo it.
         return response.status >= 400
 
+    def _may_reuse_after(
+        self, response: http.Response, request: EndpointRequest
+    ) -> bool:
+        """Whether the connection of a valid answer may carry another call.
+
+        A faulty endpoint may repeat an answer. A repeated refusal, or a repeated answer
+        without a call identity, could be taken for the answer to the next call.
+        """
+        if not request.call_id:
+            return True
+        names = self._header_names
+        echoed = header_rules.first_value(response.headers, names.call_id)
+        is_refusal = response.status == MISDIRECTED_STATUS or bool(
+            header_rules.first_value(response.headers, names.not_run)
+        )
+        return bool(echoed) and not is_refusal
+
     def _connection_lost(
         self, reader: response_reader.ResponseReader, detail: str
     ) -> Err[errors.Failure]:
--- a/tests/execute/test_endpoint_client.py
+++ b/tests/execute/test_endpoint_client.py
@@ -204,6 +204,17 @@
     assert endpoint.accepted == 2
 
 
+@pytest.mark.parametrize("status", [b"429 Later", b"503 Full"])
+def test_connection_is_not_reused_after_a_refusal(status: bytes) -> None:
+    """Guards against a repeated refusal that is returned for the next request."""
+    refusal = b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n"
+    endpoint = ScriptedEndpoint(refusal, SIZED)
+    with _client(endpoint) as client:
+        assert isinstance(_request(client), Ok)
+        assert _request(client).ok_value.body == b"abc"
+    assert endpoint.accepted == 2
+
+
 @pytest.mark.parametrize(
     "script", [b"Connection: close\r\n", b"Connection: X,Close\r\n"]
 )
--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -229,6 +229,49 @@
         asyncio.run(check())
 
 
+def _refusal(call_id: str) -> bytes:
+    fields = [f"{fleet.NAMES.not_run}: 1", "content-length: 0"]
+    if call_id:
+        fields.append(f"{fleet.NAMES.call_id}: {call_id}")
+    return "\r\n".join(["HTTP/1.1 503 Full", *fields, "", ""]).encode()
+
+
+@pytest.mark.parametrize("first_id", ["c0", ""], ids=["identity", "no identity"])
+@pytest.mark.parametrize(
+    "repeated_id", ["c0", "other", "c1", ""], ids=["first", "other", "own", "none"]
+)
+def test_repeated_refusal_is_not_taken_for_the_next_answer(
+    first_id: str, repeated_id: str
+) -> None:
+    """Guards against a call that runs and is reported as not run.
+
+    The endpoint repeats a refusal once the next call has arrived on the connection.
+    """
+
+    async def serve(stream: channel.Channel) -> None:
+        await stream.receive()
+        stream.write(_refusal(first_id) if not served else _answer("c1"))
+        served.append("c0")
+        if await stream.receive():
+            stream.write(_refusal(repeated_id))
+            await asyncio.sleep(0.02)
+            stream.write(_answer("c1"))
+
+    served: list[str] = []
+
+    async def check() -> None:
+        listener = await channel.listen(ADDRESS, serve, 10)
+        client = endpoint.EndpointClient(ADDRESS, fleet.NAMES)
+        try:
+            assert (await client.send(_request("c0"))).unwrap().status == 503
+            assert (await client.send(_request("c1"))).unwrap().status == 200
+        finally:
+            client.close()
+            listener.close()
+
+    asyncio.run(check())
+
+
 def test_answer_with_a_call_id_is_not_taken_for_a_poll_answer() -> None:
     async def serve(stream: channel.Channel) -> None:
         while await stream.receive():
