--- a/tests/mesh/test_endpoint.py
+++ b/tests/mesh/test_endpoint.py
@@ -229,6 +229,50 @@
         asyncio.run(check())
 
 
+def _head_of(*fields: str) -> bytes:
+    return "\r\n".join(["HTTP/1.1 200 OK", *fields, "", ""]).encode()
+
+
+STAMPED = (f"{fleet.NAMES.call_id}: c", f"{fleet.NAMES.stamp}: s")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        _head_of(*STAMPED, "content-length: 4") + b"body",
+        _head_of(*STAMPED, "transfer-encoding: chunked") + b"4\r\nbody\r\n0\r\n\r\n",
+        _head_of(*STAMPED, "content-length: 0", "connection: close"),
+        b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+        + _head_of(*STAMPED, "content-length: 4")
+        + b"body",
+        # The whole head: without a length, the answer ends with its connection.
+        _head_of(*STAMPED),
+    ],
+    ids=["length", "chunks", "empty", "interim", "no length"],
+)
+def test_answer_that_is_cut_at_any_byte_is_not_delivered(answer: bytes) -> None:
+    async def check() -> None:
+        length = 0
+
+        async def serve_cut(stream: channel.Channel) -> None:
+            await stream.receive()
+            stream.write(answer[:length])
+
+        listener = await channel.listen(ADDRESS, serve_cut, 10)
+        client = endpoint.EndpointClient(ADDRESS, fleet.NAMES)
+        try:
+            for length in range(len(answer)):
+                failure = (await client.send(_request("c"))).unwrap_err()
+                assert not failure.not_run, (length, failure)
+            length = len(answer)
+            assert (await client.send(_request("c"))).unwrap().status == 200
+        finally:
+            client.close()
+            listener.close()
+
+    asyncio.run(check())
+
+
 def _refusal(call_id: str) -> bytes:
     fields = [f"{fleet.NAMES.not_run}: 1", "content-length: 0"]
     if call_id:
