Let slow requests for changes go on while further nodes are asked

The round trip was longer than 0.3 s, the time to connect, so all requests ended with TimeoutError: d-16 stayed at revision 81 from 4.05 s on, a-21 for 3.07 s, a-22 for 3.26 s. No event loop was late by more than 0.5 s, so processor time was not the cause.

Change: the connection may take 2 s, and while a request is pending, a further node is asked every 0.3 s, three at a time. Requests that are no longer needed are cancelled.

--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -39,6 +39,9 @@
 # configuration takes seconds on a slow link that several nodes read from at once; a
 # bound on the whole transfer would end them all, and all would start again.
 PUBLISHED_TIMEOUT_S = 1.0
+# Longest time to connect for it. On a congested link packets wait, and a new attempt
+# would wait as long; meanwhile the watcher asks further nodes.
+PUBLISHED_CONNECT_TIMEOUT_S = 2.0
 # Longest transfer, after which another node is asked.
 MAX_TRANSFER_S = 5.0
 # Bound on a decompressed answer.
@@ -149,7 +152,8 @@
         """Fetch the changes after a revision, or the whole state, from a node."""
         request = _encoder.encode(mesh.PublishedRequest(after, True))
         try:
-            stream = await channel.connect((host, self._port), CONNECT_TIMEOUT_S)
+            address = (host, self._port)
+            stream = await channel.connect(address, PUBLISHED_CONNECT_TIMEOUT_S)
             connection = frames.FrameChannel(stream, self._reply_pool)
             try:
                 connection.send(frames.Kind.PUBLISHED_REQUEST, request)
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -35,6 +35,10 @@
 PEER_SYNC_JITTER_S = 0.1
 # A node that is behind other nodes for longer than this logs it.
 LOGGED_LAG_S = 1.0
+# Other nodes that are asked at the same time, and the interval between two requests
+# while none has been answered.
+MAX_PEER_REQUESTS = 3
+PEER_REQUEST_INTERVAL_S = 0.3
 # Failures for longer than this count as an outage of the store, in which entries of
 # running servers may have expired.
 STORE_OUTAGE_S = 1.0
@@ -106,7 +110,6 @@
         self._is_own_turn = False
         self._unavailable_since: float | None = None
         self._last_failure_at = 0.0
-        self._behind_since: float | None = None
         self._newer_revision_reported = asyncio.Event()
         self._lag = revision_lag.RevisionLag()
         self._logged_lag_since: float | None = None
@@ -210,6 +213,9 @@
     ) -> None:
         """Fetch changes from other nodes that report a newer revision (anti-entropy).
 
+        A request that is slow goes on while further nodes are asked, since on a
+        congested link each of them is as slow.
+
         Parameters
         ----------
         newest_revision : callable
@@ -217,36 +223,56 @@
         fetch : callable
             Fetches the changes after a revision, or the whole state, from a host.
         """
-        while True:
-            revision, host = newest_revision()
-            if revision <= self._catalog.revision:
-                self._behind_since = None
-                self._newer_revision_reported.clear()
-                await self._newer_revision_reported.wait()
-            # The jitter spreads the requests of nodes that receive the report of a
-            # change at the same time.
+        requests_by_host: dict[str, asyncio.Task[None]] = {}
+        try:
+            while True:
+                revision, host = newest_revision()
+                if revision <= self._catalog.revision:
+                    _cancel_all(requests_by_host)
+                    self._newer_revision_reported.clear()
+                    await self._newer_revision_reported.wait()
+                    await self._wait_for_own_watch()
+                    continue
+                if (
+                    host not in requests_by_host
+                    and len(requests_by_host) < MAX_PEER_REQUESTS
+                ):
+                    request = self._ask_node(host, revision, fetch)
+                    requests_by_host[host] = asyncio.ensure_future(request)
+                done, _ = await asyncio.wait(
+                    requests_by_host.values(),
+                    timeout=PEER_REQUEST_INTERVAL_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for each in [h for h, task in requests_by_host.items() if task in done]:
+                    # An exception ends this method, which the node then restarts.
+                    requests_by_host.pop(each).result()
+                if self._catalog.revision < revision:
+                    await asyncio.sleep(PEER_SYNC_JITTER_S * self._rng.random())
+        finally:
+            _cancel_all(requests_by_host)
+
+    async def _wait_for_own_watch(self) -> None:
+        """Give a node that watches the time to receive a change by its own watch.
+
+        The jitter spreads the requests of nodes that receive the report of a change at
+        the same time.
+        """
+        await asyncio.sleep(PEER_SYNC_JITTER_S * self._rng.random())
+        while self.is_watching and 0.0 < self.behind_s(clock.now()) < PEER_SYNC_DELAY_S:
             await asyncio.sleep(PEER_SYNC_JITTER_S * self._rng.random())
-            revision, host = newest_revision()
-            now = clock.now()
-            if revision <= self._catalog.revision:
-                continue
-            if self._behind_since is None:
-                self._behind_since = now
-            if self.is_watching and now - self._behind_since < PEER_SYNC_DELAY_S:
-                continue
-            self._behind_since = now
-            fetched = await fetch(host, self._catalog.revision)
-            fields: dict[str, object] = {
-                "host": host,
-                "known": self._catalog.revision,
-                "reported": revision,
-            }
-            if isinstance(fetched, Err):
-                fields["error"] = fetched.err_value
-            else:
-                fields["changed"] = self._apply_from_node(fetched.ok_value)
-                self._on_change()
-            logger.info("asked a node that knows more", extra={"fields": fields})
+
+    async def _ask_node(self, host: str, reported: int, fetch: FetchFromNode) -> None:
+        """Fetch what another node knows, and apply it."""
+        known = self._catalog.revision
+        fetched = await fetch(host, known)
+        fields: dict[str, object] = {"host": host, "known": known, "reported": reported}
+        if isinstance(fetched, Err):
+            fields["error"] = fetched.err_value
+        else:
+            fields["changed"] = self._apply_from_node(fetched.ok_value)
+            self._on_change()
+        logger.info("asked a node that knows more", extra={"fields": fields})
 
     def _apply_from_node(
         self, known: published_state.PublishedState | catalog.Changes
@@ -279,3 +305,9 @@
             "platform does not answer",
             extra={"fields": {"error": str(error), "revision": self._catalog.revision}},
         )
+
+
+def _cancel_all(tasks_by_host: dict[str, asyncio.Task[None]]) -> None:
+    for task in tasks_by_host.values():
+        task.cancel()
+    tasks_by_host.clear()
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -152,6 +152,47 @@
     assert fetched.unwrap().revision == 7
 
 
+# Time for which packets wait at a link that still counts as sound, both ways, seconds.
+CONGESTED_ROUND_TRIP_S = 0.9
+
+
+def test_changes_arrive_over_a_congested_link(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a node that asks one node after the other in vain.
+
+    Each connection took longer than its timeout, since the packets waited at the
+    machine's own link, and the next one waited as long.
+    """
+    encoded = peers._encoder.encode(catalog.Changes(7))
+    address = (loopback.next_host(), fleet.PEER_PORT)
+    connect_at_once = channel.connect
+
+    async def connect_slowly(
+        address: channel.Address, timeout_s: float
+    ) -> channel.Channel:
+        async with asyncio.timeout(timeout_s):
+            await asyncio.sleep(CONGESTED_ROUND_TRIP_S)
+        return await connect_at_once(address, timeout_s)
+
+    async def serve(stream: channel.Channel) -> None:
+        connection = frames.FrameChannel(stream)
+        assert await connection.receive() is not None
+        await asyncio.sleep(CONGESTED_ROUND_TRIP_S)
+        connection.send(frames.Kind.CHANGES, encoded)
+        await connection.receive()
+
+    async def check() -> None:
+        listener = await channel.listen(address, serve, 1)
+        client = peers.PeerClient(
+            fleet.PEER_PORT, connection_monitor.ConnectionMonitor()
+        )
+        monkeypatch.setattr(channel, "connect", connect_slowly)
+        fetched = await client.fetch_published_state(address[0], 5)
+        listener.close()
+        assert fetched.is_ok(), fetched.unwrap_err()
+
+    asyncio.run(check())
+
+
 @test_node.run
 async def test_node_that_sends_no_published_state_is_given_up() -> None:
     address = (loopback.next_host(), fleet.PEER_PORT)
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from collections.abc import Callable, Sequence
 
@@ -329,3 +330,30 @@
 
     asyncio.run(run_watcher())
     assert state.revision == 9
+
+
+def test_further_nodes_are_asked_while_one_does_not_answer() -> None:
+    """Guards against an old configuration for as long as one request is pending."""
+    state = catalog.Catalog(2.0)
+    state.apply_snapshot(published_state.PublishedState(7, None, ()), 0.0)
+    asked: list[str] = []
+
+    async def fetch(
+        host: str, after: int
+    ) -> Result[published_state.PublishedState | catalog.Changes, str]:
+        asked.append(host)
+        if len(asked) == 1:
+            await asyncio.sleep(10.0)
+        return Ok(catalog.Changes(9))
+
+    async def run_watcher() -> None:
+        hosts = itertools.cycle(["10.0.0.2", "10.0.0.3"])
+        tested = _make_watcher(ScriptedStore([]), state)
+        sync = tested.sync_from_nodes(lambda: (9, next(hosts)), fetch)
+        task = asyncio.ensure_future(sync)
+        await asyncio.sleep(MAX_APPLY_S / 2.0)
+        task.cancel()
+
+    asyncio.run(run_watcher())
+    assert state.revision == 9
+    assert asked == ["10.0.0.2", "10.0.0.3"]
