Adapt time-outs between nodes to the round trip

Cause: calls whose acknowledgement took longer than 0.12 s were sent again, twice, with their bodies, and connections were given up after 0.3 s. On links of 10 Mbit/s that uploads fill, packets wait for longer than that, and the repetitions keep the link full.

Change: time-outs of acknowledgements and connections follow the measured round trip to each node, as those of TCP do (RFC 6298), and double after one has passed. On sound links they stay as they were. A body counts as being sent at 0.25 MB/s in place of 1 MB/s, a fifth of such a link.

--- a/src/snipelink/mesh/connection_monitor.py
+++ b/src/snipelink/mesh/connection_monitor.py
@@ -5,10 +5,11 @@
 import enum
 import functools
 import logging
+import math
 from collections.abc import Callable
 
 from snipelink import clock
-from snipelink.decide import connection_reuse
+from snipelink.decide import connection_reuse, round_trip
 from snipelink.mesh import channel
 
 logger = logging.getLogger(__name__)
@@ -24,6 +25,8 @@
 ENDPOINT_PROBES = channel.KeepAlive(
     idle_s=1, interval_s=1, count=1, user_timeout_ms=1000
 )
+# Time to connect to another node, seconds, if the round trip is short.
+NODE_CONNECT_TIMEOUT_S = 0.3
 
 
 class Role(enum.Enum):
@@ -45,6 +48,8 @@
         Number of connections that were found silent, by the role of the peer.
     reuse_policy : ReusePolicy
         Decides which pooled connections may still be used.
+    round_trips : RoundTrips
+        Round trips to other nodes.
     on_reuse_restricted : callable
         Called when pooled connections may no longer be used.
     """
@@ -52,6 +57,7 @@
     def __init__(self) -> None:
         self.silent_count_by_role = dict.fromkeys(Role, 0)
         self.reuse_policy = connection_reuse.ReusePolicy()
+        self.round_trips = round_trip.RoundTrips()
         self.on_reuse_restricted: Callable[[], None] = _do_nothing
 
     async def connect(
@@ -65,6 +71,29 @@
         )
         return stream
 
+    async def connect_to_node(
+        self, address: channel.Address, left_s: float = math.inf
+    ) -> channel.Channel:
+        """Open a connection to another node; raises ``OSError``.
+
+        Parameters
+        ----------
+        left_s : float
+            Longest time to connect, also on a congested link.
+        """
+        started = clock.now()
+        usual_s = NODE_CONNECT_TIMEOUT_S
+        adapted_s = self.round_trips.timeout_s(address, usual_s, started)
+        try:
+            stream = await self.connect(Role.NODE, address, min(adapted_s, left_s))
+        except TimeoutError:
+            if adapted_s <= left_s:
+                self.round_trips.on_timeout(address, clock.now())
+            raise
+        now = clock.now()
+        self.round_trips.on_sample(address, now - started, now)
+        return stream
+
     def on_silent_poll(
         self, role: Role, address: channel.Address, since: float, now: float
     ) -> None:
--- a/src/snipelink/mesh/peer_attempts.py
+++ b/src/snipelink/mesh/peer_attempts.py
@@ -23,9 +23,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Time without an acknowledgement after which an attempt is retransmitted, seconds. A
-# round trip takes 1 to 2 ms, and a process that is short of CPU time can pause for up
-# to 0.1 s.
+# Time without an acknowledgement after which an attempt is retransmitted, seconds, if
+# the round trip is short. It takes 1 to 2 ms on a link that is not congested, and a
+# process that is short of CPU time can pause for up to 0.1 s.
 ACCEPT_TIMEOUT_S = 0.12
 # The same timeout on a new connection, seconds. It is longer because it includes the
 # time to connect; connecting to an unreachable node fails after 0.3 s.
@@ -33,15 +33,14 @@
 # Interval at which a node repeats the acknowledgement of an attempt that waits or runs,
 # seconds. A call shorter than this causes a single acknowledgement.
 HEARTBEAT_INTERVAL_S = 0.25
-# Slowest link on which a body is not retransmitted while it is still being sent, bytes
-# per second.
-MIN_LINK_BYTES_PER_S = 1_000_000
+# Slowest transfer in which a body is not retransmitted while it is still being sent,
+# bytes per second: a fifth of a link of 10 Mbit/s.
+MIN_LINK_BYTES_PER_S = 250_000
 # Time without an acknowledgement after which a connection counts as silent if a newer
 # one works, seconds. TCP retransmits a lost packet after 0.2 s.
 SILENCE_CONFIRMATION_S = 0.3
 # Maximum number of connections on which one attempt is sent, including the first one.
 MAX_TRANSMISSIONS = 3
-CONNECT_TIMEOUT_S = 0.3
 
 # Errors that end the use of a connection: network errors and undecodable messages.
 CONNECTION_ERRORS = (OSError, ValueError, framing.FrameError, msgspec.MsgspecError)
@@ -241,17 +240,21 @@
         if not self._may_retransmit():
             return None
         if transmission.acknowledged_at is not None:
-            return (
-                transmission.acknowledged_at + HEARTBEAT_INTERVAL_S + ACCEPT_TIMEOUT_S
-            )
+            heartbeat_due_at = transmission.acknowledged_at + HEARTBEAT_INTERVAL_S
+            return heartbeat_due_at + self._timeout_s(ACCEPT_TIMEOUT_S)
         # A new connection is unlikely to be silent, and needs a round trip to open.
-        accept_timeout_s = (
+        accept_timeout_s = self._timeout_s(
             ACCEPT_TIMEOUT_S
             if transmission.is_pooled
             else NEW_CONNECTION_ACCEPT_TIMEOUT_S
         )
         return transmission.started_at + accept_timeout_s + self._sending_s
 
+    def _timeout_s(self, usual_s: float) -> float:
+        """Return a time-out that is adapted to the round trip to the node."""
+        round_trips = self._connection_monitor.round_trips
+        return round_trips.timeout_s(self._address, usual_s, clock.now())
+
     def _is_possibly_silent(self, transmission: _Transmission) -> bool:
         reuse_policy, acknowledged_at = (
             self._connection_monitor.reuse_policy,
@@ -303,6 +306,7 @@
                     connection.last_received_at,
                 )
                 if is_first:
+                    self._record_round_trip(transmission)
                     connection.started_ms = messages.decode_accepted(payload).started_ms
                     if transmission.number == 0:
                         self._started_ms = connection.started_ms
@@ -315,6 +319,12 @@
                 raise framing.FrameError("reply to another call")
             return messages.to_outcome(reply)
 
+    def _record_round_trip(self, transmission: _Transmission) -> None:
+        """Record how long the first acknowledgement took, without the body's share."""
+        now = clock.now()
+        took_s = max(0.0, now - transmission.started_at - self._sending_s)
+        self._connection_monitor.round_trips.on_sample(self._address, took_s, now)
+
     async def _connect(self) -> channel.Channel:
         """Open a new connection to the node.
 
@@ -324,9 +334,7 @@
         """
         while True:
             try:
-                return await self._connection_monitor.connect(
-                    connection_monitor.Role.NODE, self._address, CONNECT_TIMEOUT_S
-                )
+                return await self._connection_monitor.connect_to_node(self._address)
             except TimeoutError:
                 if self._call.idempotent:
                     raise
@@ -350,7 +358,10 @@
         if transmission.connection is None:
             return
         if transmission.acknowledged_at is None:
-            left_s = max(0.0, transmission.started_at + SILENCE_CONFIRMATION_S - now)
+            silent_at = transmission.started_at + self._timeout_s(
+                SILENCE_CONFIRMATION_S
+            )
+            left_s = max(0.0, silent_at - now)
             asyncio.get_running_loop().call_later(
                 left_s, self._check_silence, transmission
             )
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -30,7 +30,6 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 0.3
 MAX_IDLE_CONNECTIONS = 32
 # A connection that was idle for longer is not reused. The kernel's keepalive probes
 # detect a silent peer within this time.
@@ -202,11 +201,11 @@
     async def _open(
         self, address: channel.Address, deadline: float
     ) -> Result[peer_attempts.PeerConnection, errors.Failure]:
-        timeout_s = min(CONNECT_TIMEOUT_S, deadline - clock.now())
         started_ms = self._started_ms_by_host.get(address[0], 0)
-        role = connection_monitor.Role.NODE
         try:
-            stream = await self._connection_monitor.connect(role, address, timeout_s)
+            stream = await self._connection_monitor.connect_to_node(
+                address, deadline - clock.now()
+            )
         except OSError as error:
             detail = f"node at {address[0]}: {error or type(error).__name__}"
             return Err(errors.Failure(errors.Kind.UNREACHABLE, detail))
--- a/tests/mesh/test_peer_attempts.py
+++ b/tests/mesh/test_peer_attempts.py
@@ -32,6 +32,8 @@
 # Run time of a call that is in flight when its connection goes silent, seconds.
 LONG_RUN_S = 0.5
 SEEDS = range(4)
+# Time for which packets wait at a congested link, in each direction, seconds.
+CONGESTED_DELAY_S = 0.25
 
 
 class RefusingRunner:
@@ -78,6 +80,37 @@
         assert arrivals(members, "c1") == 1
 
 
+def test_calls_are_hardly_repeated_over_a_congested_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against repeated calls that keep a congested link congested.
+
+    The acknowledgement of each call took longer than its timeout, and each call was
+    sent three times with its body.
+    """
+    monkeypatch.setattr(links, "ADDED_DELAY_S", CONGESTED_DELAY_S)
+    call_count = 10
+
+    async def check() -> int:
+        routes = tuple(
+            dataclasses.replace(each, timeout_s=3.0, target_s=2.0) for each in ROUTES
+        )
+        async with fleet.running(
+            "rota", "archive", routes=routes, behind_proxies=True
+        ) as members:
+            link = members[0].node_link
+            assert link is not None
+            client = await fleet.Client.open(members[1])
+            assert (await client.call("c", **NON_IDEMPOTENT)).status == 200
+            link.active_fault = "delay"
+            for index in range(call_count):
+                response = await client.call(f"c{index}", **NON_IDEMPOTENT)
+                assert response.status == 200
+            return members[1].node._peers.calls_sent_again
+
+    assert asyncio.run(check()) <= call_count // 2
+
+
 @run
 async def test_call_in_flight_when_its_connection_goes_silent_is_answered() -> None:
     """Guards against losing the answer of a call whose connection goes silent."""
