--- a/src/snipelink/decide/revision_lag.py
+++ b/src/snipelink/decide/revision_lag.py
@@ -9,6 +9,9 @@
 
 import collections
 
+# Missed revisions whose times are kept. Beyond, later ones share the time of the last.
+MAX_MISSED_REVISIONS = 256
+
 
 class RevisionLag:
     """Times at which this node first heard of revisions that it does not know yet."""
@@ -19,8 +22,11 @@
 
     def on_report(self, revision: int, now: float) -> None:
         """Record that another node reports a revision."""
-        if not self._missed or revision > self._missed[-1][0]:
-            self._missed.append((revision, now))
+        if self._missed and revision <= self._missed[-1][0]:
+            return
+        if len(self._missed) >= MAX_MISSED_REVISIONS:
+            _, now = self._missed.pop()
+        self._missed.append((revision, now))
 
     def on_known(self, revision: int) -> None:
         """Record that this node knows the published state up to a revision."""
--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -165,14 +165,14 @@
     ) -> placement.Candidate | None:
         """Return an endpoint's load for the choice of an endpoint.
 
+        Returns None if there is no report of the endpoint or it accepts no calls.
+
         Parameters
         ----------
         unacknowledged_count : int
             Calls that this node has been sending to the endpoint for longer than
             `UNREPORTED_CALL_S`. They have not arrived, so no report counts them, and an
             endpoint behind a congested link would look idle.
-
-        Returns None if there is no report of the endpoint or it accepts no calls.
         """
         endpoint_load = self.loads_by_instance.get(instance.id)
         if endpoint_load is None:
