--- a/bench/memory.py
+++ b/bench/memory.py
@@ -10,8 +10,9 @@
   --tree=DIR    Source tree of the nodes' program [default: .].
 
 Plays each load of the soak alone and prints a line for it: the most anonymous memory
-of any node in MB, the violated invariants, and the processes that exceeded the limit
-of the soak and were killed. The first load is none.
+of any node in MB, the most that any node still holds about 6 s after the load, the
+processes that exceeded the limit of the soak and were killed, and the violated
+invariants. The first load is none.
 """
 
 from __future__ import annotations
@@ -39,10 +40,12 @@
         play = run.Run(seed, node_count, WINDOW_S, directory, events, tree)
         recorded = asyncio.run(play.execute())
     peak_mb = max(recorded.peak_memory_mb_by_node.values())
+    last_mb = max(recorded.last_memory_mb_by_node.values())
     killed = sum(not each.signal for each in recorded.process_exits)
     violated = sorted({each.invariant for each in checks.check(recorded)})
     return (
-        f"{kind:15} {peak_mb:6.1f} MB  {killed} killed  {'; '.join(violated) or 'held'}"
+        f"{kind:15} {peak_mb:6.1f} MB  {last_mb:6.1f} MB at the end  {killed} killed  "
+        f"{'; '.join(violated) or 'held'}"
     )
 
 
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -128,6 +128,8 @@
         Service of each route, by its path prefix.
     peak_memory_mb_by_node : dict of int to float
         Most anonymous memory of each node's process, MB.
+    last_memory_mb_by_node : dict of int to float
+        Anonymous memory of each node's process when it was last measured, MB.
     recovery_deadline : float
         Time from which calls must succeed, because the faults and their effects are
         over.
@@ -147,5 +149,6 @@
     fault_intervals: list[FaultInterval] = dataclasses.field(default_factory=list)
     process_exits: list[ProcessExit] = dataclasses.field(default_factory=list)
     peak_memory_mb_by_node: dict[int, float] = dataclasses.field(default_factory=dict)
+    last_memory_mb_by_node: dict[int, float] = dataclasses.field(default_factory=dict)
     recovery_deadline: float = 0.0
     ends_at: float = 0.0
--- a/bench/soak/nodes.py
+++ b/bench/soak/nodes.py
@@ -161,6 +161,7 @@
         used_mb = self.memory_mb()
         peaks = self._history.peak_memory_mb_by_node
         peaks[self._number] = max(peaks.get(self._number, 0.0), used_mb)
+        self._history.last_memory_mb_by_node[self._number] = used_mb
         if used_mb > MEMORY_LIMIT_MB:
             self._kill_process()
 
