Let old estimates of a round trip stay decayed

After a congestion and a minute without traffic, one acknowledgement of 2 ms set the time-out to 2 s: its age began anew and the old mean and deviation counted again. A connection that falls silent would be found late then.

test_old_estimate_is_not_revived_by_a_quick_acknowledgement failed before (2.0 s in place of 0.12 s) and holds.

--- a/src/snipelink/decide/round_trip.py
+++ b/src/snipelink/decide/round_trip.py
@@ -45,6 +45,10 @@
     backoff: float = 1.0
     at: float = 0.0
 
+    def remaining_ratio(self, now: float) -> float:
+        """Return the share of the estimate that has not decayed."""
+        return 0.5 ** (max(0.0, now - self.at) / HALF_LIFE_S)
+
 
 class RoundTrips:
     """Estimates of the round trip to each address."""
@@ -65,16 +69,19 @@
         estimate = self._estimates_by_address.get(address)
         if estimate is None:
             return usual_s
-        age_s = max(0.0, now - estimate.at)
         measured_s = estimate.mean_s + DEVIATION_COUNT * estimate.deviation_s
         if estimate.backoff > 1.0:
             measured_s = max(usual_s, measured_s) * estimate.backoff
-        adapted_s = min(MAX_TIMEOUT_S, measured_s * 0.5 ** (age_s / HALF_LIFE_S))
+        adapted_s = min(MAX_TIMEOUT_S, measured_s * estimate.remaining_ratio(now))
         return max(usual_s, adapted_s)
 
     def on_sample(self, address: Address, took_s: float, now: float) -> None:
         """Record the time between a message and its acknowledgement."""
         estimate = self._estimates_by_address[address]
+        # An old estimate must not count again because its age starts anew.
+        remaining_ratio = estimate.remaining_ratio(now)
+        estimate.mean_s *= remaining_ratio
+        estimate.deviation_s *= remaining_ratio
         deviation_s = abs(took_s - estimate.mean_s)
         estimate.deviation_s += DEVIATION_WEIGHT * (deviation_s - estimate.deviation_s)
         estimate.mean_s += MEAN_WEIGHT * (took_s - estimate.mean_s)
--- a/tests/decide/test_round_trip.py
+++ b/tests/decide/test_round_trip.py
@@ -43,3 +43,10 @@
     assert timeouts_s == pytest.approx([0.6, 1.2, 2.0, 2.0])
     round_trips.on_sample(ADDRESS, 0.002, 1.0)
     assert round_trips.timeout_s(ADDRESS, 0.3, 1.0) == 0.3
+
+
+def test_old_estimate_is_not_revived_by_a_quick_acknowledgement() -> None:
+    """Guards against a silent connection that is found late after a congestion."""
+    round_trips = _after_samples(*[0.9] * 5)
+    round_trips.on_sample(ADDRESS, 0.002, 60.0)
+    assert round_trips.timeout_s(ADDRESS, USUAL_S, 60.0) == USUAL_S
