Treat downloads as idempotent and read the published slots

The adapter took every route type but safe for one whose requests may run once, so downloads, which the platform defines as repeatable, were neither retried nor hedged. Entries of endpoints state their slots, which were only validated. Settings name from how few slots the mechanisms of docs/design apply.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import logging
+import math
 from collections.abc import Collection
 
 from snipelink.mesh import published_state
@@ -94,6 +95,9 @@
         self.instances_by_id: dict[str, published_state.Instance] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._ready_by_service: dict[str, list[published_state.Instance]] = {}
+        # Highest number of slots that a ready endpoint publishes; infinite if an entry
+        # does not state it.
+        self._most_slots_by_service: dict[str, float] = {}
         self._last_resort_until_by_id: dict[
             str, tuple[published_state.Instance, float]
         ] = {}
@@ -210,6 +214,14 @@
                 last_resort.append(instance)
         return last_resort
 
+    def has_few_slots(self, service: str, few_slots: int) -> bool:
+        """Whether all ready endpoints of a service publish at most `few_slots` slots.
+
+        Returns False if the service has no ready endpoint.
+        """
+        most = self._most_slots_by_service.get(service)
+        return most is not None and most <= few_slots
+
     def is_usable(self, instance_id: str, now: float) -> bool:
         """Whether an endpoint may receive calls, also if only as a last resort."""
         instance = self.instances_by_id.get(instance_id)
@@ -225,6 +237,10 @@
             if self._is_ready(instance):
                 ready = self._ready_by_service.setdefault(instance.service, [])
                 ready.append(instance)
+        self._most_slots_by_service = {
+            service: max(instance.slots or math.inf for instance in ready)
+            for service, ready in self._ready_by_service.items()
+        }
 
     def _is_ready(self, instance: published_state.Instance) -> bool:
         return not instance.leaving and instance.failure_domain not in self._evacuated
--- a/src/snipelink/mesh/published_state.py
+++ b/src/snipelink/mesh/published_state.py
@@ -96,6 +96,8 @@
         Start time of the process in Unix milliseconds; 0 if it is not stated.
     revision : int
         Revision of the platform's store at which the entry was written; 0 if unknown.
+    slots : int
+        Number of calls that the process can run concurrently; 0 if it is not stated.
     """
 
     id: str
@@ -105,6 +107,7 @@
     leaving: bool
     born_ms: int = 0
     revision: int = 0
+    slots: int = 0
 
     def has_same_content(self, other: Instance) -> bool:
         """Whether two entries differ in their revisions at most."""
--- a/src/snipelink/mesh/settings.py
+++ b/src/snipelink/mesh/settings.py
@@ -47,6 +47,24 @@
     cold_slack: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Balancing:
+    """How calls are balanced across failure domains and refused under overload.
+
+    Attributes
+    ----------
+    few_slots : int
+        Endpoints that publish at most this many slots count as endpoints with few
+        slots; 0 if none do. One call more changes the load of such an endpoint by a
+        third or more, so a report of it is outdated when it arrives from another
+        failure domain, and a call that it refuses seldom finds room by trying the
+        next one. The mechanisms for services of such endpoints are described in
+        ``docs/design``.
+    """
+
+    few_slots: int = 3
+
+
 @dataclasses.dataclass(slots=True)
 class Settings:
     """Identity, addresses and limits of a node; some may change while it runs.
@@ -82,6 +100,7 @@
     load_port: int
     bounds: Bounds
     memory_bytes: int = buffers.DEFAULT_MEMORY_BYTES
+    balancing: Balancing = Balancing()
 
     def update_from(self, new: Settings) -> tuple[list[str], list[str]]:
         """Apply the changed fields that may change while the node runs.
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -256,3 +256,18 @@
         state.apply_changes(catalog.Changes(revision, instances=instances), NOW)
     assert state.changes_since(6) is None
     assert state.changes_since(14) is not None
+
+
+def test_service_has_few_slots_if_all_ready_endpoints_publish_few() -> None:
+    few = dataclasses.replace(_instance("a"), slots=3)
+    assert _catalog(few).has_few_slots("rota", 3)
+    assert not _catalog(few).has_few_slots("rota", 2)
+    assert not _catalog(few).has_few_slots("archive", 3)
+    more = dataclasses.replace(_instance("b"), slots=4)
+    assert not _catalog(few, more).has_few_slots("rota", 3)
+    leaving = dataclasses.replace(more, leaving=True)
+    assert _catalog(few, leaving).has_few_slots("rota", 3)
+
+
+def test_service_without_published_slots_does_not_have_few() -> None:
+    assert not _catalog(_instance("a")).has_few_slots("rota", 3)
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -130,8 +130,14 @@
     assert len(decoded.problems) == 1
 
 
+@pytest.mark.parametrize("route_type", ["safe", "download"])
+def test_lookups_and_downloads_are_idempotent(route_type: str) -> None:
+    decoded = _decode_routes(_route_row(route_type=route_type), OTHER_ROW)
+    assert [route.idempotent for route in decoded.routes] == [True, True]
+
+
 @pytest.mark.parametrize("route_type", ["unsafe", "upload", "", "Safe", "keyed"])
-def test_only_routes_of_type_safe_are_idempotent(route_type: str) -> None:
+def test_routes_of_other_types_are_not_idempotent(route_type: str) -> None:
     decoded = _decode_routes(_route_row(route_type=route_type), OTHER_ROW)
     assert [route.idempotent for route in decoded.routes] == [False, True]
     assert decoded.problems == ()
@@ -263,6 +269,7 @@
     assert (instance.id, instance.host) == ("i-7", "10.128.0.9")
     assert instance.leaving
     assert instance.born_ms == 1700000000000
+    assert instance.slots == SERVER["slots"]
 
 
 @pytest.mark.parametrize(
