Refuse undefined statuses that another node passes on

An answer with status 000 was refused where it is read from an endpoint, but a node took any status in the reply of another node and gave it to its caller as an answer. Both kinds of nodes now treat a status outside 200 to 599 in a reply as an invalid answer, which may have run. The new tests of replies failed before the change (7 in test_messages, 4 in test_forwarding); those of the readers of endpoints' answers held before it.

--- a/src/snipelink/execute/endpoint_client.py
+++ b/src/snipelink/execute/endpoint_client.py
@@ -114,7 +114,7 @@
             raise _InvalidAnswerError(errors.Kind.ANSWER_INVALID, "HTTP version")
         if 100 <= status < 200 and status != 101:
             return
-        if not 200 <= status <= 599:
+        if not http.is_final_status(status):
             raise _InvalidAnswerError(errors.Kind.ANSWER_INVALID, f"status {status}")
         self.status = status
         self._check_framing()
--- a/src/snipelink/mesh/messages.py
+++ b/src/snipelink/mesh/messages.py
@@ -163,6 +163,10 @@
             reply.retry_after_ms / 1000.0,
             reached=reply.reached,
         )
+    if not http.is_final_status(reply.status):
+        # The node that read the answer should have refused it.
+        detail = f"status {reply.status} from another node"
+        return calls.failed_outcome(errors.Kind.ANSWER_INVALID, detail, reached=True)
     headers = [(name, value) for name, value in reply.headers]
     response = http.Response(reply.status, headers, reply.body)
     return calls.Outcome(response, reached=True, work_s=reply.work_ms / 1000.0)
--- a/src/snipelink/session/http.py
+++ b/src/snipelink/session/http.py
@@ -11,6 +11,9 @@
 REASONS_BY_STATUS = {status.value: status.phrase for status in http.HTTPStatus} | {
     499: "Client Closed Request"
 }
+# Statuses of final responses; those below are interim, those above are not defined.
+FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 # A body up to this size is joined with the head of its message; a larger one is sent
 # after it, because joining would hold it twice.
 MAX_COPIED_BODY_BYTES = 1 << 15
@@ -66,6 +69,11 @@
     return method == "HEAD" or status in (204, 304) or 100 <= status < 200
 
 
+def is_final_status(status: int) -> bool:
+    """Whether a status is that of a final response, neither interim nor undefined."""
+    return FIRST_FINAL_STATUS <= status <= LAST_STATUS
+
+
 def encode_response(response: Response, method: str, keep_alive: bool) -> bytes:
     """Return the bytes of a response with its framing headers.
 
--- a/src/snipelink/session/messages.py
+++ b/src/snipelink/session/messages.py
@@ -9,6 +9,7 @@
 
 from snipelink import errors, model
 from snipelink.generated import messages
+from snipelink.session import http
 
 VERSION = 1
 # Versions only add fields, so messages of the next version are readable too, and a
@@ -161,6 +162,14 @@
 ) -> Result[model.Answer, errors.Failure]:
     """Return the answer or failure that a reply carries."""
     if not reply.error_kind:
+        if not http.is_final_status(reply.status):
+            # The node that read the answer should have refused it.
+            detail = f"status {reply.status} from another node"
+            return Err(
+                errors.Failure(
+                    errors.Kind.ANSWER_INVALID, detail, 0.0, endpoint, reply.retried
+                )
+            )
         headers = _from_header_fields(reply.headers)
         load = to_load_report(reply)
         return Ok(model.Answer(reply.status, headers, reply.body, endpoint, load))
--- a/tests/execute/test_forwarding.py
+++ b/tests/execute/test_forwarding.py
@@ -4,6 +4,8 @@
 import socket
 import threading
 
+import pytest
+
 from snipelink import errors, model
 from snipelink.session import frames, messages
 from tests.execute import scripted_nodes
@@ -94,3 +96,18 @@
         call = scripted_nodes.make_call(timeout_s=0.05)
         failure = scripted_nodes.make_forwarder().forward(call, endpoint).unwrap_err()
     assert failure.kind is errors.Kind.DEADLINE_UNKNOWN
+
+
+@pytest.mark.parametrize("status", [0, 99, 101, 600])
+def test_reply_with_an_undefined_or_interim_status_is_no_answer(status: int) -> None:
+    """Guards against a status 000 that reaches the caller by way of another node."""
+    answer = model.Answer(status, [], b"body")
+    reply = messages.encode_reply("c1", scripted_nodes.Ok(answer), None)
+    endpoint = scripted_peer(frame(reply))
+    failure = (
+        scripted_nodes.make_forwarder()
+        .forward(scripted_nodes.make_call(), endpoint)
+        .unwrap_err()
+    )
+    assert failure.kind is errors.Kind.ANSWER_INVALID
+    assert not failure.not_run
--- a/tests/mesh/test_messages.py
+++ b/tests/mesh/test_messages.py
@@ -51,6 +51,19 @@
     assert messages.to_outcome(reply).response == response
 
 
+@pytest.mark.parametrize("status", [-1, 0, 99, 100, 199, 600, 999])
+def test_reply_with_an_undefined_or_interim_status_is_no_answer(status: int) -> None:
+    """Guards against a status 000 that reaches the caller by way of another node."""
+    response = http.Response(status, [], b"abc")
+    parts = messages.encode_reply("c1", calls.Outcome(response, reached=True))
+    outcome = messages.to_outcome(messages.decode_reply(b"".join(parts)))
+    assert outcome.response is None
+    assert outcome.reached
+    assert outcome.failure is not None
+    assert outcome.failure.kind is errors.Kind.ANSWER_INVALID
+    assert not outcome.failure.not_run
+
+
 def test_body_of_a_large_message_is_not_copied() -> None:
     body = bytes(1 << 17)
     parts = messages.encode_reply("c1", calls.Outcome(http.Response(200, [], body)))
--- a/tests/session/test_response_reader.py
+++ b/tests/session/test_response_reader.py
@@ -156,3 +156,15 @@
     reader = response_reader.ResponseReader("GET", 1000, 100)
     with pytest.raises(response_reader.InvalidResponse):
         reader.feed(b"HTTP/1.1 200 OK\r\nx: " + b"a" * 100)
+
+
+@pytest.mark.parametrize(
+    "status", ["000", "0", "00", "-1", "099", "101", "600", "999", "2000", "x", ""]
+)
+def test_undefined_status_is_invalid(status: str) -> None:
+    """Guards against an answer with status 000 that is passed on to the caller."""
+    reader = _reader()
+    with pytest.raises(response_reader.InvalidResponse):
+        reader.feed(f"HTTP/1.1 {status} X\r\nContent-Length: 3\r\n\r\nabc".encode())
+    assert reader.next_response() is None
+    assert not reader.reusable
