--- a/src/snipelink/decide/reporting.py
+++ b/src/snipelink/decide/reporting.py
@@ -53,8 +53,8 @@
         Number of calls that run on the endpoint or wait for it.
     state : tuple
         Properties whose change is urgent: identity, and whether calls are accepted.
-    revision : int
-        Revision of the published state that is in force at the node.
+    position : tuple of (int, int)
+        Era and revision of the published state that is in force at the node.
     """
 
     calls: int
@@ -62,7 +62,7 @@
     slowness_percent: int
     failing_percent: int
     state: tuple[object, ...]
-    revision: int = 0
+    position: tuple[int, int] = (0, 0)
 
 
 def interval_s(sent: LoadReport, current: LoadReport, *, near: bool) -> float:
--- /dev/null
+++ b/src/snipelink/decide/restored_entries.py
@@ -0,0 +1,120 @@
+"""Which published entries stay in force after a restore of the platform's store.
+
+A store that is restored from an older copy has lost its last writes. Their writers
+repeat them within seconds. Until then, the copy lacks entries of running endpoints and
+contains entries of endpoints that have announced their shutdown since. Each node
+decides for itself, by what it knew before the restore.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from snipelink.mesh import published_state
+
+# Entries that were lost in an outage or by a restore of the store are published again
+# within about two seconds of its return.
+LAPSED_ENTRY_S = 2.2
+# Time for which an endpoint that left before a restore counts as leaving, unless its
+# entry is written again. After it, the process has ended and its entry has expired.
+WITHDRAWN_ENTRY_S = 30.0
+# Removed entries in memory. Beyond, the oldest ones are forgotten.
+MAX_REMOVED_ENTRIES = 4096
+
+
+class RemovedEntries:
+    """Entries that were removed within the last `WITHDRAWN_ENTRY_S`."""
+
+    def __init__(self) -> None:
+        # In order of removal.
+        self._removed_by_id: dict[str, tuple[published_state.Instance, float]] = {}
+
+    def add(self, instance: published_state.Instance, now: float) -> None:
+        """Record that an entry was removed."""
+        self._removed_by_id.pop(instance.id, None)
+        self._removed_by_id[instance.id] = (instance, now)
+        if len(self._removed_by_id) > MAX_REMOVED_ENTRIES:
+            del self._removed_by_id[next(iter(self._removed_by_id))]
+
+    def discard(self, instance_id: str) -> None:
+        """Record that an entry is published again."""
+        self._removed_by_id.pop(instance_id, None)
+
+    def recent_by_id(self, now: float) -> dict[str, published_state.Instance]:
+        """Return the entries that were removed recently, and forget older ones."""
+        for instance_id, (_, removed_at) in list(self._removed_by_id.items()):
+            if now - removed_at <= WITHDRAWN_ENTRY_S:
+                break
+            del self._removed_by_id[instance_id]
+        return {
+            instance_id: instance
+            for instance_id, (instance, _) in self._removed_by_id.items()
+        }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reconciliation:
+    """Difference between a restored copy and what a node knew before.
+
+    Attributes
+    ----------
+    entries : tuple of Instance
+        Entries in force. They are those of the copy, except where the copy has the
+        entry of a former process of the same identity.
+    withdrawn_ids : frozenset of str
+        Entries of the copy whose endpoints are known to be leaving or removed.
+    absent_ids : frozenset of str
+        Known entries that the copy lacks, without those of leaving endpoints.
+    """
+
+    entries: tuple[published_state.Instance, ...]
+    withdrawn_ids: frozenset[str]
+    absent_ids: frozenset[str]
+
+
+def reconcile(
+    known_by_id: Mapping[str, published_state.Instance],
+    removed_by_id: dict[str, published_state.Instance],
+    copy: published_state.PublishedState,
+) -> Reconciliation:
+    """Compare the first state of a new era with the entries known before.
+
+    Parameters
+    ----------
+    known_by_id : dict of str to Instance
+        Entries in force before the restore.
+    removed_by_id : dict of str to Instance
+        Entries that were removed shortly before the restore.
+    copy : PublishedState
+        First state of the new era that this node has received.
+    """
+    withdrawn_by_id = removed_by_id | {
+        known.id: known for known in known_by_id.values() if known.leaving
+    }
+    running_by_id = {
+        known.id: known for known in known_by_id.values() if not known.leaving
+    }
+    present_ids = {entry.id for entry in copy.instances}
+    return Reconciliation(
+        tuple(
+            _entry_in_force(entry, running_by_id.get(entry.id))
+            for entry in copy.instances
+        ),
+        frozenset(
+            entry.id
+            for entry in copy.instances
+            if entry.id in withdrawn_by_id
+            and entry.born_ms <= withdrawn_by_id[entry.id].born_ms
+        ),
+        frozenset(running_by_id.keys() - present_ids),
+    )
+
+
+def _entry_in_force(
+    entry: published_state.Instance, running: published_state.Instance | None
+) -> published_state.Instance:
+    """Return the entry of the later process, as written at the entry of the copy."""
+    if running is None or entry.born_ms >= running.born_ms:
+        return entry
+    return dataclasses.replace(running, era=entry.era, revision=entry.revision)
--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -1,4 +1,4 @@
-"""Routes and endpoints in force at this node; revisions and versions only increase."""
+"""Routes and endpoints in force at this node; positions and versions only increase."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Collection
 
+from snipelink.decide import restored_entries
 from snipelink.mesh import published_state
 
 logger = logging.getLogger(__name__)
@@ -18,12 +19,10 @@
 # some leave without notice, and because entries that expired during an outage of the
 # store are published again.
 LAST_RESORT_RATIO = 0.6
-# Entries that expired during an outage of the store are published again within about
-# two seconds of its end. Endpoints that are removed during an outage, or within this
-# time after it, stay usable as last resorts until this time has passed.
-LAPSED_ENTRY_S = 2.2
 # Log lines about unreadable parts of one configuration.
 MAX_LOGGED_PROBLEMS = 20
+# Identities of endpoints in one log line.
+MAX_LOGGED_ENDPOINTS = 20
 # Changes kept in memory for nodes that missed them, and the entries and identities in
 # them. A node that is further behind gets a snapshot.
 MAX_HISTORY_COUNT = 256
@@ -44,6 +43,8 @@
         Identities of endpoints whose entries were deleted or became unreadable.
     evacuated, restored : tuple of str
         Failure domains whose evacuation starts, and those whose evacuation ends.
+    era : int
+        Era of the platform's store in which the revision counts.
     """
 
     revision: int
@@ -52,6 +53,12 @@
     removed: tuple[str, ...] = ()
     evacuated: tuple[str, ...] = ()
     restored: tuple[str, ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> published_state.Position:
+        """Position up to which the changes lead."""
+        return published_state.Position(self.era, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,10 +93,17 @@
     ----------
     drain_s : float
         Seconds for which an endpoint still serves after it announced its shutdown.
+
+    Attributes
+    ----------
+    update_count : int
+        Number of times that the state in force may have changed.
     """
 
     def __init__(self, drain_s: float) -> None:
         self._last_resort_s = drain_s * LAST_RESORT_RATIO
+        self.update_count = 0
+        self.era = 0
         self.revision = 0
         self.route_table: published_state.RouteTable | None = None
         self.instances_by_id: dict[str, published_state.Instance] = {}
@@ -102,9 +116,23 @@
             str, tuple[published_state.Instance, float]
         ] = {}
         self._lapsed_entries_usable_until = 0.0
+        self._removed_entries = restored_entries.RemovedEntries()
+        # Entries and evacuations of a former era that the restored copy lacks, with the
+        # time at which they end.
+        self._absent_until_by_id: dict[str, float] = {}
+        self._absent_until_by_domain: dict[str, float] = {}
+        # Entries of the restored copy that are in force as leaving ones, as published.
+        self._withdrawn_until_by_id: dict[
+            str, tuple[published_state.Instance, float]
+        ] = {}
         self._history: collections.deque[_Applied] = collections.deque()
         self._history_entry_count = 0
 
+    @property
+    def position(self) -> published_state.Position:
+        """Position up to which this node knows the published state."""
+        return published_state.Position(self.era, self.revision)
+
     @property
     def configuration_version(self) -> int:
         """Version of the configuration in force; 0 if there is none yet."""
@@ -116,22 +144,34 @@
         return len(self.route_table.configuration.problems) if self.route_table else 0
 
     def snapshot(self) -> published_state.PublishedState:
-        """Return the whole state in force, to be sent to another node."""
+        """Return the whole state in force, to be sent to another node.
+
+        What the store's present history does not contain is left out: passed on from
+        node to node, it would not end.
+        """
         configuration = self.route_table.configuration if self.route_table else None
-        instances = tuple(self.instances_by_id.values())
-        evacuated = tuple(sorted(self._evacuated))
+        withdrawn = self._withdrawn_until_by_id
+        instances = tuple(
+            withdrawn[instance.id][0] if instance.id in withdrawn else instance
+            for instance in self.instances_by_id.values()
+            if instance.id not in self._absent_until_by_id
+        )
+        evacuated = self._evacuated.difference(self._absent_until_by_domain)
         return published_state.PublishedState(
-            self.revision, configuration, instances, evacuated
+            self.revision, configuration, instances, tuple(sorted(evacuated)), self.era
         )
 
-    def changes_since(self, revision: int) -> Changes | None:
-        """Return the changes after a revision, merged into one.
+    def changes_since(self, after: published_state.Position) -> Changes | None:
+        """Return the changes after a position, merged into one.
 
-        Returns None if the history in memory does not reach back to that revision.
+        Returns None if the history in memory does not reach back to that position.
         """
+        if after >= self.position:
+            return Changes(self.revision, era=self.era)
+        if after.era != self.era:
+            return None
+        revision = after.revision
         missed = [each for each in self._history if each.changes.revision > revision]
-        if revision >= self.revision:
-            return Changes(self.revision)
         if not missed or missed[0].before > revision:
             return None
         merged = _merge([each.changes for each in missed])
@@ -143,36 +183,112 @@
     def apply_snapshot(
         self, published: published_state.PublishedState, now: float
     ) -> bool:
-        """Replace the state by a snapshot; return False if the snapshot is older."""
-        if published.revision < self.revision:
-            return False
-        if published.configuration is not None:
+        """Replace the state by a snapshot; return False if the snapshot is older.
+
+        Of an older snapshot of the same era, a higher version of the configuration is
+        still taken: the store may lack it since it was restored.
+        """
+        self.update_count += 1
+        if published.era >= self.era and published.configuration is not None:
             self._set_configuration(published.configuration)
-        self._set_evacuated(frozenset(published.evacuated), now)
+        if published.position < self.position:
+            return False
+        if published.era > self.era and self.revision:
+            published = self._reconcile(published, now)
+        self._absent_until_by_domain = {
+            domain: until
+            for domain, until in self._absent_until_by_domain.items()
+            if domain not in published.evacuated
+        }
+        evacuated = frozenset(published.evacuated).union(self._absent_until_by_domain)
+        self._set_evacuated(evacuated, now)
         present = {instance.id: instance for instance in published.instances}
         for instance_id in [i for i in self.instances_by_id if i not in present]:
-            self._remove(instance_id, now)
+            if instance_id not in self._absent_until_by_id:
+                self._remove(instance_id, now)
         for instance in present.values():
             self._set_instance(instance, now)
         self._index_ready_instances()
-        self.revision = published.revision
+        self.era, self.revision = published.position
         self._history.clear()
         self._history_entry_count = 0
         return True
 
+    def _reconcile(
+        self, copy: published_state.PublishedState, now: float
+    ) -> published_state.PublishedState:
+        """Return the state in force after a restore of the platform's store."""
+        found = restored_entries.reconcile(
+            self.instances_by_id, self._removed_entries.recent_by_id(now), copy
+        )
+        absent_until = now + restored_entries.LAPSED_ENTRY_S
+        self._absent_until_by_id = dict.fromkeys(found.absent_ids, absent_until)
+        absent_domains = self._evacuated.difference(copy.evacuated)
+        self._absent_until_by_domain = dict.fromkeys(absent_domains, absent_until)
+        withdrawn_until = now + restored_entries.WITHDRAWN_ENTRY_S
+        self._withdrawn_until_by_id = {
+            entry.id: (entry, withdrawn_until)
+            for entry in found.entries
+            if entry.id in found.withdrawn_ids and not entry.leaving
+        }
+        fields = {
+            "era": copy.era,
+            "before": self.era,
+            "revision": copy.revision,
+            "version": self.configuration_version,
+            "absent": sorted(found.absent_ids)[:MAX_LOGGED_ENDPOINTS],
+            "absent_count": len(found.absent_ids),
+            "absent_evacuations": sorted(absent_domains),
+            "withdrawn": sorted(self._withdrawn_until_by_id)[:MAX_LOGGED_ENDPOINTS],
+        }
+        logger.warning(
+            "platform was restored from an older copy", extra={"fields": fields}
+        )
+        return dataclasses.replace(copy, instances=found.entries)
+
+    def expire(self, now: float) -> bool:
+        """End what was kept after a restore for a limited time; return whether any."""
+        absent_ids = [
+            i for i, until in self._absent_until_by_id.items() if now >= until
+        ]
+        for instance_id in absent_ids:
+            self._remove(instance_id, now)
+        domains = [
+            d for d, until in self._absent_until_by_domain.items() if now >= until
+        ]
+        for domain in domains:
+            del self._absent_until_by_domain[domain]
+        self._set_evacuated(self._evacuated.difference(domains), now)
+        withdrawn = [
+            entry
+            for entry, until in self._withdrawn_until_by_id.values()
+            if now >= until
+        ]
+        for entry in withdrawn:
+            del self._withdrawn_until_by_id[entry.id]
+            self._set_instance(entry, now)
+        has_expired = bool(absent_ids or domains or withdrawn)
+        if has_expired:
+            self.update_count += 1
+            self._index_ready_instances()
+        return has_expired
+
     def apply_changes(self, changes: Changes, now: float) -> None:
-        """Apply changes; ignore them if their revision is not a newer one."""
-        if changes.revision <= self.revision:
+        """Apply changes; ignore them if they are older or of another era."""
+        if changes.era != self.era or changes.revision <= self.revision:
             return
+        self.update_count += 1
         for configuration in changes.configurations:
             self._set_configuration(configuration)
+        for domain in (*changes.restored, *changes.evacuated):
+            self._absent_until_by_domain.pop(domain, None)
         still_evacuated = self._evacuated.difference(changes.restored)
         self._set_evacuated(still_evacuated.union(changes.evacuated), now)
         for instance_id in changes.removed:
             self._remove(instance_id, now)
         for instance in changes.instances:
             self._set_instance(instance, now)
-        if changes != Changes(changes.revision):
+        if changes != Changes(changes.revision, era=changes.era):
             self._index_ready_instances()
         self._keep(changes)
         self.revision = changes.revision
@@ -191,7 +307,7 @@
 
     def on_store_unavailable(self, now: float) -> None:
         """Record that the platform's store is unavailable, or was until now."""
-        self._lapsed_entries_usable_until = now + LAPSED_ENTRY_S
+        self._lapsed_entries_usable_until = now + restored_entries.LAPSED_ENTRY_S
 
     def usable_instances(
         self, service: str, now: float
@@ -283,9 +399,16 @@
         self.route_table = published_state.RouteTable(configuration)
 
     def _set_instance(self, instance: published_state.Instance, now: float) -> None:
+        self._absent_until_by_id.pop(instance.id, None)
+        self._removed_entries.discard(instance.id)
         previous = self.instances_by_id.get(instance.id)
         if previous == instance:
             return
+        withdrawn, _ = self._withdrawn_until_by_id.get(instance.id, (None, 0.0))
+        if withdrawn is not None and instance.written_at == withdrawn.written_at:
+            instance = dataclasses.replace(instance, leaving=True)
+        elif withdrawn is not None:
+            del self._withdrawn_until_by_id[instance.id]
         if previous is not None and instance.is_older_than(previous):
             _log_instance("older entry is ignored", instance, leaving=instance.leaving)
             return
@@ -300,9 +423,12 @@
         _log_instance("endpoint is published", instance, leaving=instance.leaving)
 
     def _remove(self, instance_id: str, now: float) -> None:
+        self._absent_until_by_id.pop(instance_id, None)
+        self._withdrawn_until_by_id.pop(instance_id, None)
         instance = self.instances_by_id.pop(instance_id, None)
         if instance is None:
             return
+        self._removed_entries.add(instance, now)
         if not instance.leaving:
             self._keep_as_last_resort(instance, now)
         _log_instance(
@@ -341,6 +467,7 @@
         tuple(removed),
         tuple(domain for domain, is_evacuated in evacuated.items() if is_evacuated),
         tuple(domain for domain, is_evacuated in evacuated.items() if not is_evacuated),
+        successive[-1].era,
     )
 
 
@@ -356,6 +483,7 @@
                 "host": instance.host,
                 "leaving": leaving,
                 "written_at": instance.revision,
+                "era": instance.era,
                 "born_ms": instance.born_ms,
             }
         },
--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -217,23 +217,36 @@
             and now - endpoint_load.received_at <= placement.SILENT_NODE_S
         )
 
-    def newest_revision(
-        self, near_hosts: Collection[str], now: float
-    ) -> tuple[int, list[str]]:
-        """Return the highest revision of the heard nodes, and the hosts to ask for it.
+    def newest_state(
+        self, known: published_state.Position, near_hosts: Collection[str], now: float
+    ) -> tuple[published_state.Position, int, list[str]]:
+        """Return the highest position of the heard nodes, and the hosts to ask for it.
+
+        If no node is ahead of `known`, the hosts are those of the same era that report
+        the highest version of the configuration. That version is returned, too.
 
         Hosts in `near_hosts` are preferred to others. Silent nodes hardly answer and
         are left out, whatever they reported last.
         """
-        revisions_by_host = {
-            host: each.report.revision
+        states_by_host = {
+            host: (position(each.report), each.report.configuration)
             for host, each in self.loads_by_host.items()
             if self.has_recent_report(host, now)
         }
-        newest = max(revisions_by_host.values(), default=0)
-        hosts = [host for host, known in revisions_by_host.items() if known == newest]
+        newest = max(
+            (reported for reported, _ in states_by_host.values()), default=known
+        )
+        if newest > known:
+            hosts = [h for h, state in states_by_host.items() if state[0] == newest]
+        else:
+            newest = known
+            hosts = [
+                h for h, state in states_by_host.items() if state[0].era == known.era
+            ]
+        version = max((states_by_host[host][1] for host in hosts), default=0)
+        hosts = [host for host in hosts if states_by_host[host][1] == version]
         near = [host for host in hosts if host in near_hosts]
-        return newest, near or hosts
+        return newest, version, near or hosts
 
     def expire(self, kept_hosts: Collection[str], now: float) -> None:
         """Remove loads whose last report is older than ``RETENTION_S``.
@@ -447,7 +460,7 @@
         Returns an empty set if the revision is not newer than in the last report.
         """
         previous = self._last_report
-        if previous is not None and previous.revision >= report.revision:
+        if previous is not None and previous.position >= report.position:
             return set()
         hosts = list(self._followers_by_host)
         count = min(len(hosts), reporting.REVISION_FANOUT)
@@ -482,6 +495,11 @@
         self.sent_datagrams += 1
 
 
+def position(load: mesh.Load) -> published_state.Position:
+    """Return the position of the published state that a node reports to know."""
+    return published_state.Position(load.era, load.revision)
+
+
 def encode_level_samples(
     samples: Iterable[concurrency_limit.LevelSample],
 ) -> list[list[int]]:
@@ -508,5 +526,5 @@
         load.slowness_percent,
         load.failing_percent,
         (load.instance, load.accepting, load.source_away),
-        load.revision,
+        position(load),
     )
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -214,9 +214,9 @@
         return self._catalog.route_table is not None and not self._is_leaving
 
     @property
-    def revision(self) -> int:
-        """Revision of the published state that is in force at this node."""
-        return self._catalog.revision
+    def position(self) -> published_state.Position:
+        """Position of the published state that is in force at this node."""
+        return self._catalog.position
 
     async def run(self, stop: asyncio.Event) -> int:
         """Serve until `stop` is set, then shut down gracefully.
@@ -235,7 +235,7 @@
         await self._start_metrics_port()
         sync_from_nodes = functools.partial(
             self._watcher.sync_from_nodes,
-            self._newest_revision,
+            self._newest_state,
             self._peers.fetch_published_state,
         )
         task_functions_by_name: dict[str, TaskFunction] = {
@@ -379,6 +379,8 @@
             self._update_peer_samples(now)
             if self._is_store_unavailable(now):
                 self._catalog.on_store_unavailable(now)
+            if self._catalog.expire(now):
+                self._on_catalog()
             self._watcher.log_lag(now)
             await asyncio.sleep(FOLLOW_INTERVAL_S)
             self._update_loop_delay(clock.now() - now - FOLLOW_INTERVAL_S)
@@ -471,8 +473,10 @@
         if self._started_ms_by_host.get(host) != load.started_ms:
             self._started_ms_by_host[host] = load.started_ms
             self._peers.drop_idle_connections(host)
-        if load.revision > self._catalog.revision:
-            self._watcher.on_newer_revision(load.revision, clock.now())
+        reported = watcher.ReportedState(
+            host, load_reports.position(load), load.configuration
+        )
+        self._watcher.on_reported_state(reported, clock.now())
 
     def _publish_load(self, now: float) -> None:
         self._load_exchange.publish(now)
@@ -496,6 +500,7 @@
             self._watcher.is_store_unavailable(now),
             slots.capacity,
             load_reports.encode_level_samples(slots.level_samples(now)),
+            self._catalog.era,
         )
 
     def _update_peer_samples(self, now: float) -> None:
@@ -513,14 +518,17 @@
                 )
         slots.set_peer_samples(samples_by_peer, now)
 
-    def _newest_revision(self) -> tuple[int, str]:
-        """Return the highest reported revision and a host that reports it.
+    def _newest_state(self) -> watcher.ReportedState:
+        """Return the newest reported state and a host that reports it.
 
         Hosts in this failure domain are preferred; ties are broken at random.
         """
         near = {host for host, is_near in self._followed_hosts.items() if is_near}
-        revision, hosts = self._loads.newest_revision(near, clock.now())
-        return revision, self._rng.choice(hosts) if hosts else ""
+        position, version, hosts = self._loads.newest_state(
+            self._catalog.position, near, clock.now()
+        )
+        host = self._rng.choice(hosts) if hosts else ""
+        return watcher.ReportedState(host, position, version)
 
     def _caller_limits(self) -> published_state.CallerLimits:
         table = self._catalog.route_table
@@ -540,6 +548,7 @@
     def _register_gauges(self) -> None:
         values = {
             "catalog_revision": lambda: self._catalog.revision,
+            "store_era": lambda: self._catalog.era,
             "configuration_version": lambda: self._catalog.configuration_version,
             "configuration_problems": lambda: self._catalog.configuration_problem_count,
             "calls_running": lambda: self._runner.slots.running_count,
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -186,10 +186,12 @@
                 sent.attempt.wake()
 
     async def fetch_published_state(
-        self, host: str, after: int
+        self, host: str, after: published_state.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
-        """Fetch the changes after a revision, or the whole state, from a node."""
-        request = _encoder.encode(mesh.PublishedRequest(after, True))
+        """Fetch the changes after a position, or the whole state, from a node."""
+        request = _encoder.encode(
+            mesh.PublishedRequest(after.revision, True, after.era)
+        )
         try:
             address = (host, self._port)
             stream = await channel.connect(address, PUBLISHED_CONNECT_TIMEOUT_S)
@@ -286,10 +288,10 @@
         call_pool: memory.Pool | None = None,
     ) -> None:
         self._call_pool = call_pool
-        # Encoded answers by the revision in force, the one that the asking node knows,
-        # and whether they are compressed.
+        # Encoded answers by the state in force, the position that the asking node
+        # knows, and whether they are compressed.
         self._answers: collections.OrderedDict[
-            tuple[int, int, bool], tuple[frames.Kind, bytes]
+            tuple[int, published_state.Position, bool], tuple[frames.Kind, bytes]
         ] = collections.OrderedDict()
         self._deduplicator = deduplicator
         self._catalog = service_catalog
@@ -358,7 +360,8 @@
     def _published_answer(
         self, request: mesh.PublishedRequest
     ) -> tuple[frames.Kind, bytes]:
-        key = (self._catalog.revision, request.after, request.compressed)
+        after = published_state.Position(request.era, request.after)
+        key = (self._catalog.update_count, after, request.compressed)
         answer = self._answers.get(key)
         if answer is None:
             answer = _encode_published(self._catalog, request)
@@ -393,7 +396,8 @@
 def _encode_published(
     service_catalog: catalog.Catalog, request: mesh.PublishedRequest
 ) -> tuple[frames.Kind, bytes]:
-    changes = service_catalog.changes_since(request.after)
+    after = published_state.Position(request.era, request.after)
+    changes = service_catalog.changes_since(after)
     if changes is not None:
         kind, payload = frames.Kind.CHANGES, _encoder.encode(changes)
     else:
--- a/src/snipelink/mesh/published_state.py
+++ b/src/snipelink/mesh/published_state.py
@@ -3,6 +3,23 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
+
+
+class Position(typing.NamedTuple):
+    """Position in the histories of the platform's store, in order of time.
+
+    Attributes
+    ----------
+    era : int
+        Number of times that the store was restored from an older copy; 0 if it does not
+        state it. Each restore starts another history, in which revisions are reused.
+    revision : int
+        Revision within the era.
+    """
+
+    era: int
+    revision: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +115,8 @@
         Revision of the platform's store at which the entry was written; 0 if unknown.
     slots : int
         Number of calls that the process can run concurrently; 0 if it is not stated.
+    era : int
+        Era of the platform's store in which the revision counts.
     """
 
     id: str
@@ -108,10 +127,17 @@
     born_ms: int = 0
     revision: int = 0
     slots: int = 0
+    era: int = 0
+
+    @property
+    def written_at(self) -> Position:
+        """Position of the write of this entry."""
+        return Position(self.era, self.revision)
 
     def has_same_content(self, other: Instance) -> bool:
-        """Whether two entries differ in their revisions at most."""
-        return dataclasses.replace(self, revision=other.revision) == other
+        """Whether two entries differ in the positions of their writes at most."""
+        own = dataclasses.replace(self, era=other.era, revision=other.revision)
+        return own == other
 
     def is_older_than(self, other: Instance) -> bool:
         """Whether `other`, an entry of the same identity, replaces this one.
@@ -121,7 +147,7 @@
         entries of the endpoint itself must replace that.
         """
         if self.revision and other.revision:
-            return self.revision < other.revision
+            return self.written_at < other.written_at
         return self.born_ms < other.born_ms
 
 
@@ -133,12 +159,20 @@
     ----------
     evacuated : tuple of str
         Failure domains whose endpoints must receive no more calls.
+    era : int
+        Era of the store in which the revision counts.
     """
 
     revision: int
     configuration: Configuration | None
     instances: tuple[Instance, ...]
     evacuated: tuple[str, ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the snapshot in the histories of the store."""
+        return Position(self.era, self.revision)
 
 
 class RouteTable:
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import random
 import typing
@@ -66,12 +67,30 @@
         """Wait for changes after a revision and return them.
 
         Raises ``StoreError`` or ``HistoryLost``. If nothing changes for `wait_s`
-        seconds, returns empty changes with the given revision or a newer one.
+        seconds, returns empty changes with the given revision or a newer one. Changes
+        of another era than that of the revision must not be applied.
         """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedState:
+    """Published state that another node reports to know.
+
+    Attributes
+    ----------
+    host : str
+        Address of the node's machine; empty for no node.
+    configuration_version : int
+        Version of the configuration in force at the node; 0 for none.
+    """
+
+    host: str
+    position: published_state.Position
+    configuration_version: int = 0
+
+
 FetchFromNode = Callable[
-    [str, int],
+    [str, published_state.Position],
     typing.Awaitable[Result[published_state.PublishedState | catalog.Changes, str]],
 ]
 
@@ -110,7 +129,7 @@
         self._is_own_turn = False
         self._unavailable_since: float | None = None
         self._last_failure_at = 0.0
-        self._newer_revision_reported = asyncio.Event()
+        self._newer_state_reported = asyncio.Event()
         self._lag = revision_lag.RevisionLag()
         self._logged_lag_since: float | None = None
         self.read_count = 0
@@ -132,13 +151,27 @@
 
     def behind_s(self, now: float) -> float:
         """Return for how long this node has missed a revision that others report."""
-        self._lag.on_known(self._catalog.revision)
+        self._lag.on_known(self._catalog.position)
         return self._lag.behind_s(now)
 
-    def on_newer_revision(self, revision: int, now: float) -> None:
-        """Record that another node reports a newer revision."""
-        self._lag.on_report(revision, now)
-        self._newer_revision_reported.set()
+    def on_reported_state(self, reported: ReportedState, now: float) -> None:
+        """Record what another node reports to know, if it is more than this node."""
+        if reported.position > self._catalog.position:
+            self._lag.on_report(reported.position, now)
+        if self._is_newer(reported):
+            self._newer_state_reported.set()
+
+    def _is_newer(self, reported: ReportedState) -> bool:
+        """Whether another node knows a later position or configuration.
+
+        Within an era, a node may know a higher version of the configuration at the same
+        position or an earlier one: the store lacks it since it was restored.
+        """
+        known = self._catalog.position
+        return reported.position > known or (
+            reported.position.era == known.era
+            and reported.configuration_version > self._catalog.configuration_version
+        )
 
     def log_lag(self, now: float) -> None:
         """Log that the node is behind other nodes, and later that it no longer is."""
@@ -181,6 +214,8 @@
                         self._catalog.revision, max(MIN_WATCH_S, watch_s)
                     )
                     self._on_store_success()
+                    if changes.era > self._catalog.era:
+                        raise HistoryLost
                     self._catalog.apply_changes(changes, clock.now())
                 self._on_change()
                 failure_count, backoff_s = 0, MIN_BACKOFF_S
@@ -188,7 +223,12 @@
             except HistoryLost:
                 logger.info(
                     "history of the platform is lost",
-                    extra={"fields": {"after": self._catalog.revision}},
+                    extra={
+                        "fields": {
+                            "after": self._catalog.revision,
+                            "era": self._catalog.era,
+                        }
+                    },
                 )
                 must_read = fresh = True
             except StoreError as error:
@@ -209,36 +249,36 @@
         return self._rotation.is_own_turn(self._other_nodes(), now, self.behind_s(now))
 
     async def sync_from_nodes(
-        self, newest_revision: Callable[[], tuple[int, str]], fetch: FetchFromNode
+        self, newest_state: Callable[[], ReportedState], fetch: FetchFromNode
     ) -> None:
-        """Fetch changes from other nodes that report a newer revision (anti-entropy).
+        """Fetch changes from other nodes that report a newer state (anti-entropy).
 
         A request that is slow goes on while further nodes are asked, since on a
         congested link each of them is as slow.
 
         Parameters
         ----------
-        newest_revision : callable
-            Returns the highest reported revision and a host that reports it.
+        newest_state : callable
+            Returns the newest reported state and a host that reports it.
         fetch : callable
-            Fetches the changes after a revision, or the whole state, from a host.
+            Fetches the changes after a position, or the whole state, from a host.
         """
         requests_by_host: dict[str, asyncio.Task[None]] = {}
         try:
             while True:
-                revision, host = newest_revision()
-                if revision <= self._catalog.revision:
+                reported = newest_state()
+                if not self._is_newer(reported):
                     _cancel_all(requests_by_host)
-                    self._newer_revision_reported.clear()
-                    await self._newer_revision_reported.wait()
+                    self._newer_state_reported.clear()
+                    await self._newer_state_reported.wait()
                     await self._wait_for_own_watch()
                     continue
                 if (
-                    host not in requests_by_host
+                    reported.host not in requests_by_host
                     and len(requests_by_host) < MAX_PEER_REQUESTS
                 ):
-                    request = self._ask_node(host, revision, fetch)
-                    requests_by_host[host] = asyncio.ensure_future(request)
+                    request = self._ask_node(reported, fetch)
+                    requests_by_host[reported.host] = asyncio.ensure_future(request)
                 done, _ = await asyncio.wait(
                     requests_by_host.values(),
                     timeout=PEER_REQUEST_INTERVAL_S,
@@ -247,7 +287,7 @@
                 for each in [h for h, task in requests_by_host.items() if task in done]:
                     # An exception ends this method, which the node then restarts.
                     requests_by_host.pop(each).result()
-                if self._catalog.revision < revision:
+                if self._is_newer(reported):
                     await asyncio.sleep(PEER_SYNC_JITTER_S * self._rng.random())
         finally:
             _cancel_all(requests_by_host)
@@ -262,11 +302,20 @@
         while self.is_watching and 0.0 < self.behind_s(clock.now()) < PEER_SYNC_DELAY_S:
             await asyncio.sleep(PEER_SYNC_JITTER_S * self._rng.random())
 
-    async def _ask_node(self, host: str, reported: int, fetch: FetchFromNode) -> None:
+    async def _ask_node(self, reported: ReportedState, fetch: FetchFromNode) -> None:
         """Fetch what another node knows, and apply it."""
-        known = self._catalog.revision
-        fetched = await fetch(host, known)
-        fields: dict[str, object] = {"host": host, "known": known, "reported": reported}
+        known = self._catalog.position
+        if reported.position <= known:
+            # The changes after the known position do not contain the configuration.
+            known = published_state.Position(known.era, 0)
+        fetched = await fetch(reported.host, known)
+        fields: dict[str, object] = {
+            "host": reported.host,
+            "era": known.era,
+            "known": known.revision,
+            "reported_era": reported.position.era,
+            "reported": reported.position.revision,
+        }
         if isinstance(fetched, Err):
             fields["error"] = fetched.err_value
         else:
@@ -278,12 +327,15 @@
         self, known: published_state.PublishedState | catalog.Changes
     ) -> bool:
         """Apply the state of another node; return False if it is not newer."""
-        before, now = self._catalog.revision, clock.now()
+        before, now = self._known_state(), clock.now()
         if isinstance(known, catalog.Changes):
             self._catalog.apply_changes(known, now)
         else:
             self._catalog.apply_snapshot(known, now)
-        return self._catalog.revision > before
+        return self._known_state() != before
+
+    def _known_state(self) -> tuple[published_state.Position, int]:
+        return self._catalog.position, self._catalog.configuration_version
 
     def _on_store_success(self) -> None:
         if self._unavailable_since is None:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -218,12 +218,19 @@
 
 
 class FakeStore:
-    """Source of published state whose content and availability the test sets."""
+    """Source of published state whose content and availability the test sets.
+
+    Attributes
+    ----------
+    call_count : int
+        Reads and watches that the node has begun.
+    """
 
     def __init__(self) -> None:
         self.state = published_state.PublishedState(1, None, ())
         self.is_unavailable = False
         self.has_history = True
+        self.call_count = 0
         self._changed = asyncio.Event()
 
     def publish(
@@ -232,29 +239,45 @@
         instances: tuple[published_state.Instance, ...] | None = None,
         evacuated: tuple[str, ...] = (),
     ) -> None:
-        self.state = published_state.PublishedState(
-            self.state.revision + 1,
-            configuration or self.state.configuration,
-            self.state.instances if instances is None else instances,
-            evacuated,
+        self.state = dataclasses.replace(
+            self.state,
+            revision=self.state.revision + 1,
+            configuration=configuration or self.state.configuration,
+            instances=self.state.instances if instances is None else instances,
+            evacuated=evacuated,
         )
+        self._notify_watchers()
+
+    def restore(self, copy: published_state.PublishedState) -> None:
+        """Return to an older state, in the next era of the store."""
+        self.state = dataclasses.replace(copy, era=self.state.era + 1)
+        self.is_unavailable = False
+
+    def cut(self) -> None:
+        """Fail all requests, also those that are open."""
+        self.is_unavailable = True
+        self._notify_watchers()
+
+    def _notify_watchers(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def read(self, *, fresh: bool) -> published_state.PublishedState:
+        self.call_count += 1
         if self.is_unavailable:
             raise watcher.StoreError("away")
         return self.state
 
     async def watch(self, after: int, wait_s: float) -> catalog.Changes:
+        self.call_count += 1
         if self.is_unavailable:
             raise watcher.StoreError("away")
-        if self.state.revision <= after:
+        if self.state.revision == after:
             try:
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
             except TimeoutError:
-                return catalog.Changes(after)
+                return catalog.Changes(after, era=self.state.era)
         if self.is_unavailable:
             raise watcher.StoreError("cut")
         # Without a history, the node reads the whole published state again.
@@ -380,7 +403,7 @@
 
 def all_up_to_date(members: list[Member]) -> bool:
     """Whether all members have the state that was published last."""
-    return all(m.node.revision >= m.store.state.revision for m in members)
+    return all(m.node.position >= m.store.state.position for m in members)
 
 
 @contextlib.asynccontextmanager
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -1,8 +1,12 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 import weakref
 
+import pytest
+
+from snipelink.decide import restored_entries
 from snipelink.mesh import catalog, published_state
 
 NOW = 100.0
@@ -125,10 +129,10 @@
     )
     first.apply_changes(catalog.Changes(10, restored=("d",)), NOW)
     for after in (5, 6, 7, 8, 9, 10):
-        changes = first.changes_since(after)
+        changes = first.changes_since(published_state.Position(0, after))
         assert changes is not None
         assert changes.revision == 10
-    changes = first.changes_since(5)
+    changes = first.changes_since(published_state.Position(0, 5))
     assert changes is not None
     second.apply_changes(changes, NOW)
     assert second.instances_by_id == first.instances_by_id
@@ -141,13 +145,15 @@
     state = catalog.Catalog(2.0)
     state.apply_snapshot(published_state.PublishedState(5, None, ()), NOW)
     state.apply_changes(catalog.Changes(6, instances=(_instance("a"),)), NOW)
-    assert state.changes_since(4) is None
+    assert state.changes_since(published_state.Position(0, 4)) is None
     state.apply_snapshot(published_state.PublishedState(8, None, ()), NOW)
-    assert state.changes_since(6) is None
+    assert state.changes_since(published_state.Position(0, 6)) is None
     for revision in range(9, 9 + 2 * catalog.MAX_HISTORY_COUNT):
         state.apply_changes(catalog.Changes(revision), NOW)
-    assert state.changes_since(9) is None
-    assert state.changes_since(state.revision - 1) is not None
+    assert state.changes_since(published_state.Position(0, 9)) is None
+    assert (
+        state.changes_since(published_state.Position(0, state.revision - 1)) is not None
+    )
 
 
 def _catalog_with_evacuation() -> catalog.Catalog:
@@ -238,12 +244,12 @@
         change = catalog.Changes(revision, configurations=(_configuration(revision),))
         state.apply_changes(change, NOW)
     state.apply_changes(catalog.Changes(10, instances=(_instance("a"),)), NOW)
-    changes = state.changes_since(5)
+    changes = state.changes_since(published_state.Position(0, 5))
     assert changes is not None
     assert [each.version for each in changes.configurations] == [9]
     late.apply_changes(changes, NOW)
     assert late.snapshot() == state.snapshot()
-    only_instances = state.changes_since(9)
+    only_instances = state.changes_since(published_state.Position(0, 9))
     assert only_instances is not None
     assert only_instances.configurations == ()
 
@@ -254,8 +260,8 @@
     for revision in range(6, 16):
         instances = tuple(_instance(name, born_ms=revision) for name in names)
         state.apply_changes(catalog.Changes(revision, instances=instances), NOW)
-    assert state.changes_since(6) is None
-    assert state.changes_since(14) is not None
+    assert state.changes_since(published_state.Position(0, 6)) is None
+    assert state.changes_since(published_state.Position(0, 14)) is not None
 
 
 def test_service_has_few_slots_if_all_ready_endpoints_publish_few() -> None:
@@ -271,3 +277,189 @@
 
 def test_service_without_published_slots_does_not_have_few() -> None:
     assert not _catalog(_instance("a")).has_few_slots("rota", 3)
+
+
+def _written(
+    name: str, revision: int, era: int = 1, **changes: typing.Any
+) -> published_state.Instance:
+    return dataclasses.replace(_instance(name, **changes), revision=revision, era=era)
+
+
+def _restored(
+    state: catalog.Catalog,
+    *instances: published_state.Instance,
+    evacuated: tuple[str, ...] = (),
+    version: int = 0,
+    era: int = 2,
+) -> None:
+    """Apply a copy at revision 20 of the next era."""
+    configuration = _configuration(version) if version else None
+    copy = published_state.PublishedState(
+        20, configuration, instances, evacuated, era=era
+    )
+    assert state.apply_snapshot(copy, NOW)
+
+
+def _catalog_before_restore(
+    *instances: published_state.Instance, evacuated: tuple[str, ...] = ()
+) -> catalog.Catalog:
+    state = catalog.Catalog(DRAIN_S)
+    state.apply_snapshot(
+        published_state.PublishedState(
+            60, _configuration(8), instances, evacuated, era=1
+        ),
+        NOW,
+    )
+    return state
+
+
+def test_state_of_a_former_era_is_not_applied() -> None:
+    state = _catalog_before_restore()
+    _restored(state, _written("a", 15, era=2))
+    old = published_state.PublishedState(90, _configuration(9), (), era=1)
+    assert not state.apply_snapshot(old, NOW)
+    state.apply_changes(catalog.Changes(90, removed=("a",), era=1), NOW)
+    assert _usable(state) == ["a"]
+    assert state.position == (2, 20)
+    assert state.configuration_version == 8
+
+
+def test_changes_of_a_later_era_need_a_snapshot_first() -> None:
+    state = _catalog_before_restore(_written("a", 50))
+    state.apply_changes(catalog.Changes(90, removed=("a",), era=2), NOW)
+    assert state.position == (1, 60)
+    assert _usable(state) == ["a"]
+
+
+def test_highest_configuration_version_stays_in_force_after_a_restore() -> None:
+    state = _catalog_before_restore()
+    _restored(state, version=5)
+    assert state.configuration_version == 8
+    change = catalog.Changes(21, configurations=(_configuration(7),), era=2)
+    state.apply_changes(change, NOW)
+    assert state.configuration_version == 8
+
+
+def test_version_that_the_restored_store_lacks_is_taken_from_an_older_snapshot() -> (
+    None
+):
+    late = catalog.Catalog(DRAIN_S)
+    _restored(late, version=5)
+    late.apply_changes(catalog.Changes(25, era=2), NOW)
+    state = _catalog_before_restore()
+    _restored(state, version=5)
+    assert not late.apply_snapshot(state.snapshot(), NOW)
+    assert late.configuration_version == 8
+    assert late.position == (2, 25)
+
+
+def test_entry_that_the_copy_lacks_stays_usable_for_a_limited_time() -> None:
+    state = _catalog_before_restore(_written("a", 50), _written("b", 10))
+    _restored(state, _written("b", 10, era=2))
+    assert sorted(_usable(state)) == ["a", "b"]
+    state.apply_changes(catalog.Changes(21, era=2), NOW)
+    assert not state.expire(NOW + 2.0)
+    assert sorted(_usable(state, NOW + 2.0)) == ["a", "b"]
+    assert state.expire(NOW + 2.3)
+    assert _usable(state, NOW + 2.3) == ["b"]
+
+
+def test_entry_that_is_written_again_after_a_restore_stays() -> None:
+    state = _catalog_before_restore(_written("a", 50))
+    _restored(state)
+    again = _written("a", 21, era=2)
+    state.apply_changes(catalog.Changes(21, instances=(again,), era=2), NOW)
+    assert not state.expire(NOW + 10.0)
+    assert state.instances_by_id == {"a": again}
+
+
+def test_absent_entry_is_not_passed_on() -> None:
+    """Guards against an entry that nodes pass on to each other without end."""
+    state = _catalog_before_restore(_written("a", 50), evacuated=("b",))
+    _restored(state)
+    assert state.snapshot().instances == ()
+    assert state.snapshot().evacuated == ()
+
+
+def test_second_restore_starts_the_time_of_absent_entries_again() -> None:
+    state = _catalog_before_restore(_written("a", 50))
+    _restored(state)
+    copy = published_state.PublishedState(10, None, (), era=3)
+    assert state.apply_snapshot(copy, NOW + 2.0)
+    assert not state.expire(NOW + 3.0)
+    assert _usable(state, NOW + 3.0) == ["a"]
+
+
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_endpoint_that_left_stays_leaving_until_it_is_written_again(
+    *, is_removed: bool
+) -> None:
+    state = _catalog_before_restore(_written("a", 10), _written("b", 11))
+    change = catalog.Changes(61, removed=("a",), era=1)
+    if not is_removed:
+        leaving = _written("a", 61, leaving=True)
+        change = catalog.Changes(61, instances=(leaving,), era=1)
+    state.apply_changes(change, NOW)
+    copy = (_written("a", 10, era=2), _written("b", 11, era=2))
+    _restored(state, *copy)
+    assert _usable(state) == ["b"]
+    # The store is read once more, for example because its history was lost.
+    again = published_state.PublishedState(25, None, copy, era=2)
+    assert state.apply_snapshot(again, NOW)
+    assert _usable(state) == ["b"]
+    _restored(state, *(dataclasses.replace(each, era=3) for each in copy), era=3)
+    assert _usable(state) == ["b"]
+    written = _written("a", 26, era=3)
+    state.apply_changes(catalog.Changes(26, instances=(written,), era=3), NOW)
+    assert sorted(_usable(state)) == ["a", "b"]
+
+
+def test_endpoint_that_left_is_usable_again_if_its_entry_outlives_its_process() -> None:
+    """Guards against a running endpoint that is never used again.
+
+    Its entry had expired, and was written again before the restored copy was read.
+    """
+    state = _catalog_before_restore(_written("a", 10))
+    state.apply_changes(catalog.Changes(61, removed=("a",), era=1), NOW)
+    _restored(state, _written("a", 19, era=2))
+    assert state.instances_by_id["a"].leaving
+    assert not state.snapshot().instances[0].leaving
+    later = NOW + restored_entries.WITHDRAWN_ENTRY_S
+    assert state.expire(later)
+    assert _usable(state, later) == ["a"]
+
+
+def test_evacuation_that_the_copy_lacks_ends_after_a_limited_time() -> None:
+    state = _catalog_before_restore(_written("a", 10), evacuated=("a",))
+    state.apply_changes(catalog.Changes(61, era=1), NOW)
+    _restored(state, _written("a", 10, era=2))
+    assert not state._ready_by_service
+    assert state.expire(NOW + 2.3)
+    assert _usable(state, NOW + 2.3) == ["a"]
+
+
+def test_evacuation_that_is_written_again_after_a_restore_stays() -> None:
+    state = _catalog_before_restore(_written("a", 10), evacuated=("a",))
+    _restored(state, _written("a", 10, era=2))
+    state.apply_changes(catalog.Changes(21, evacuated=("a",), era=2), NOW)
+    assert not state.expire(NOW + 2.3)
+    assert state.snapshot().evacuated == ("a",)
+
+
+def test_node_that_missed_a_restore_gets_a_snapshot() -> None:
+    state = _catalog_before_restore()
+    _restored(state)
+    state.apply_changes(catalog.Changes(21, era=2), NOW)
+    for revision in (15, 20, 60):
+        assert state.changes_since(published_state.Position(1, revision)) is None
+    assert state.changes_since(published_state.Position(2, 20)) is not None
+    assert state.changes_since(published_state.Position(3, 5)) == catalog.Changes(
+        21, era=2
+    )
+
+
+def test_store_that_states_no_era_is_ordered_by_revision() -> None:
+    state = _catalog(_instance("a"))
+    assert not state.apply_snapshot(published_state.PublishedState(4, None, ()), NOW)
+    assert state.apply_snapshot(published_state.PublishedState(6, None, ()), NOW)
+    assert "a" not in state.instances_by_id
--- a/tests/mesh/test_load_reports.py
+++ b/tests/mesh/test_load_reports.py
@@ -290,3 +290,33 @@
         return clock.now() - sent_at
 
     assert asyncio.run(check()) < reporting.REPEAT_INTERVAL_S
+
+
+def _newest(
+    table: load_reports.LoadTable, era: int, revision: int
+) -> tuple[tuple[int, int], int, list[str]]:
+    known = published_state.Position(era, revision)
+    return table.newest_state(known, (), 1.0)
+
+
+def test_newest_state_is_that_of_the_latest_era() -> None:
+    table = load_reports.LoadTable(slowness_period.PeriodEstimator())
+    table.update(_load(revision=90, era=1, configuration=8), "10.0.0.1", 1.0)
+    table.update(_load(revision=20, era=2, configuration=5), "10.0.0.2", 1.0)
+    assert _newest(table, 1, 90) == ((2, 20), 5, ["10.0.0.2"])
+
+
+def test_highest_version_counts_among_nodes_of_the_known_era() -> None:
+    table = load_reports.LoadTable(slowness_period.PeriodEstimator())
+    table.update(_load(revision=90, era=1, configuration=9), "10.0.0.1", 1.0)
+    table.update(_load(revision=19, era=2, configuration=8), "10.0.0.2", 1.0)
+    table.update(_load(revision=20, era=2, configuration=5), "10.0.0.3", 1.0)
+    assert _newest(table, 2, 20) == ((2, 20), 8, ["10.0.0.2"])
+    assert _newest(table, 3, 1) == ((3, 1), 0, [])
+
+
+def test_report_of_a_version_without_an_era_is_readable() -> None:
+    era_index = mesh.Load.__struct_fields__.index("era")
+    fields = msgspec.structs.astuple(_load(era=4))
+    older = msgspec.msgpack.encode(list(fields)[:era_index])
+    assert msgspec.msgpack.decode(older, type=mesh.Load).era == 0
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -681,7 +681,8 @@
         for member in (silent, far):
             asking.node._loads.loads_by_host[member.host].report.revision = 1000
         for _ in range(20):
-            assert asking.node._newest_revision() == (1000, far.host)
+            newest = asking.node._newest_state()
+            assert (newest.position.revision, newest.host) == (1000, far.host)
 
 
 @run
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -27,6 +27,8 @@
 from snipelink.session import memory
 from tests.mesh import fleet, test_node
 
+KNOWN = published_state.Position(0, 5)
+
 
 async def connect(member: fleet.Member) -> channel.Channel:
     return await channel.connect((member.host, fleet.PEER_PORT), 1.0)
@@ -148,7 +150,7 @@
     listener = await channel.listen(address, serve, 1)
     monitor = connection_monitor.ConnectionMonitor()
     client = peers.PeerClient(fleet.PEER_PORT, monitor)
-    fetched = await client.fetch_published_state(address[0], 5)
+    fetched = await client.fetch_published_state(address[0], KNOWN)
     listener.close()
     assert fetched.is_ok(), fetched.unwrap_err()
     assert fetched.unwrap().revision == 7
@@ -220,7 +222,7 @@
             fleet.PEER_PORT, connection_monitor.ConnectionMonitor()
         )
         monkeypatch.setattr(channel, "connect", connect_slowly)
-        fetched = await client.fetch_published_state(address[0], 5)
+        fetched = await client.fetch_published_state(address[0], KNOWN)
         listener.close()
         assert fetched.is_ok(), fetched.unwrap_err()
 
@@ -240,7 +242,7 @@
     monitor = connection_monitor.ConnectionMonitor()
     client = peers.PeerClient(fleet.PEER_PORT, monitor)
     began = clock.now()
-    fetched = await client.fetch_published_state(address[0], 5)
+    fetched = await client.fetch_published_state(address[0], KNOWN)
     listener.close()
     assert fetched.is_err()
     assert clock.now() - began < 2.0 * peers.PUBLISHED_TIMEOUT_S
@@ -263,7 +265,7 @@
     pool = memory.Pool(1 << 22)
     client = peers.PeerClient(fleet.PEER_PORT, monitor, pool)
     began = clock.now()
-    fetched = await client.fetch_published_state(address[0], 5)
+    fetched = await client.fetch_published_state(address[0], KNOWN)
     listener.close()
     assert fetched.is_err()
     assert clock.now() - began < peers.MAX_TRANSFER_S + peers.PUBLISHED_TIMEOUT_S
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -50,6 +50,13 @@
     return published_state.Instance(name, "rota", "10.0.0.1", "a", False)
 
 
+def _reported(
+    revision: int, host: str = "10.0.0.2", *, era: int = 0, version: int = 0
+) -> watcher.ReportedState:
+    position = published_state.Position(era, revision)
+    return watcher.ReportedState(host, position, version)
+
+
 def _make_watcher(
     store: ScriptedStore,
     state: catalog.Catalog,
@@ -156,14 +163,14 @@
     asked: list[str] = []
 
     async def fetch(
-        host: str, after: int
+        host: str, after: published_state.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
-        asked.append(f"{host} after {after}")
+        asked.append(f"{host} after {after.revision}")
         return fetched
 
     async def run_watcher() -> None:
         tested = _make_watcher(ScriptedStore([]), state)
-        follow = tested.sync_from_nodes(lambda: (9, "10.0.0.2"), fetch)
+        follow = tested.sync_from_nodes(lambda: _reported(9), fetch)
         task = asyncio.ensure_future(follow)
         async with asyncio.timeout(5.0):
             while not asked:
@@ -284,7 +291,7 @@
     caplog.set_level("INFO")
     state = catalog.Catalog(2.0)
     tested = _make_watcher(ScriptedStore([]), state)
-    tested.on_newer_revision(9, 1.0)
+    tested.on_reported_state(_reported(9), 1.0)
     for now in (1.5, 2.5, 3.0):
         tested.log_lag(now)
     state.apply_snapshot(published_state.PublishedState(9, None, ()), 4.0)
@@ -311,7 +318,7 @@
     )
 
     async def fetch(
-        host: str, after: int
+        host: str, after: published_state.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
         await asyncio.sleep(0.3)
         return Err("no published state arrives")
@@ -319,11 +326,11 @@
     async def run_watcher() -> None:
         others = lambda: watch_rotation.PeerView(3900, 20, 20)  # noqa: E731
         tested = _make_watcher(store, state, others)
-        sync = tested.sync_from_nodes(lambda: (9, "10.0.0.2"), fetch)
+        sync = tested.sync_from_nodes(lambda: _reported(9), fetch)
         tasks = [asyncio.ensure_future(each) for each in (tested.run(), sync)]
         while state.revision < 7:
             await asyncio.sleep(0.005)
-        tested.on_newer_revision(9, clock.now())
+        tested.on_reported_state(_reported(9), clock.now())
         await asyncio.sleep(MAX_APPLY_S)
         for task in tasks:
             task.cancel()
@@ -339,7 +346,7 @@
     asked: list[str] = []
 
     async def fetch(
-        host: str, after: int
+        host: str, after: published_state.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
         asked.append(host)
         if len(asked) == 1:
@@ -349,7 +356,7 @@
     async def run_watcher() -> None:
         hosts = itertools.cycle(["10.0.0.2", "10.0.0.3"])
         tested = _make_watcher(ScriptedStore([]), state)
-        sync = tested.sync_from_nodes(lambda: (9, next(hosts)), fetch)
+        sync = tested.sync_from_nodes(lambda: _reported(9, next(hosts)), fetch)
         task = asyncio.ensure_future(sync)
         await asyncio.sleep(MAX_APPLY_S / 2.0)
         task.cancel()
@@ -357,3 +364,77 @@
     asyncio.run(run_watcher())
     assert state.revision == 9
     assert asked == ["10.0.0.2", "10.0.0.3"]
+
+
+def test_answer_of_another_era_to_a_watch_is_followed_by_a_fresh_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against changes of two histories that are joined.
+
+    The revisions of the restored store have overtaken those before the restore, so it
+    keeps the history after the watched revision.
+    """
+    store, state = _run_steps(
+        monkeypatch,
+        published_state.PublishedState(7, None, (_instance("a"),), era=1),
+        catalog.Changes(9, instances=(_instance("c"),), era=2),
+        published_state.PublishedState(9, None, (_instance("b"),), era=2),
+    )
+    assert store.calls == ["read", "watch 7", "read fresh", "watch 9"]
+    assert set(state.instances_by_id) == {"a", "b"}
+
+
+def test_late_answer_of_a_former_era_is_ignored(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a slow answer that undoes what other nodes have passed on."""
+    store, state = _run_steps(
+        monkeypatch,
+        published_state.PublishedState(5, None, (_instance("a"),), era=2),
+        watcher.HistoryLost(),
+        published_state.PublishedState(70, None, (), era=1),
+        catalog.Changes(71, removed=("a",), era=1),
+    )
+    assert store.calls[-2:] == ["watch 5", "watch 5"]
+    assert state.position == (2, 5)
+    assert set(state.instances_by_id) == {"a"}
+
+
+@pytest.mark.parametrize(
+    ("reported", "known_after"),
+    [
+        (_reported(3, era=2), 5),
+        (_reported(5, era=1, version=9), 0),
+        (_reported(4, era=1, version=9), 0),
+        (_reported(90, era=0, version=9), None),
+        (_reported(5, era=1, version=8), None),
+    ],
+    ids=["later era", "same position", "older position", "former era", "same version"],
+)
+def test_node_of_a_later_era_or_version_is_asked(
+    reported: watcher.ReportedState, known_after: int | None
+) -> None:
+    state = catalog.Catalog(2.0)
+    configuration = published_state.Configuration(
+        8, (), {}, published_state.CallerLimits()
+    )
+    state.apply_snapshot(
+        published_state.PublishedState(5, configuration, (), era=1), 0.0
+    )
+    asked: list[published_state.Position] = []
+
+    async def fetch(
+        host: str, after: published_state.Position
+    ) -> Result[published_state.PublishedState | catalog.Changes, str]:
+        asked.append(after)
+        return Err("refused")
+
+    async def run_watcher() -> None:
+        tested = _make_watcher(ScriptedStore([]), state)
+        tested.on_reported_state(reported, clock.now())
+        task = asyncio.ensure_future(tested.sync_from_nodes(lambda: reported, fetch))
+        await asyncio.sleep(0.2)
+        task.cancel()
+
+    asyncio.run(run_watcher())
+    assert asked[:1] == ([] if known_after is None else [(1, known_after)])
