Read the era of the platform's store from its answers

Cause: the header Store-Era was read nowhere, so the ordering by era had no source in production.

Change: the adapter keeps the era of each answer and states it in reads, watches and entries; an answer without a valid one is of the era before, and a store that never states it is ordered by revision as until now. A read whose pages belong to two eras fails and is repeated.

--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -27,14 +27,14 @@
 }
 
 
-REVISION = 40
+WRITTEN_AT = published_state.Position(2, 40)
 NOW_MS = 1_700_000_100_000
 
 
 def _decode_server(
     value: bytes, key: str = "servers/i-7"
 ) -> result.Result[published_state.Instance, str]:
-    return platform_documents.decode_server(key, value, REVISION, NOW_MS)
+    return platform_documents.decode_server(key, value, WRITTEN_AT, NOW_MS)
 
 
 def _configuration(**changes: Any) -> bytes:
@@ -382,7 +382,7 @@
         return
     instance = decoded.unwrap()
     assert not missing - {"born"}
-    assert (instance.id, instance.revision) == ("i-7", REVISION)
+    assert (instance.id, instance.written_at) == ("i-7", WRITTEN_AT)
     assert 0 < len(instance.service) <= platform_documents.MAX_NAME_LENGTH
     assert 0 < len(instance.failure_domain) <= platform_documents.MAX_NAME_LENGTH
     assert 0 <= instance.born_ms <= NOW_MS + platform_documents.MAX_BORN_AHEAD_MS
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -29,8 +29,11 @@
     return item_json(f"servers/{name}", value)
 
 
-def encode_answer(body: dict[str, Any], status: int = 200) -> bytes:
-    response = http.Response(status, [], json.dumps(body).encode())
+def encode_answer(
+    body: dict[str, Any], status: int = 200, era: str | None = None
+) -> bytes:
+    fields = [] if era is None else [("Store-Era", era)]
+    response = http.Response(status, fields, json.dumps(body).encode())
     return http.encode_response(response, "GET", True)
 
 
@@ -211,3 +214,47 @@
             await platform_store.Store(("127.0.0.1", 1)).read(fresh=True)
 
     asyncio.run(check())
+
+
+def _page(as_of: int, *, era: str | None, has_more: bool = False) -> bytes:
+    items = [server_item_json(f"i-{as_of}")]
+    body = {"items": items, "has_more": has_more, "as_of": as_of}
+    return encode_answer(body, era=era)
+
+
+def test_answers_have_the_era_of_the_store() -> None:
+    events = encode_answer({"events": [server_item_json("i-1")], "as_of": 11}, era="4")
+    answers = [_page(7, era="3"), events]
+
+    async def check() -> None:
+        async with serve_store(lambda request: answers.pop(0)) as client:
+            published = await client.read(fresh=True)
+            changes = await client.watch(7, 1.0)
+        assert (published.era, published.instances[0].era) == (3, 3)
+        assert (changes.era, changes.instances[0].era) == (4, 4)
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("era", [None, "", "x", "-1", "9" * 30])
+def test_answer_that_states_no_era_is_of_the_era_before(era: str | None) -> None:
+    answers = [_page(7, era=era), _page(7, era="3"), _page(8, era=era)]
+
+    async def check() -> list[int]:
+        async with serve_store(lambda request: answers.pop(0)) as client:
+            return [(await client.read(fresh=True)).era for _ in range(3)]
+
+    assert asyncio.run(check()) == [0, 3, 3]
+
+
+def test_pages_of_two_eras_are_not_joined() -> None:
+    """Guards against a state that contains entries from before and after a restore."""
+    answers = [_page(9, era="1", has_more=True), _page(7, era="2"), _page(8, era="2")]
+
+    async def check() -> None:
+        async with serve_store(lambda request: answers.pop(0)) as client:
+            with pytest.raises(watcher.StoreError):
+                await client.read(fresh=True)
+            assert (await client.read(fresh=True)).position == (2, 8)
+
+    asyncio.run(check())
