Let the soak restore the store from an older copy

The simulated store states its era, may return to the state of some seconds ago, answers watches from revisions that it does not have with 410, and writes lost changes again after 0.8 s.

--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -40,7 +40,9 @@
 DRAWN_KINDS = (*NODE_KINDS, *LINK_KINDS, *STORE_KINDS, *ENDPOINT_KINDS, "publish")
 # The open connections of a link transfer no more data and stay open; new ones work.
 SILENCE_OPEN_KIND = "silence-open"
-KINDS = (*DRAWN_KINDS, SILENCE_OPEN_KIND, *HOSTILE_KINDS)
+# The store is away for a moment and returns from an older copy.
+RESTORE_KIND = "store-restores"
+KINDS = (*DRAWN_KINDS, SILENCE_OPEN_KIND, RESTORE_KIND, *HOSTILE_KINDS)
 # Number of events that are drawn for a run, and their duration.
 MIN_EVENT_COUNT, MAX_EVENT_COUNT = 4, 10
 MIN_DURATION_S, MAX_DURATION_S = 0.2, 2.5
@@ -52,6 +54,8 @@
 # Share of the other runs with one event of ``SILENCE_OPEN_KIND``. It is drawn from a
 # separate generator, so that it does not change the other events of a seed.
 SILENCE_OPEN_RATIO = 0.5
+# Share of these runs with one event of ``RESTORE_KIND``, drawn in the same way.
+RESTORE_RATIO = 0.3
 # Share of all runs with one event of ``HOSTILE_KINDS``, drawn in the same way.
 HOSTILE_RATIO = 0.5
 # Seeds that once failed with 4 nodes and 8 seconds, with the cause of the failure.
@@ -104,6 +108,11 @@
         events.append(
             Event(start_s, SILENCE_OPEN_KIND, silence_rng.randrange(node_count), 0.0)
         )
+    restore_rng = random.Random(f"soak/restore/{seed}/{node_count}/{fault_window_s}")
+    if kinds is DRAWN_KINDS and restore_rng.random() < RESTORE_RATIO:
+        start_s = restore_rng.uniform(0.5, fault_window_s - MAX_DURATION_S)
+        duration_s = restore_rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        events.append(Event(start_s, RESTORE_KIND, 0, duration_s))
     hostile_rng = random.Random(f"soak/hostile/{seed}/{node_count}/{fault_window_s}")
     if hostile_rng.random() < HOSTILE_RATIO:
         hostile_kinds = HOSTILE_KINDS
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -37,6 +37,9 @@
 )
 UPLOAD_COUNT, UPLOAD_BYTES = 16, 12 << 20
 VERSION_COUNT, ADDED_ROUTE_COUNT = 100, 4000
+# Time for which the store is away before it returns from an older copy, and time until
+# the changes that it has lost are written again.
+RESTORE_OUTAGE_S, REWRITE_DELAY_S = 0.4, 0.8
 # Time for which a withdrawn server still runs after its drain time.
 SHUTDOWN_LINGER_S = 1.0
 
@@ -160,7 +163,8 @@
     async def _inject(self, event: plan.Event) -> None:
         started_at = time.monotonic()
         planned = event.kind in plan.PLANNED_KINDS
-        affects_all_nodes = event.kind in plan.STORE_KINDS or planned
+        store_kinds = (*plan.STORE_KINDS, plan.RESTORE_KIND)
+        affects_all_nodes = event.kind in store_kinds or planned
         node = None if affects_all_nodes else event.node
         interval = history.FaultInterval(
             node, event.kind, started_at, started_at, planned
@@ -182,6 +186,7 @@
             "stop": self._stop_node,
             "reload": self._reload_node,
             "store-forgets": self._forget_history,
+            plan.RESTORE_KIND: self._restore_store,
             "drain": self._drain_endpoint,
             "vanish": self._remove_endpoint_entry,
             "publish": self._publish_new_route,
@@ -243,6 +248,15 @@
     async def _forget_history(self, event: plan.Event) -> None:
         self._store.forget_history()
 
+    async def _restore_store(self, event: plan.Event) -> None:
+        """Lose the changes of the last seconds, and write them again."""
+        self._store.active_fault = "store-refuses"
+        await asyncio.sleep(RESTORE_OUTAGE_S)
+        self._store.restore(event.duration_s)
+        self._store.active_fault = ""
+        await asyncio.sleep(REWRITE_DELAY_S)
+        self._store.write_lost_changes_again()
+
     async def _inject_endpoint_fault(self, event: plan.Event) -> None:
         endpoint = self._endpoints[event.node]
         endpoint.active_fault = event.kind
--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -44,6 +44,7 @@
     revision: int
     key: str
     value: bytes | None
+    written_at: float
 
     def to_item(self) -> dict[str, typing.Any]:
         """Return the JSON form of the change in answers of the store."""
@@ -65,7 +66,10 @@
 
     def __init__(self) -> None:
         self._latest_by_key: dict[str, Event] = {}
+        # Latest changes that restores have lost and that were not written again.
+        self._lost_by_key: dict[str, Event] = {}
         self._events: list[Event] = []
+        self._era = 1
         self._forgotten_revision = 0
         self._revision = 0
         self._changed = asyncio.Event()
@@ -85,20 +89,40 @@
 
     def put(self, key: str, value: dict[str, typing.Any] | None) -> float:
         """Write an item, or remove it if `value` is None; return the time."""
+        return self._write(key, None if value is None else json.dumps(value).encode())
+
+    def _write(self, key: str, data: bytes | None) -> float:
         self._revision += 1
-        data = None if value is None else json.dumps(value).encode()
-        event = Event(self._revision, key, data)
+        event = Event(self._revision, key, data, time.monotonic())
         self._events.append(event)
         self._latest_by_key[key] = event
+        self._lost_by_key.pop(key, None)
         self._notify_watchers()
-        return time.monotonic()
+        return event.written_at
 
     def forget_history(self) -> None:
         """Discard the history of changes and end all waiting watches."""
         self._forgotten_revision = self._revision
-        self._events.clear()
         self._notify_watchers()
 
+    def restore(self, lost_s: float) -> None:
+        """Return to the state of `lost_s` seconds ago, in the next era."""
+        copied_at = time.monotonic() - lost_s
+        kept = [event for event in self._events if event.written_at <= copied_at]
+        lost = self._events[len(kept) :]
+        self._events = kept
+        self._latest_by_key = {event.key: event for event in kept}
+        self._lost_by_key |= {event.key: event for event in lost}
+        self._revision = kept[-1].revision if kept else 0
+        self._forgotten_revision = min(self._forgotten_revision, self._revision)
+        self._era += 1
+        self._notify_watchers()
+
+    def write_lost_changes_again(self) -> None:
+        """Write the lost changes of items that were not written since."""
+        for key, event in list(self._lost_by_key.items()):
+            self._write(key, event.value)
+
     def _notify_watchers(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -124,7 +148,8 @@
             await asyncio.Event().wait()
         if self.active_fault == "store-refuses":
             status, body = 503, {}
-        response = http.Response(status, [], json.dumps(body).encode())
+        fields = [(platform_names.STORE_ERA_HEADER, str(self._era))]
+        response = http.Response(status, fields, json.dumps(body).encode())
         stream.write(http.encode_response(response, "GET", True))
 
     async def _read_state(
@@ -147,7 +172,7 @@
             except TimeoutError:
                 # Nothing has changed; the answer contains no events.
                 pass
-        if after < self._forgotten_revision:
+        if not self._forgotten_revision <= after <= self._revision:
             return 410, {}
         events = [event.to_item() for event in self._events if event.revision > after]
         return 200, {"events": events, "as_of": self._revision}
--- a/tests/bench/soak/test_run.py
+++ b/tests/bench/soak/test_run.py
@@ -37,3 +37,25 @@
     assert checks.check(recorded) == []
     peak_mb = max(recorded.peak_memory_mb_by_node.values())
     assert 0.0 < peak_mb <= MAX_PEAK_MB_BY_KIND.get(kind, MAX_PEAK_MB)
+
+
+def test_new_route_is_in_force_after_restores_of_the_store(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against nodes that ignore the store after it returns from a copy."""
+    seconds = 2.0 * SECONDS
+    events = [
+        plan.Event(0.5, "publish", 0, 0.0),
+        plan.Event(0.5, "drain", 1, 0.0),
+        # Many writes that are lost, so that revisions stay below those before.
+        plan.Event(0.5, "odd-entries", 2, 1.5),
+        plan.Event(1.0, plan.RESTORE_KIND, 0, 1.0),
+        plan.Event(2.5, plan.RESTORE_KIND, 0, 2.0),
+        plan.Event(seconds - 0.5, "publish", 0, 0.0),
+    ]
+    recorded = asyncio.run(run.Run(1, 3, seconds, tmp_path, events).execute())
+    assert checks.check(recorded) == []
+    new_paths = {each.path for each in recorded.route_publications}
+    served = {call.path for call in recorded.calls if call.status == 200}
+    assert len(new_paths) == 2
+    assert new_paths <= served
