Exchange summaries of load between failure domains

Each node followed up to 16 endpoints of each service with few slots in a domain, most of them in other domains, and their reports were most of the bytes between domains. Two nodes of each domain now send the loads of all its endpoints of such services, 10 bytes each, to a random node of each other domain every 0.2 s; nodes pass them on inside their domain. The far cost of a call is a share of its duration that may differ for these services, and a price of its bytes, 0 by default. Services with more slots are followed as before.

--- a/src/snipelink/decide/placement.py
+++ b/src/snipelink/decide/placement.py
@@ -13,15 +13,12 @@
 import random
 from collections.abc import Sequence
 
-from snipelink.decide import slowness_period, work_estimation
+from snipelink.decide import far_cost, slowness_period, work_estimation
 
 # Many servers become slower once a larger fraction of their slots is in use.
 UNCROWDED_RATIO = 0.7
 # Relative increase of a call's duration on a server whose slots are all in use.
 CROWDING_SLOWDOWN_RATIO = 0.3
-# Cost of another failure domain as a fraction of the call's duration: the traffic is
-# billed and the path is longer.
-FAR_COST_RATIO = 0.15
 # Age up to which a report counts as current, because a change would have been reported.
 FRESH_REPORT_S = 0.4
 # Age from which a report is stale and only the endpoint's mean slowness is used.
@@ -125,6 +122,7 @@
     rng: random.Random,
     *,
     may_hedge: bool = True,
+    far: far_cost.FarCost = far_cost.DEFAULT_FAR_COST,
 ) -> Candidate | None:
     """Return the endpoint with the lowest cost; None if all nodes are silent.
 
@@ -134,6 +132,8 @@
     ----------
     may_hedge : bool
         Whether the call can be hedged if the endpoint becomes slow.
+    far : FarCost
+        Cost of endpoints in other failure domains.
     """
     responsive = [c for c in candidates if not c.is_silent]
     if not responsive:
@@ -141,19 +141,26 @@
     if len(responsive) < MIN_PHASE_CANDIDATES:
         for candidate in responsive:
             candidate.phase_left_s = None
-    costs = [cost_s(c, work_s, mean_work_s, may_hedge=may_hedge) for c in responsive]
+    costs = [
+        cost_s(c, work_s, mean_work_s, may_hedge=may_hedge, far=far) for c in responsive
+    ]
     limit = min(costs) * (1.0 + SIMILAR_COST_RATIO)
     similar = [c for c, cost in zip(responsive, costs, strict=True) if cost <= limit]
     return rng.choice(similar)
 
 
 def cost_s(
-    candidate: Candidate, work_s: float, mean_work_s: float, *, may_hedge: bool
+    candidate: Candidate,
+    work_s: float,
+    mean_work_s: float,
+    *,
+    may_hedge: bool,
+    far: far_cost.FarCost = far_cost.DEFAULT_FAR_COST,
 ) -> float:
     """Return the expected time, weighted by distance and failures, in seconds."""
     cost = expected_time_s(candidate, work_s, mean_work_s, may_hedge=may_hedge)
     cost *= 1.0 + FAILURE_COST_FACTOR * candidate.failing_ratio
-    return cost if candidate.near else cost * (1.0 + FAR_COST_RATIO)
+    return cost if candidate.near else far.total_s(cost)
 
 
 def _aged_slowness(candidate: Candidate) -> float:
--- a/src/snipelink/decide/subsetting.py
+++ b/src/snipelink/decide/subsetting.py
@@ -12,7 +12,7 @@
 
 import dataclasses
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from snipelink.balance import rendezvous
 
@@ -72,8 +72,20 @@
         self._host = host
         self._ranked: tuple[_RankedHosts, ...] = ()
 
-    def set_endpoints(self, endpoints: Iterable[Endpoint], failure_domain: str) -> None:
-        """Set the published endpoints and the node's own failure domain."""
+    def set_endpoints(
+        self,
+        endpoints: Iterable[Endpoint],
+        failure_domain: str,
+        summarized_services: Collection[str] = (),
+    ) -> None:
+        """Set the published endpoints and the node's own failure domain.
+
+        Parameters
+        ----------
+        summarized_services : collection of str
+            Services whose far endpoints are not followed, because summaries tell their
+            loads.
+        """
         hosts_by_service: dict[str, tuple[set[str], set[str]]] = {}
         own_domain: set[str] = set()
         for endpoint in endpoints:
@@ -84,7 +96,10 @@
                 near, far = hosts_by_service.setdefault(
                     endpoint.service, (set(), set())
                 )
-                (near if is_near else far).add(endpoint.host)
+                if is_near:
+                    near.add(endpoint.host)
+                elif endpoint.service not in summarized_services:
+                    far.add(endpoint.host)
         position = self._position_ratio(own_domain)
         self._ranked = tuple(
             _RankedHosts(self._rotated(near, position), self._rotated(far, position))
--- a/src/snipelink/decide/work_estimation.py
+++ b/src/snipelink/decide/work_estimation.py
@@ -91,11 +91,22 @@
         """Mean slowness over the last seconds."""
         return 1.0 / self.mean_speed
 
-    def set_slowness(self, slowness: float, now: float) -> bool:
-        """Set the slowness from `now` on; return whether it starts a new phase."""
+    def set_slowness(
+        self, slowness: float, now: float, *, is_prompt: bool = True
+    ) -> bool:
+        """Set the slowness from `now` on; return whether it starts a new phase.
+
+        Parameters
+        ----------
+        is_prompt : bool
+            Whether a change is reported within milliseconds. The time of another one
+            is not used to estimate the period.
+        """
         changed = abs(slowness - self.slowness) > PHASE_CHANGE_RATIO * self.slowness
-        if changed:
+        if changed and is_prompt:
             self._record_change(now)
+        elif changed:
+            self.changed_at = None
         share = 1.0 - math.exp(
             -max(0.0, now - self.updated_at) / MEAN_SPEED_TIME_CONSTANT_S
         )
@@ -132,7 +143,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _RunningMean:
+class RunningMean:
     """Mean of samples: arithmetic for the first ones, then exponentially weighted."""
 
     value: float = 0.0
@@ -148,14 +159,14 @@
     """Expected work of calls by service and operation, in seconds at normal speed."""
 
     def __init__(self) -> None:
-        self._mean_by_operation: dict[tuple[str, str], _RunningMean] = {}
-        self._mean_by_service: dict[str, _RunningMean] = {}
+        self._mean_by_operation: dict[tuple[str, str], RunningMean] = {}
+        self._mean_by_service: dict[str, RunningMean] = {}
 
     def record(self, service: str, operation: str, work_s: float) -> None:
         """Record the work of one answered call."""
         key = (service, operation)
-        self._mean_by_operation.setdefault(key, _RunningMean()).add(work_s)
-        self._mean_by_service.setdefault(service, _RunningMean()).add(work_s)
+        self._mean_by_operation.setdefault(key, RunningMean()).add(work_s)
+        self._mean_by_service.setdefault(service, RunningMean()).add(work_s)
 
     def work_s(self, service: str, operation: str, objective_s: float) -> float:
         """Return the expected work of a call.
--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping
 
 from snipelink import clock
-from snipelink.decide import hedging, placement, work_estimation
+from snipelink.decide import far_cost, hedging, placement, work_estimation
 from snipelink.mesh import (
     admission,
     calls,
@@ -22,6 +22,7 @@
 )
 from snipelink.observe import metrics
 from snipelink.retry import budget
+from snipelink.session import http
 
 logger = logging.getLogger(__name__)
 
@@ -82,6 +83,8 @@
     ----------
     estimates : WorkEstimates
         Expected run times of calls by service and operation.
+    carried_bytes : CarriedBytes
+        Expected bytes of calls by service and operation.
     """
 
     def __init__(
@@ -126,6 +129,7 @@
             ("service",),
         )
         self.estimates = work_estimation.WorkEstimates()
+        self.carried_bytes = far_cost.CarriedBytes()
 
     def on_catalog_change(self, now: float) -> None:
         """Divide the retry allowance by the number of machines now published."""
@@ -194,7 +198,23 @@
                 candidates.append(candidate)
         mean_s = self.estimates.mean_work_s(call.service)
         return placement.choose(
-            candidates, call.work_s, mean_s, self._rng, may_hedge=call.idempotent
+            candidates,
+            call.work_s,
+            mean_s,
+            self._rng,
+            may_hedge=call.idempotent,
+            far=self._far_cost(call),
+        )
+
+    def _far_cost(self, call: calls.Call) -> far_cost.FarCost:
+        balancing = self._settings.balancing
+        has_few_slots = self._catalog.has_few_slots(call.service, balancing.few_slots)
+        return far_cost.far_cost(
+            balancing.few_slots_far_ratio if has_few_slots else far_cost.FAR_COST_RATIO,
+            self.carried_bytes.mean_bytes(
+                call.service, call.operation, call.carried_bytes()
+            ),
+            balancing.far_s_per_mb,
         )
 
     async def run(
@@ -273,6 +293,8 @@
             return None
         mean_s = self.estimates.mean_work_s(call.service)
         elsewhere_s = placement.expected_time_s(other, call.work_s, mean_s)
+        if not other.near:
+            elsewhere_s += self._far_cost(call).price_s
         if not hedging.is_worthwhile(
             left_s, elsewhere_s, call.target_at, call.deadline, now
         ):
@@ -319,6 +341,11 @@
         self._metrics.record_attempt(attempt.instance, now - attempt.started_at, kind)
         if outcome.is_success:
             self._retry_budgets.on_answer(call.service, now)
+        if outcome.response is not None:
+            byte_count = call.carried_bytes() + http.message_bytes(
+                outcome.response.headers, outcome.response.body
+            )
+            self.carried_bytes.record(call.service, call.operation, byte_count)
         if outcome.work_s > 0.0:
             self.estimates.record(call.service, call.operation, outcome.work_s)
 
--- a/src/snipelink/mesh/calls.py
+++ b/src/snipelink/mesh/calls.py
@@ -56,6 +56,10 @@
     choice: placement.Candidate | None = None
     fingerprint: str = ""
 
+    def carried_bytes(self) -> int:
+        """Return about how many bytes the request takes on the way to an endpoint."""
+        return http.message_bytes(self.headers, self.body) + len(self.target)
+
     def demand(self) -> queue_policy.Demand:
         """Return the data by which the queue of waiting calls orders this call."""
         return queue_policy.Demand(
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -164,9 +164,11 @@
         routes = set(table.configuration.routes)
         for route in [r for r in self._splitters_by_route if r not in routes]:
             del self._splitters_by_route[route]
-        self._attempts.estimates.retain(
-            {(part.service, route.name) for route in routes for part in route.parts}
-        )
+        operations = {
+            (part.service, route.name) for route in routes for part in route.parts
+        }
+        self._attempts.estimates.retain(operations)
+        self._attempts.carried_bytes.retain(operations)
 
     def _build_call(
         self,
--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -50,6 +50,14 @@
 # A call sent to an endpoint is added to its reported load for this long, which is the
 # time until a report that includes the call arrives.
 UNREPORTED_CALL_S = 0.08
+# A call sent less than this time before a summary of its failure domain arrived is not
+# yet included in it: the endpoint's node reports the call to the sender first.
+SUMMARY_LAG_S = 0.12
+# A summary replaces a direct report of the endpoint that is older than this.
+DIRECT_PRECEDENCE_S = placement.FRESH_REPORT_S
+
+# Start of a process that no direct report has told.
+UNKNOWN_START_MS = 0
 
 # Fields of a measured level: concurrency, percentage of the expected work, weight.
 LEVEL_SAMPLE_FIELD_COUNT = 3
@@ -87,6 +95,9 @@
         Work that the endpoint has done since its first report.
     unreported_sent_at : list of float
         Monotonic times at which this node sent calls that the report may not include.
+    is_summarized : bool
+        Whether the load comes from a summary of the endpoint's failure domain instead
+        of a report of its node.
     """
 
     report: mesh.Load
@@ -94,11 +105,15 @@
     received_at: float
     progress: work_estimation.EndpointProgress
     unreported_sent_at: list[float] = dataclasses.field(default_factory=list)
+    is_summarized: bool = False
 
     def unreported_call_count(self, now: float) -> int:
         """Return the number of sent calls that the report may not include yet."""
+        oldest_at = now - UNREPORTED_CALL_S
+        if self.is_summarized:
+            oldest_at = self.received_at - SUMMARY_LAG_S
         self.unreported_sent_at = [
-            at for at in self.unreported_sent_at if now - at < UNREPORTED_CALL_S
+            at for at in self.unreported_sent_at if at > oldest_at
         ]
         return len(self.unreported_sent_at)
 
@@ -134,20 +149,61 @@
             if load.sequence <= previous.report.sequence:
                 self.stale_reports += 1
                 return False
-        else:
+        elif previous is not None and previous.report.started_ms != UNKNOWN_START_MS:
             previous = None
+        self._store(load, host, previous, now, is_summarized=False)
+        return True
+
+    def update_from_summary(
+        self, load: mesh.Load, host: str, received_at: float, now: float
+    ) -> None:
+        """Store the load of an endpoint from a summary of its failure domain.
+
+        Does nothing if there is a recent direct report.
+
+        Parameters
+        ----------
+        load : Load
+            Load without the start and the sequence number of the endpoint's node.
+        received_at : float
+            Monotonic time from which the age of the load is counted.
+        """
+        previous = self.loads_by_host.get(host)
+        if previous is not None:
+            if (
+                not previous.is_summarized
+                and now - previous.received_at <= DIRECT_PRECEDENCE_S
+            ):
+                return
+            # Direct reports that arrive late still count as outdated.
+            load.started_ms = previous.report.started_ms
+            load.sequence = previous.report.sequence
+        endpoint_load = self._store(load, host, previous, now, is_summarized=True)
+        endpoint_load.received_at = received_at
+
+    def _store(
+        self,
+        load: mesh.Load,
+        host: str,
+        previous: EndpointLoad | None,
+        now: float,
+        *,
+        is_summarized: bool,
+    ) -> EndpointLoad:
         slowness = load.slowness_percent / 100.0
         if previous is not None and previous.report.instance == load.instance:
             previous.report, previous.received_at = load, now
-            previous.progress.set_slowness(slowness, now)
-            return True
+            previous.is_summarized = is_summarized
+            previous.progress.set_slowness(slowness, now, is_prompt=not is_summarized)
+            return previous
         progress = work_estimation.EndpointProgress(now, self._period_estimator)
-        progress.set_slowness(slowness, now)
+        progress.set_slowness(slowness, now, is_prompt=not is_summarized)
         endpoint_load = EndpointLoad(load, host, now, progress)
+        endpoint_load.is_summarized = is_summarized
         self.loads_by_host[host] = endpoint_load
         if load.instance:
             self.loads_by_instance[load.instance] = endpoint_load
-        return True
+        return endpoint_load
 
     def on_call_sent(self, instance: str, now: float) -> None:
         """Record that a call was sent to the endpoint of another machine."""
@@ -271,6 +327,8 @@
     ----------
     receivers_by_kind : dict
         Handlers of datagrams of other kinds, by their first byte.
+    far_peer_hosts : frozenset of str
+        Some hosts of other failure domains, whose nodes need not follow this one.
     """
 
     def __init__(
@@ -296,6 +354,7 @@
         self._last_report: reporting.LoadReport | None = None
         self._next_report_at = 0.0
         self.receivers_by_kind: dict[bytes, Receiver] = {}
+        self.far_peer_hosts: frozenset[str] = frozenset()
         self.sent_datagrams = 0
         self.unreadable_datagrams = 0
 
@@ -305,8 +364,9 @@
         return len(self._followers_by_host)
 
     def peer_hosts(self) -> set[str]:
-        """Return the hosts of the nodes that follow this one or that it follows."""
-        return self._followers_by_host.keys() | self._follow_requests_by_host.keys()
+        """Return the hosts of the nodes with which this one exchanges datagrams."""
+        followers, followed = self._followers_by_host, self._follow_requests_by_host
+        return followers.keys() | followed.keys() | self.far_peer_hosts
 
     async def start(self, address: channel.Address) -> None:
         """Open the socket."""
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -29,6 +29,7 @@
     connection_monitor,
     deduplication,
     dispatch,
+    domain_summaries,
     endpoint,
     health,
     load_reports,
@@ -204,6 +205,16 @@
         self._watcher = watcher.Watcher(
             store, self._catalog, self._on_catalog, rng, self._other_nodes
         )
+        self._summaries = domain_summaries.DomainSummaries(
+            node_settings,
+            self._started_ms,
+            self._catalog,
+            self._loads,
+            self._load_exchange,
+            self._watcher.on_newer_revision,
+            self._metrics,
+            rng,
+        )
         self._ready_port = status.StatusPort({paths.ready: self._readiness_response})
         self._metrics_port = status.StatusPort({paths.metrics: self._metrics_response})
         self._register_gauges()
@@ -243,6 +254,7 @@
             "ask other nodes": sync_from_nodes,
             "poll the endpoint": self._poller.run,
             "follow loads": self._follow_loads,
+            "send summaries": self._summaries.run,
         }
         tasks = [
             asyncio.ensure_future(_run_forever(name, function))
@@ -366,7 +378,10 @@
             now = clock.now()
             is_silent = functools.partial(self._load_exchange.is_silent, now=now)
             self._followed_hosts = self._endpoint_subset.followed_hosts(is_silent)
+            self._followed_hosts |= self._summaries.update_senders(is_silent)
+            self._load_exchange.far_peer_hosts = self._summaries.random_far_hosts()
             self._load_exchange.follow(self._followed_hosts, now)
+            self._summaries.log_silent_domains(now)
             newly_silent, recovered = self._loads.update_silent_hosts(now)
             for host in newly_silent:
                 logger.warning("node is silent", extra={"fields": {"host": host}})
@@ -375,7 +390,7 @@
             if recovered:
                 self._poison_guard.request_known_crashes()
             self._poison_guard.run_due_work(now)
-            self._loads.expire(self._followed_hosts, now)
+            self._loads.expire(self._observed_hosts(), now)
             self._update_peer_samples(now)
             if self._is_store_unavailable(now):
                 self._catalog.on_store_unavailable(now)
@@ -398,14 +413,18 @@
             for endpoint_load in self._loads.loads_by_host.values()
         )
 
+    def _observed_hosts(self) -> set[str]:
+        """Return the followed hosts and those whose load summaries tell."""
+        return self._followed_hosts.keys() | self._summaries.far_hosts
+
     def _other_nodes(self) -> watch_rotation.PeerView:
         now = clock.now()
+        observed = self._observed_hosts()
         return watch_rotation.PeerView(
             published_count=len(self._catalog.instances_by_id),
-            followed_count=len(self._followed_hosts),
+            followed_count=len(observed),
             reporting_count=sum(
-                self._loads.has_recent_report(host, now)
-                for host in self._followed_hosts
+                self._loads.has_recent_report(host, now) for host in observed
             ),
             store_refused=self._is_store_unavailable(now),
         )
@@ -464,8 +483,12 @@
         self._publish_load(now)
 
     def _update_endpoint_subset(self) -> None:
-        instances = self._catalog.instances_by_id.values()
-        self._endpoint_subset.set_endpoints(instances, self._settings.failure_domain)
+        self._summaries.on_catalog_change(clock.now())
+        self._endpoint_subset.set_endpoints(
+            self._catalog.instances_by_id.values(),
+            self._settings.failure_domain,
+            self._summaries.services,
+        )
 
     def _on_report(self, host: str, load: mesh.Load) -> None:
         if self._started_ms_by_host.get(host) != load.started_ms:
@@ -519,7 +542,11 @@
         Hosts in this failure domain are preferred; ties are broken at random.
         """
         near = {host for host, is_near in self._followed_hosts.items() if is_near}
-        revision, hosts = self._loads.newest_revision(near, clock.now())
+        now = clock.now()
+        revision, hosts = self._loads.newest_revision(near, now)
+        far_revision, far_host = self._summaries.newest_revision(now)
+        if far_revision > revision:
+            return far_revision, far_host
         return revision, self._rng.choice(hosts) if hosts else ""
 
     def _caller_limits(self) -> published_state.CallerLimits:
--- a/src/snipelink/mesh/settings.py
+++ b/src/snipelink/mesh/settings.py
@@ -60,9 +60,17 @@
         failure domain, and a call that it refuses seldom finds room by trying the
         next one. The mechanisms for services of such endpoints are described in
         ``docs/design``.
+    few_slots_far_ratio : float
+        Cost of a call to another failure domain as a share of the call's duration, for
+        services whose endpoints have few slots.
+    far_s_per_mb : float
+        Cost of a megabyte that a call carries to and from another failure domain, in
+        seconds of the call's duration.
     """
 
     few_slots: int = 3
+    few_slots_far_ratio: float = 0.5
+    far_s_per_mb: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/snipelink/session/http.py
+++ b/src/snipelink/session/http.py
@@ -61,6 +61,11 @@
     body: model.Body = b""
 
 
+def message_bytes(headers: model.Headers, body: model.Body) -> int:
+    """Return the number of bytes of a message's headers and body."""
+    return len(body) + sum(len(name) + len(value) for name, value in headers)
+
+
 def has_no_body(method: str, status: int) -> bool:
     """Whether a response to `method` with `status` has no body."""
     return method == "HEAD" or status in (204, 304) or 100 <= status < 200
