--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -92,6 +92,11 @@
         Registry of the gauges.
     rng : random.Random
         Chooses the receivers.
+
+    Attributes
+    ----------
+    receiving_domains : frozenset of str
+        Domains to which this node sends.
     """
 
     def __init__(
@@ -116,7 +121,7 @@
         self._schedule = summary_senders.SendSchedule()
         self._received = summary_senders.ReceivedSummaries()
         self._sequence = 0
-        self._receiving_domains: frozenset[str] = frozenset()
+        self.receiving_domains: frozenset[str] = frozenset()
         self._silent_domains: frozenset[str] = frozenset()
         self._received_at_by_domain: dict[str, float] = {}
         self._reported_by_domain: dict[str, _ReportedRevision] = {}
@@ -184,8 +189,8 @@
         if receiving_domains:
             own_domain = self._settings.failure_domain
             followed.update(published.summarized_hosts_by_domain.get(own_domain, ()))
-        if receiving_domains != self._receiving_domains:
-            self._receiving_domains = frozenset(receiving_domains)
+        if receiving_domains != self.receiving_domains:
+            self.receiving_domains = frozenset(receiving_domains)
             logger.info(
                 "node sends summaries to other domains",
                 extra={"fields": {"domains": sorted(receiving_domains)}},
@@ -255,7 +260,7 @@
     def send_due(self, now: float) -> float:
         """Send the summaries if they are due; return when the next ones are."""
         revision = self._catalog.revision
-        if not self._receiving_domains:
+        if not self.receiving_domains:
             return now + summary_senders.SUMMARY_INTERVAL_S
         due_at = self._schedule.due_at(revision)
         if now >= due_at:
@@ -267,7 +272,7 @@
     def _send(self, now: float) -> None:
         self._sequence += 1
         hosts_by_domain = summary_senders.choose_receivers(
-            self._published.hosts_by_domain, self._receiving_domains, self._rng
+            self._published.hosts_by_domain, self.receiving_domains, self._rng
         )
         for part, entries in enumerate(
             domain_summary.encode_parts(self._own_entries(now))
--- a/tests/decide/test_subsetting.py
+++ b/tests/decide/test_subsetting.py
@@ -76,3 +76,13 @@
 def test_endpoint_that_shuts_down_is_not_followed() -> None:
     leaving = published_state.Instance("i-1", "rota", "rota.1", "a", True)
     assert _followed("x", "a", [leaving]) == {}
+
+
+def test_far_endpoints_of_summarized_services_are_not_followed() -> None:
+    chosen = subsetting.EndpointSubset("x")
+    endpoints = _endpoints(12) + _endpoints(12, "archive")
+    chosen.set_endpoints(endpoints, "a", {"rota"})
+    followed = chosen.followed_hosts(lambda _: False)
+    far = {host for host, near in followed.items() if not near}
+    assert sum(host.startswith("rota") for host in followed) == 4
+    assert far == {f"archive.{i}" for i in range(12) if i % len(DOMAINS)}
--- a/tests/mesh/test_load_reports.py
+++ b/tests/mesh/test_load_reports.py
@@ -115,6 +115,69 @@
     assert set(table.loads_by_instance) == {"i-2"}
 
 
+def _summarized(table: load_reports.LoadTable, now: float, **changes: Any) -> None:
+    load = _load(started_ms=0, sequence=0, **changes)
+    table.update_from_summary(load, HOST, now, now)
+
+
+def test_summary_gives_a_candidate() -> None:
+    table = load_reports.LoadTable(slowness_period.PeriodEstimator())
+    _summarized(table, 10.0, running=2)
+    candidate = _candidate(table, 10.1)
+    assert candidate is not None
+    assert (candidate.running, candidate.age_s) == (2, pytest.approx(0.1))
+
+
+def test_recent_direct_report_wins_over_a_summary() -> None:
+    table = load_reports.LoadTable(slowness_period.PeriodEstimator())
+    table.update(_load(running=7), HOST, 10.0)
+    _summarized(table, 10.1, running=2)
+    recent = _candidate(table, 10.1)
+    assert recent is not None
+    assert recent.running == 7
+    late = 10.1 + load_reports.DIRECT_PRECEDENCE_S
+    _summarized(table, late, running=2)
+    replaced = _candidate(table, late)
+    assert replaced is not None
+    assert replaced.running == 2
+
+
+def test_direct_report_replaces_a_summary_unless_it_is_outdated() -> None:
+    table = load_reports.LoadTable(slowness_period.PeriodEstimator())
+    _summarized(table, 10.0, running=2)
+    progress = table.loads_by_host[HOST].progress
+    assert table.update(_load(sequence=5, running=7), HOST, 10.1)
+    assert table.loads_by_host[HOST].progress is progress
+    _summarized(table, 11.0, running=1)
+    assert not table.update(_load(sequence=4, running=6), HOST, 11.0)
+    assert table.update(_load(sequence=6, running=6), HOST, 11.1)
+
+
+def test_sent_calls_are_counted_until_a_summary_can_include_them() -> None:
+    table = load_reports.LoadTable(slowness_period.PeriodEstimator())
+    _summarized(table, 10.0, running=0)
+    table.on_call_sent("i-1", 10.1)
+    counts = []
+    for now in (10.19, 10.2, 10.3):
+        _summarized(table, now, running=0)
+        candidate = _candidate(table, now + 0.05)
+        assert candidate is not None
+        counts.append(candidate.running)
+    assert counts == [1, 1, 0]
+
+
+def test_late_changes_of_slowness_do_not_affect_the_estimate_of_the_period() -> None:
+    estimator = slowness_period.PeriodEstimator()
+    table = load_reports.LoadTable(estimator)
+    for index in range(100):
+        slowness = 100 if index % 2 else 400
+        _summarized(table, 10.0 + 0.4 * index, slowness_percent=slowness)
+    assert estimator.period_s is None
+    candidate = _candidate(table, 50.0)
+    assert candidate is not None
+    assert candidate.slowness == 1.0
+
+
 class RecordingTransport(asyncio.DatagramTransport):
     """Transport that records the datagrams sent."""
 
