--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -313,12 +313,7 @@
         and instance.failure_domain == "a"
     )
     network.delivers = lambda *hosts: lost.host not in hosts
-    network.run(
-        placement.SILENT_NODE_S
-        + reporting.REPEAT_INTERVAL_S
-        + summary_senders.SUMMARY_INTERVAL_S
-        + 2 * STEP_S
-    )
+    network.run(placement.SILENT_NODE_S + reporting.REPEAT_INTERVAL_S + STEP_S)
     for node in network.nodes("b") + network.nodes("c"):
         candidate = node.candidate(lost, network.now)
         assert candidate is not None
