Test calls and configurations between domains with real nodes

The tests of summaries ran without sockets and calls. The fields of the watch rotation say what they count now.

--- a/src/snipelink/decide/watch_rotation.py
+++ b/src/snipelink/decide/watch_rotation.py
@@ -48,8 +48,8 @@
     published_count : int
         Number of published machines.
     followed_count, reporting_count : int
-        Number of machines that this node follows, and of those of them whose load
-        reports arrive.
+        Number of machines that this node follows or whose loads summaries tell, and of
+        those of them whose loads arrive.
     store_refused : bool
         Whether the store does not answer this node or one of the followed machines.
     """
--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Any
 from unittest import mock
 
@@ -409,3 +410,63 @@
     node.exchange.datagram_received(data, (sender, 0))
     assert node.exchange.unreadable_datagrams == 1
     assert _running(network, node) == 0
+
+
+@contextlib.asynccontextmanager
+async def _running_nodes(
+    services_and_domains: list[tuple[str, str]],
+) -> AsyncIterator[list[fleet.Member]]:
+    """Start one node for each service and domain; all endpoints have few slots."""
+    members = [
+        fleet.make_member(service, fleet.FakeStore(), domain)
+        for service, domain in services_and_domains
+    ]
+    instances = tuple(
+        fleet.published_instance(member, failure_domain=domain, slots=3)
+        for member, (_, domain) in zip(members, services_and_domains, strict=True)
+    )
+    fleet.publish(members, fleet.configuration(fleet.route("rota")), instances)
+    for member in members:
+        await member.start()
+    try:
+        await fleet.wait_until(
+            lambda: all(
+                len(member.node.accepting_by_instance()) == len(members)
+                for member in members
+            )
+        )
+        yield members
+    finally:
+        for member in members:
+            await member.end()
+
+
+def test_calls_reach_endpoints_that_only_summaries_tell() -> None:
+    async def scenario() -> None:
+        nodes = [("archive", "a"), ("archive", "a"), ("rota", "b"), ("rota", "b")]
+        async with _running_nodes(nodes) as members:
+            client = await fleet.Client.open(members[0])
+            for index in range(10):
+                response = await client.call(f"call-{index}")
+                assert response.status == 200
+            received = [len(member.endpoint.received) for member in members]
+            assert received[:2] == [0, 0]
+            assert sum(received) == 10
+
+    asyncio.run(scenario())
+
+
+def test_configuration_crosses_domains_without_the_store() -> None:
+    async def scenario() -> None:
+        nodes = [("rota", domain) for domain in "aabbcc"]
+        async with _running_nodes(nodes) as members:
+            for member in members[2:]:
+                member.store.is_unavailable = True
+            changed = fleet.configuration(fleet.route("rota"), version=2)
+            fleet.publish(members[:2], changed)
+            revision = members[0].store.state.revision
+            await fleet.wait_until(
+                lambda: all(member.node.revision == revision for member in members)
+            )
+
+    asyncio.run(scenario())
