--- a/src/snipelink/decide/summary_senders.py
+++ b/src/snipelink/decide/summary_senders.py
@@ -78,14 +78,23 @@
         self._sent_at, self._sent_revision = now, revision
 
 
+def responsive_hosts(hosts: Sequence[str], silent: Collection[str]) -> Sequence[str]:
+    """Return the hosts that are not silent; all hosts if all are silent."""
+    return [host for host in hosts if host not in silent] or hosts
+
+
 def choose_receivers(
     hosts_by_domain: Mapping[str, Sequence[str]],
     domains: Collection[str],
+    silent: Collection[str],
     rng: random.Random,
 ) -> dict[str, str]:
-    """Return one random host of each of the domains, by domain."""
+    """Return one random host of each of the domains, by domain.
+
+    Silent hosts are left out unless all hosts of the domain are silent.
+    """
     return {
-        domain: rng.choice(hosts)
+        domain: rng.choice(responsive_hosts(hosts, silent))
         for domain, hosts in hosts_by_domain.items()
         if domain in domains and hosts
     }
--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -272,7 +272,10 @@
     def _send(self, now: float) -> None:
         self._sequence += 1
         hosts_by_domain = summary_senders.choose_receivers(
-            self._published.hosts_by_domain, self.receiving_domains, self._rng
+            self._published.hosts_by_domain,
+            self.receiving_domains,
+            self._load_table.silent_hosts,
+            self._rng,
         )
         for part, entries in enumerate(
             domain_summary.encode_parts(self._own_entries(now))
@@ -322,7 +325,10 @@
             raise msgspec.ValidationError(str(error)) from error
         self.received_summaries += 1
         self._received_at_by_domain[summary.domain] = now
-        near_hosts = self._published.hosts_by_domain.get(own_domain, [])
+        near_hosts = summary_senders.responsive_hosts(
+            self._published.hosts_by_domain.get(own_domain, []),
+            self._load_table.silent_hosts,
+        )
         payload = bytes(body)
         for next_host in summary_senders.choose_next_hops(
             near_hosts, (host, self._settings.host), self._rng
--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -133,6 +133,11 @@
     ----------
     period_estimator : PeriodEstimator
         Estimator of the times at which endpoints change their slowness.
+
+    Attributes
+    ----------
+    silent_hosts : set of str
+        Hosts that were silent at the last update of the silent hosts.
     """
 
     def __init__(self, period_estimator: slowness_period.PeriodEstimator) -> None:
@@ -140,7 +145,7 @@
         self.loads_by_instance: dict[str, EndpointLoad] = {}
         self.loads_by_host: dict[str, EndpointLoad] = {}
         self.stale_reports = 0
-        self._silent_hosts: set[str] = set()
+        self.silent_hosts: set[str] = set()
 
     def update(self, load: mesh.Load, host: str, now: float) -> bool:
         """Store a report; return False if it is older than the last one."""
@@ -259,10 +264,10 @@
             if now - endpoint_load.received_at > placement.SILENT_NODE_S
         }
         newly_silent, recovered = (
-            silent_hosts - self._silent_hosts,
-            self._silent_hosts - silent_hosts,
+            silent_hosts - self.silent_hosts,
+            self.silent_hosts - silent_hosts,
         )
-        self._silent_hosts = silent_hosts
+        self.silent_hosts = silent_hosts
         return newly_silent, recovered
 
     def has_recent_report(self, host: str, now: float) -> bool:
--- a/tests/decide/test_summary_senders.py
+++ b/tests/decide/test_summary_senders.py
@@ -72,13 +72,28 @@
         host
         for _ in range(100)
         for host in summary_senders.choose_receivers(
-            hosts_by_domain, {"b", "c"}, rng
+            hosts_by_domain, {"b", "c"}, set(), rng
         ).values()
     )
     assert set(chosen) == {"b1", "b2"}
     assert chosen.total() == 100
 
 
+def test_silent_hosts_receive_nothing_while_another_one_is_heard() -> None:
+    hosts_by_domain = {"b": ["b1", "b2", "b3"]}
+    rng = random.Random(1)
+
+    def chosen(*silent: str) -> set[str]:
+        return {
+            summary_senders.choose_receivers(hosts_by_domain, {"b"}, silent, rng)["b"]
+            for _ in range(50)
+        }
+
+    assert chosen("b1", "b3") == {"b2"}
+    # After a cut of the whole link, any host may be the first to be reached again.
+    assert chosen("b1", "b2", "b3") == {"b1", "b2", "b3"}
+
+
 @pytest.mark.parametrize("count", [2, 3, 26, 100])
 def test_gossip_reaches_nearly_all_nodes_of_a_domain(count: int) -> None:
     hosts = [str(index) for index in range(count)]
--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -100,6 +100,7 @@
         followed = self.subset.followed_hosts(is_silent)
         followed |= self.summaries.update_senders(is_silent)
         self.exchange.follow(followed, now)
+        self.loads.update_silent_hosts(now)
 
     def candidate(
         self, instance: published_state.Instance, now: float
@@ -325,6 +326,22 @@
     assert all(candidate is None or candidate.is_silent for candidate in heard)
 
 
+def test_group_that_is_cut_off_and_the_others_know_their_own_loads(
+    start: Start,
+) -> None:
+    network = start(60)
+    group = {i.host for i in network.instances if int(i.id[2:]) // 3 % 3 == 0}
+    network.delivers = lambda sender, receiver: (sender in group) == (receiver in group)
+    network.run(3 * placement.SILENT_NODE_S)
+    for node in network.nodes_by_host.values():
+        for instance in network.instances:
+            if instance.host == node.own.host:
+                continue
+            candidate = node.candidate(instance, network.now)
+            is_heard = candidate is not None and not candidate.is_silent
+            assert is_heard == ((instance.host in group) == (node.own.host in group))
+
+
 def _summary(network: Network, sequence: int, running: int, **changes: Any) -> bytes:
     instance = network.instances[0]
     name = domain_summary.identity_hash(instance.id)
