--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -314,8 +314,8 @@
 
     def _on_datagram(self, host: str, body: memoryview, now: float) -> None:
         summary = _decoder.decode(body)
-        own_domain = self._settings.failure_domain
-        if summary.domain == own_domain or not self._received.accept(
+        is_from_other_domain = summary.domain in self._published.sender_orders_by_domain
+        if not is_from_other_domain or not self._received.accept(
             summary.host, summary.started_ms, summary.sequence, summary.part
         ):
             return
@@ -326,7 +326,7 @@
         self.received_summaries += 1
         self._received_at_by_domain[summary.domain] = now
         near_hosts = summary_senders.responsive_hosts(
-            self._published.hosts_by_domain.get(own_domain, []),
+            self._published.hosts_by_domain.get(self._settings.failure_domain, []),
             self._load_table.silent_hosts,
         )
         payload = bytes(body)
--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -420,6 +420,19 @@
         assert domains == set(DOMAINS)
 
 
+@pytest.mark.parametrize("domain", ["b", "unpublished"])
+def test_summary_of_the_own_or_an_unknown_domain_is_ignored(
+    start: Start, domain: str
+) -> None:
+    network = start(9)
+    node, sender = network.nodes("b")[0], network.instances[0].host
+    before = node.summaries.received_summaries
+    data = _summary(network, 500, 3, domain=domain)
+    node.exchange.datagram_received(data, (sender, 0))
+    assert node.summaries.received_summaries == before
+    assert _running(network, node) == 0
+
+
 def test_unreadable_entries_are_counted_and_ignored(start: Start) -> None:
     network = start(9)
     node, sender = network.nodes("b")[0], network.instances[0].host
