Give calls of running requests precedence at endpoints with few slots

Cause: the refusal of a call that a running request makes fails the request, for which a caller has waited and an endpoint has worked. Such calls were refused by their latency objective like those of callers.

Change: the caller's node states the operation and whether its endpoint was running a request; the node beside the called endpoint learns which operations only running requests use (decide/internal_operations.py) and tells it in the reply. Their calls rank first and may wait for 0.6 of the time until their deadline; a node passes on two of an operation for each request that its endpoint runs, others are ordinary. Services with more slots are not affected.

--- a/src/snipelink/decide/queue_policy.py
+++ b/src/snipelink/decide/queue_policy.py
@@ -9,6 +9,10 @@
 A call that cannot finish by its deadline would occupy a slot until then without use.
 While an endpoint is so slow that this is likely, calls wait until it is fast again or
 are refused before they run, so that they can be tried on another endpoint.
+
+A call that a running request makes is internal: its refusal also fails the request, for
+which a caller has waited. Internal calls precede all others and may wait for most of
+the time until their deadline, as a late answer still completes the request.
 """
 
 from __future__ import annotations
@@ -22,6 +26,8 @@
 # Maximum expected wait of a call that will miss its objective, as a fraction of the
 # time until its deadline minus its run time.
 DEADLINE_WAIT_RATIO = 0.2
+# The same fraction for internal calls, whether or not they will miss their objective.
+INTERNAL_DEADLINE_WAIT_RATIO = 0.6
 # Actual wait after which a call is refused, as a multiple of the allowed expected wait.
 MAX_WAIT_FACTOR = 1.5
 
@@ -42,6 +48,8 @@
         Configured priority of the operation; 0 is the highest.
     arrived_at : float
         Monotonic time of arrival.
+    is_internal : bool
+        Whether a running request makes the call and needs its answer.
     """
 
     work_s: float
@@ -49,9 +57,17 @@
     deadline: float
     priority: int
     arrived_at: float
+    is_internal: bool = False
+
+    @property
+    def precedence(self) -> tuple[bool, int]:
+        """Precedence over other calls; the smallest comes first."""
+        return (not self.is_internal, self.priority)
 
 
-def rank(demand: Demand, run_s: float, now: float) -> tuple[int, bool, float]:
+def rank(
+    demand: Demand, run_s: float, now: float
+) -> tuple[tuple[bool, int], bool, float]:
     """Return the sort key of a waiting call; the call with the smallest starts next.
 
     Parameters
@@ -59,7 +75,7 @@
     run_s : float
         Seconds that the call would take if it started now.
     """
-    return (demand.priority, now + run_s > demand.target, demand.arrived_at)
+    return (demand.precedence, now + run_s > demand.target, demand.arrived_at)
 
 
 def allowed_wait_s(demand: Demand, run_s: float, now: float) -> float:
@@ -71,9 +87,12 @@
         Seconds that the call would take if it started now.
     """
     to_target_s = demand.target - now - run_s
+    to_deadline_s = max(0.0, demand.deadline - now - run_s)
+    if demand.is_internal:
+        return INTERNAL_DEADLINE_WAIT_RATIO * to_deadline_s
     if to_target_s > 0.0:
         return TARGET_WAIT_RATIO * to_target_s
-    return DEADLINE_WAIT_RATIO * max(0.0, demand.deadline - now - run_s)
+    return DEADLINE_WAIT_RATIO * to_deadline_s
 
 
 def misses_deadline(demand: Demand, run_s: float, now: float) -> bool:
@@ -89,13 +108,13 @@
     Parameters
     ----------
     waiting : sequence of Demand
-        Calls that already wait; those of equal or higher priority start first.
+        Calls that already wait; those of equal or higher precedence start first.
     remaining_s : sequence of float
         Remaining work of each running call, in seconds at normal speed.
     slots : int
         Number of calls that run concurrently.
     """
-    ahead = [each for each in waiting if each.priority <= demand.priority]
+    ahead = [each for each in waiting if each.precedence <= demand.precedence]
     if len(remaining_s) + len(ahead) < slots:
         return 0.0
     # The first slot that becomes free serves the first waiting call, and so on.
--- a/src/snipelink/decide/slots.py
+++ b/src/snipelink/decide/slots.py
@@ -255,15 +255,15 @@
         )
 
     def _count_ahead(self, demand: queue_policy.Demand) -> int:
-        """Return the number of waiting calls of equal or higher priority."""
+        """Return the number of waiting calls of equal or higher precedence."""
         others = self._waiting_by_key.values()
-        return sum(each.demand.priority <= demand.priority for each in others)
+        return sum(each.demand.precedence <= demand.precedence for each in others)
 
     def _meets_deadline(self, demand: queue_policy.Demand, now: float) -> bool:
         duration_s = self.progress.max_duration_s(demand.work_s)
         return not queue_policy.misses_deadline(demand, duration_s, now)
 
-    def _rank(self, key: int, now: float) -> tuple[int, bool, float]:
+    def _rank(self, key: int, now: float) -> tuple[tuple[bool, int], bool, float]:
         demand = self._waiting_by_key[key].demand
         return queue_policy.rank(
             demand, self.progress.duration_s(demand.work_s, now), now
--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -13,7 +13,13 @@
 
 from snipelink import clock, errors, model
 from snipelink.decide import polling, retry_after, slots, slowness_period
-from snipelink.mesh import calls, endpoint, poison_requests, settings
+from snipelink.mesh import (
+    calls,
+    endpoint,
+    internal_calls,
+    poison_requests,
+    settings,
+)
 from snipelink.session import headers as header_rules
 from snipelink.session import http
 
@@ -30,6 +36,8 @@
 # A call that reaches its deadline counts as a failure of the endpoint only if it ran
 # for more than this multiple of its expected run time.
 HUNG_RUN_TIME_RATIO = 4.0
+# Retry time of a request whose internal calls are refused, seconds.
+UNSERVED_RETRY_AFTER_S = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,6 +89,8 @@
     poison_guard : PoisonRequestGuard
         Refuses requests that crash endpoints. This class notifies it of calls that lost
         their connection and of the end of the endpoint's process.
+    internal_call_tracker : InternalCalls
+        Recognises calls that running requests make.
 
     Attributes
     ----------
@@ -104,6 +114,7 @@
         on_change: Callable[[float], None],
         period_estimator: slowness_period.PeriodEstimator,
         poison_guard: poison_requests.PoisonRequestGuard,
+        internal_call_tracker: internal_calls.InternalCalls,
     ) -> None:
         self._client = endpoint_client
         self._settings = node_settings
@@ -111,6 +122,7 @@
         self._rng = rng
         self._on_change = on_change
         self._poison_guard = poison_guard
+        self._internal_calls = internal_call_tracker
         # Futures of waiting calls, by key. The result None admits the call; an outcome
         # refuses it.
         self._admitted_by_key: dict[int, asyncio.Future[calls.Outcome | None]] = {}
@@ -135,6 +147,12 @@
         running one.
         """
         now = clock.now()
+        is_internal_operation = self._internal_calls.classify(call, now)
+        call.is_internal = is_internal_operation and call.may_precede
+        outcome = await self._run(call, instance, now)
+        return dataclasses.replace(outcome, internal=is_internal_operation)
+
+    async def _run(self, call: calls.Call, instance: str, now: float) -> calls.Outcome:
         unavailable = self._unavailable(
             call.service, instance
         ) or self._poison_guard.check(call, now)
@@ -144,10 +162,17 @@
             # The call may run until its deadline, which is after the node stops, and a
             # running call must not be cut off.
             return calls.failed_outcome(errors.Kind.LEAVING, "the node is leaving")
+        unserved = self._internal_calls.unserved_operation(call, now)
+        if unserved is not None:
+            reason = f"calls of {unserved} are refused"
+            self._log_refusal(call, reason)
+            after_s = retry_after.retry_after_s(UNSERVED_RETRY_AFTER_S, self._rng)
+            return calls.failed_outcome(errors.Kind.OVERLOADED, reason, after_s)
         key = next(self._keys)
         offered = self.slots.offer(key, call.demand(), now)
         if offered.verdict is slots.Verdict.REFUSE:
             self._log_refusal(call, offered.reason)
+            self._internal_calls.record_verdict(call, "refused")
             after_s = retry_after.retry_after_s(offered.wait_s, self._rng)
             return calls.failed_outcome(errors.Kind.OVERLOADED, offered.reason, after_s)
         self._on_change(now)
@@ -157,11 +182,15 @@
                 if refusal_outcome is not None:
                     assert refusal_outcome.failure is not None
                     self._log_refusal(call, refusal_outcome.failure.detail)
+                    self._internal_calls.record_verdict(call, "refused")
                     return refusal_outcome
                 poison_refusal = self._poison_guard.check(call, clock.now())
                 if poison_refusal is not None:
                     return poison_refusal
-            return await self._exchange(key, call, instance, clock.now())
+            verdict = "waited" if offered.verdict is slots.Verdict.WAIT else "started"
+            self._internal_calls.record_verdict(call, verdict)
+            with self._internal_calls.running(call):
+                return await self._exchange(key, call, instance, clock.now())
         finally:
             self.slots.release(key)
             ended = clock.now()
@@ -272,6 +301,7 @@
             "id": call.call_id,
             "instance": self.state.instance,
             "reason": reason,
+            "internal": call.is_internal,
             "running": self.slots.running_count,
             "foreign": self.slots.external_count,
             "waiting": self.slots.waiting_count,
--- a/src/snipelink/mesh/calls.py
+++ b/src/snipelink/mesh/calls.py
@@ -18,7 +18,7 @@
     call_id : str
         Identity of the call, assigned by the caller.
     operation : str
-        Name of the call's route; empty at the node that runs the call on its endpoint.
+        Name of the call's route; empty if the sending node did not tell it.
     target : str
         Request target, unchanged.
     arrived_at : float
@@ -36,6 +36,15 @@
     fingerprint : str
         Hash of the request by which `poison_requests` recognises requests that crash
         endpoints; empty until it is first needed.
+    beside_running : bool
+        Whether the endpoint of the caller's node was running a request when the call
+        arrived there.
+    may_precede : bool
+        Whether the caller's node allows the call to have precedence if its operation
+        is internal.
+    is_internal : bool
+        Whether the call has precedence as one that a running request makes; decided by
+        the node that runs it.
     """
 
     call_id: str
@@ -55,6 +64,9 @@
     max_attempts: int = 1
     choice: placement.Candidate | None = None
     fingerprint: str = ""
+    beside_running: bool = False
+    may_precede: bool = False
+    is_internal: bool = False
 
     def demand(self) -> queue_policy.Demand:
         """Return the data by which the queue of waiting calls orders this call."""
@@ -64,6 +76,7 @@
             self.deadline,
             self.priority,
             self.arrived_at,
+            self.is_internal,
         )
 
 
@@ -81,12 +94,15 @@
         Whether the call was sent to the endpoint.
     work_s : float
         Run time of the call on an endpoint without slowdown, seconds; 0 if unknown.
+    internal : bool
+        Whether the node beside the endpoint regards the call's operation as internal.
     """
 
     response: http.Response | None = None
     failure: errors.Failure | None = None
     reached: bool = False
     work_s: float = 0.0
+    internal: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -12,6 +12,7 @@
     attempts,
     calls,
     catalog,
+    internal_calls,
     poison_requests,
     published_state,
     settings,
@@ -49,6 +50,8 @@
         Chooses endpoints and runs attempts on them.
     poison_guard : PoisonRequestGuard
         Refuses requests that crash endpoints.
+    internal_call_tracker : InternalCalls
+        Observes calls that requests on this node's endpoint make.
     metrics_registry : Metrics
         Records latencies and error kinds.
     rng : random.Random
@@ -67,6 +70,7 @@
         service_catalog: catalog.Catalog,
         attempt_runner: attempts.AttemptRunner,
         poison_guard: poison_requests.PoisonRequestGuard,
+        internal_call_tracker: internal_calls.InternalCalls,
         metrics_registry: metrics.Metrics,
         rng: random.Random,
     ) -> None:
@@ -87,6 +91,7 @@
         self._catalog = service_catalog
         self._attempts = attempt_runner
         self._poison_guard = poison_guard
+        self._internal_calls = internal_call_tracker
         self._metrics = metrics_registry
         self._rng = rng
         self.stops_at: float | None = None
@@ -142,7 +147,9 @@
                 errors.Kind.LEAVING, "the node is leaving", after_s
             )
         else:
-            outcome = await self._run_with_stop_timeout(call)
+            with self._internal_calls.passing_on(call):
+                outcome = await self._run_with_stop_timeout(call)
+            self._internal_calls.on_outcome(call, outcome, clock.now())
         return self._finish(request, call_id, route.name, outcome, arrived_at, call)
 
     def stop(self) -> None:
@@ -167,6 +174,7 @@
         self._attempts.estimates.retain(
             {(part.service, route.name) for route in routes for part in route.parts}
         )
+        self._internal_calls.retain({route.name for route in routes})
 
     def _build_call(
         self,
@@ -324,6 +332,7 @@
         if call is not None:
             fields["to_target_s"] = round(call.target_at - arrived_at, 3)
             fields["expected_work_s"] = round(call.work_s, 3)
+            fields["internal"] = self._internal_calls.is_known(call.operation, now)
             if call.choice is not None:
                 fields |= _choice_fields(call.choice)
         logger.info("call is answered", extra={"fields": fields})
--- a/src/snipelink/mesh/messages.py
+++ b/src/snipelink/mesh/messages.py
@@ -86,6 +86,9 @@
         header.attempt_id,
         header.number,
         header.started_ms,
+        call.operation,
+        call.beside_running,
+        call.may_precede,
     )
     return _encode_with_body(message, call.body)
 
@@ -107,7 +110,7 @@
     return calls.Call(
         message.call_id,
         message.service,
-        "",
+        message.operation,
         message.method,
         message.target,
         [(name, value) for name, value in message.headers],
@@ -119,6 +122,8 @@
         message.idempotent,
         message.work_ms / 1000.0,
         message.caller_service,
+        beside_running=message.beside_running,
+        may_precede=message.may_precede,
     )
 
 
@@ -150,6 +155,7 @@
         response.status if response else 0,
         [list(field) for field in response.headers] if response else [],
         memoryview(b""),
+        outcome.internal,
     )
     return _encode_with_body(message, response.body if response else b"")
 
@@ -157,15 +163,16 @@
 def to_outcome(reply: mesh.Reply) -> calls.Outcome:
     """Return the outcome in a reply; raises ``ValueError`` for an unknown failure."""
     if reply.failure:
-        return calls.failed_outcome(
-            errors.Kind(reply.failure),
-            reply.detail,
-            reply.retry_after_ms / 1000.0,
-            reached=reply.reached,
+        failure = errors.Failure(
+            errors.Kind(reply.failure), reply.detail, reply.retry_after_ms / 1000.0
+        )
+        return calls.Outcome(
+            failure=failure, reached=reply.reached, internal=reply.internal
         )
     headers = [(name, value) for name, value in reply.headers]
     response = http.Response(reply.status, headers, reply.body)
-    return calls.Outcome(response, reached=True, work_s=reply.work_ms / 1000.0)
+    work_s = reply.work_ms / 1000.0
+    return calls.Outcome(response, reached=True, work_s=work_s, internal=reply.internal)
 
 
 def _encode_with_body(message: mesh.Call | mesh.Reply, body: model.Body) -> Parts:
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -31,6 +31,7 @@
     dispatch,
     endpoint,
     health,
+    internal_calls,
     load_reports,
     peers,
     poison_requests,
@@ -146,6 +147,9 @@
             self._metrics,
             rng,
         )
+        internal_call_tracker = internal_calls.InternalCalls(
+            node_settings, self._catalog, self._metrics, now
+        )
         self._runner = admission.EndpointRunner(
             self._endpoint,
             node_settings,
@@ -155,6 +159,7 @@
             self._on_calls_change,
             self._period_estimator,
             self._poison_guard,
+            internal_call_tracker,
         )
         self._peers = peers.PeerClient(
             node_settings.peer_port, self.connection_monitor, self._buffers.peer_replies
@@ -183,6 +188,7 @@
             self._catalog,
             call_attempts,
             self._poison_guard,
+            internal_call_tracker,
             self._metrics,
             rng,
         )
--- a/tests/decide/test_queue_policy.py
+++ b/tests/decide/test_queue_policy.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from snipelink.decide import queue_policy
@@ -66,3 +68,21 @@
 
 def test_first_waiting_call_takes_the_first_free_slot() -> None:
     assert queue_policy.work_ahead_s(_demand(), [], [0.3, 0.05], 2) >= 0.05
+
+
+def test_internal_call_precedes_calls_of_any_priority() -> None:
+    urgent = _demand(priority=0, arrived_at=9.0)
+    internal = dataclasses.replace(_demand(priority=3), is_internal=True)
+    assert _first(urgent, internal) is internal
+    ahead_s = queue_policy.work_ahead_s(internal, [urgent] * 8, [0.1, 0.1], 2)
+    assert ahead_s == queue_policy.work_ahead_s(internal, [], [0.1, 0.1], 2)
+    assert queue_policy.work_ahead_s(
+        urgent, [internal] * 8, [0.1, 0.1], 2
+    ) == pytest.approx((8 * 0.2 + 0.1) / 2)
+
+
+def test_internal_call_may_wait_beyond_its_objective() -> None:
+    internal = dataclasses.replace(_demand(), is_internal=True)
+    allowed_s = queue_policy.allowed_wait_s(internal, 0.2, 10.0)
+    assert allowed_s == pytest.approx(1.8 * queue_policy.INTERNAL_DEADLINE_WAIT_RATIO)
+    assert queue_policy.allowed_wait_s(internal, 2.5, 10.0) == 0.0
--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -23,6 +23,7 @@
     calls,
     catalog,
     dispatch,
+    internal_calls,
     load_reports,
     peers,
     poison_requests,
@@ -329,6 +330,9 @@
         subject.catalog,
         subject.attempts,
         poison_requests.PoisonRequestGuard("n", exchange, subject.metrics, rng),
+        internal_calls.InternalCalls(
+            subject.own, subject.catalog, subject.metrics, clock.now()
+        ),
         subject.metrics,
         rng,
     )
--- /dev/null
+++ b/tests/mesh/test_internal_calls.py
@@ -0,0 +1,149 @@
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import typing
+
+from snipelink import errors
+from snipelink.decide import internal_operations
+from snipelink.mesh import calls, catalog, internal_calls, published_state
+from snipelink.observe import metrics
+from snipelink.session import http
+from tests.mesh import fleet
+
+NOW = 100.0
+SLOTS_BY_SERVICE = {"rota": 3, "archive": 9}
+
+
+def _tracker(**changes: typing.Any) -> internal_calls.InternalCalls:
+    """Return the tracker of a node that started long before `NOW`."""
+    own = fleet.make_member("rota", fleet.FakeStore()).node._settings
+    published = catalog.Catalog(2.0)
+    instances = tuple(
+        published_state.Instance(
+            f"i-{service}", service, "10.0.0.1", "a", leaving=False, slots=slot_count
+        )
+        for service, slot_count in SLOTS_BY_SERVICE.items()
+    )
+    published.apply_snapshot(published_state.PublishedState(1, None, instances), NOW)
+    own = dataclasses.replace(own, **changes)
+    return internal_calls.InternalCalls(own, published, metrics.Metrics(), 0.0)
+
+
+def _call(
+    service: str = "rota",
+    operation: str = "index",
+    caller_service: str = "readings",
+    **changes: typing.Any,
+) -> calls.Call:
+    call = calls.Call(
+        "c1",
+        service,
+        operation,
+        "GET",
+        "/view/1",
+        [],
+        b"",
+        NOW,
+        NOW + 0.2,
+        NOW + 1.0,
+        1,
+        True,
+        0.05,
+        caller_service,
+    )
+    return dataclasses.replace(call, **changes)
+
+
+def _teach(tracker: internal_calls.InternalCalls, **changes: typing.Any) -> None:
+    tracker.classify(_call(operation="fetch", caller_service="archive"), NOW)
+    for _ in range(internal_operations.SAMPLE_COUNT):
+        tracker.classify(_call(beside_running=True, **changes), NOW)
+
+
+def test_call_beside_a_running_request_is_told_from_one_beside_an_idle_endpoint() -> (
+    None
+):
+    tracker = _tracker()
+    idle, busy = _call(), _call()
+    with tracker.passing_on(idle):
+        pass
+    with tracker.running(_call(operation="submit")), tracker.passing_on(busy):
+        pass
+    assert (idle.beside_running, idle.may_precede) == (False, False)
+    assert (busy.beside_running, busy.may_precede) == (True, True)
+
+
+def test_call_of_a_request_that_was_just_given_up_counts_as_beside_it() -> None:
+    tracker = _tracker()
+    with tracker.running(_call(operation="submit")):
+        pass
+    tracker.on_run_ended(NOW - internal_calls.RUN_GRACE_S / 2)
+    late = _call()
+    with tracker.passing_on(late):
+        pass
+    assert late.beside_running
+
+
+def test_operation_is_internal_only_at_services_with_few_slots() -> None:
+    tracker = _tracker()
+    _teach(tracker)
+    assert tracker.classify(_call(beside_running=True), NOW)
+    _teach(tracker, service="archive", operation="other")
+    call = _call("archive", operation="other", beside_running=True)
+    assert not tracker.classify(call, NOW)
+    with tracker.running(_call(operation="submit")), tracker.passing_on(call):
+        assert not call.may_precede
+
+
+def test_calls_of_an_internal_operation_with_precedence_are_bounded() -> None:
+    """Guards against a caller that gains precedence beside a running request."""
+    tracker = _tracker()
+    sent = [_call() for _ in range(20)]
+    with contextlib.ExitStack() as running:
+        running.enter_context(tracker.running(_call(operation="submit")))
+        running.enter_context(tracker.running(_call(operation="submit")))
+        for call in sent:
+            running.enter_context(tracker.passing_on(call))
+    limit = 2 * internal_calls.MAX_INTERNAL_PER_RUNNING
+    assert [call.may_precede for call in sent] == [True] * limit + [False] * (
+        20 - limit
+    )
+    with tracker.running(_call(operation="submit")), tracker.passing_on(sent[0]):
+        assert sent[0].may_precede
+
+
+def test_requests_are_refused_while_their_internal_calls_are_not_served() -> None:
+    tracker = _tracker()
+    refused = calls.failed_outcome(errors.Kind.OVERLOADED, "would start in 1 s")
+    refused = dataclasses.replace(refused, internal=True)
+    submit = _call("archive", "submit")
+    for _ in range(9):
+        call = _call()
+        with tracker.running(submit), tracker.passing_on(call):
+            tracker.on_outcome(call, refused, NOW)
+    assert tracker.unserved_operation(submit, NOW) == "index"
+    assert tracker.unserved_operation(_call("archive", "lookup"), NOW) is None
+    answered = calls.Outcome(http.Response(200, []), reached=True)
+    for _ in range(3):
+        with tracker.running(submit), tracker.passing_on(call):
+            tracker.on_outcome(call, answered, NOW)
+    assert tracker.unserved_operation(submit, NOW) is None
+
+
+def test_failed_calls_of_an_ordinary_operation_refuse_no_requests() -> None:
+    tracker = _tracker()
+    refused = calls.failed_outcome(errors.Kind.OVERLOADED, "would start in 1 s")
+    submit = _call("archive", "submit")
+    for _ in range(9):
+        call = _call()
+        with tracker.running(submit), tracker.passing_on(call):
+            tracker.on_outcome(call, refused, NOW)
+    assert tracker.unserved_operation(submit, NOW) is None
+
+
+def test_verdicts_are_counted_for_calls_with_precedence_only() -> None:
+    tracker = _tracker()
+    tracker.record_verdict(_call(is_internal=True), "waited")
+    tracker.record_verdict(_call(), "waited")
+    assert tracker.verdicts.values() == {("rota", "waited"): 1}
