Test that a restarted node learns internal operations anew

Cause: the node beside a called endpoint holds what it has learnt of internal operations in memory only.

Change: a test with real nodes ends the called node and starts another at its address; the fleet can restart a member for it.

Measured: the calls are ordinary for eleven calls after the restart, have precedence from the twelfth on, and all are answered.

--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -338,6 +338,17 @@
 def make_member(service: str, store: FakeStore, zone: str = "a") -> Member:
     host = loopback.next_host()
     endpoint = FakeEndpoint(host, f"i-{host}", service)
+    return Member(host, endpoint, _make_node(host, service, store, zone), store)
+
+
+def restart(ended: Member) -> Member:
+    """Return a member with a new node on the machine of one that has ended."""
+    endpoint = ended.endpoint
+    restarted = _make_node(ended.host, endpoint.service, ended.store, "a")
+    return Member(ended.host, endpoint, restarted, ended.store)
+
+
+def _make_node(host: str, service: str, store: FakeStore, zone: str) -> node.Node:
     own = settings.Settings(
         node=f"node-{host}",
         host=host,
@@ -352,7 +363,7 @@
         load_port=PEER_PORT,
         bounds=BOUNDS,
     )
-    return Member(host, endpoint, node.Node(own, NAMES, PATHS, store), store)
+    return node.Node(own, NAMES, PATHS, store)
 
 
 def published_instance(
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -10,7 +10,7 @@
 import pytest
 
 from snipelink import clock
-from snipelink.decide import placement
+from snipelink.decide import internal_operations, placement
 from snipelink.mesh import (
     channel,
     frames,
@@ -1012,3 +1012,66 @@
             call_id for call_id in unanswered + refused if arrivals(members, call_id)
         }
         assert not ran
+
+
+async def request_index(
+    endpoint: fleet.FakeEndpoint, request: http.Request, stream: channel.Channel
+) -> None:
+    """Answer after a call to `/index/` through the node on the endpoint's machine."""
+    call_stream = await channel.connect((endpoint.host, fleet.CALLER_PORT), 1.0)
+    client = fleet.Client(call_stream)
+    call_id = "inner-" + request.header(fleet.NAMES.call_id)
+    response = await client.call(call_id, path="/index/1")
+    call_stream.abort()
+    status = 200 if response.status == 200 else 500
+    stream.write(endpoint.response(request, status))
+
+
+def internal_verdicts(member: fleet.Member) -> dict[tuple[str, ...], float]:
+    counter = member.node._metrics.counter("snipelink_mesh_internal_calls_total", "")
+    return counter.values()
+
+
+async def submit(member: fleet.Member, prefix: str, count: int) -> list[int]:
+    client = await fleet.Client.open(member)
+    statuses = []
+    for number in range(count):
+        response = await client.call(f"{prefix}{number}", path="/submit/1")
+        statuses.append(response.status)
+    return statuses
+
+
+@run
+async def test_restarted_node_learns_internal_operations_anew() -> None:
+    """Calls of running requests are ordinary until then, and are still served."""
+    routes = (
+        fleet.route("rota", "/index/"),
+        fleet.route("rota", "/view/"),
+        fleet.route("archive", "/submit/"),
+    )
+    sample_count = internal_operations.SAMPLE_COUNT
+    async with fleet.running("rota", "archive", routes=routes) as members:
+        called, submitting = members
+        submitting.endpoint.script = request_index
+        instances = tuple(fleet.published_instance(m, slots=3) for m in members)
+        fleet.publish(members, None, instances)
+        await fleet.wait_until(lambda: fleet.all_up_to_date(members))
+        await (await fleet.Client.open(called)).call("caller-1")
+        assert set(await submit(submitting, "a", sample_count + 3)) == {200}
+        assert internal_verdicts(called) == {("rota", "started"): 4}
+
+        await called.end()
+        restarted = fleet.restart(called)
+        members[0] = restarted
+        await restarted.start()
+        await fleet.wait_until(
+            lambda: all(
+                m.node.accepting_by_instance().get(called.endpoint.instance)
+                for m in members
+            )
+        )
+        await (await fleet.Client.open(restarted)).call("caller-2")
+        assert set(await submit(submitting, "b", sample_count - 1)) == {200}
+        assert internal_verdicts(restarted) == {}
+        assert set(await submit(submitting, "c", 2)) == {200}
+        assert internal_verdicts(restarted) == {("rota", "started"): 2}
