Replay refused internal calls and the requests that need them

Cause: only the single decisions of Dependencies were tested.

Change: a test replays requests whose internal calls are refused for four seconds.

--- a/tests/decide/test_internal_operations.py
+++ b/tests/decide/test_internal_operations.py
@@ -168,3 +168,43 @@
     for _ in range(8):
         dependencies.record_outcome("index", unserved=True, now=NOW)
     assert dependencies.unserved_operation("submit", NOW) is None
+
+
+def _replay_outage(*, refuses_requests: bool) -> tuple[int, int, int]:
+    """Replay requests whose internal calls are refused from second 3 to second 7.
+
+    Returns
+    -------
+    failed : int
+        Requests that ran and failed because of their internal call.
+    before, after : int
+        Requests that were answered before the outage, and from second 8 to second 11.
+    """
+    rng = random.Random(3)
+    dependencies = internal_operations.Dependencies()
+    calls_in_flight: list[float] = []
+    failed = before = after = 0
+    for index in range(220):
+        now = index * 0.05
+        for called_at in [at for at in calls_in_flight if at <= now]:
+            calls_in_flight.remove(called_at)
+            is_refused = 3.0 <= called_at < 7.0
+            dependencies.record_call("index", {"submit"}, called_at)
+            dependencies.record_outcome("index", unserved=is_refused, now=called_at)
+            failed += is_refused
+        if refuses_requests and dependencies.unserved_operation("submit", now):
+            continue
+        before += now < 2.9
+        after += now >= 8.0
+        if rng.random() < 0.7:
+            calls_in_flight.append(now + 0.15)
+    return failed, before, after
+
+
+def test_fewer_requests_run_in_vain_while_their_internal_calls_are_refused() -> None:
+    failed_without, before_without, after_without = _replay_outage(
+        refuses_requests=False
+    )
+    failed, before, after = _replay_outage(refuses_requests=True)
+    assert (before, after) == (before_without, after_without)
+    assert failed < 0.6 * failed_without
