Keep the rest of a retry budget for attempts that are of use

The shared budget went to whichever calls failed first, so answers that were late anyway used it up. For services of endpoints with few slots, less than half of a node's part is only granted to calls that can be in time, and the last fifth to the most urgent operations that ask for attempts. The budget itself is unchanged: a denial only precedes the former check. Denials are counted by cause and logged.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping
 
 from snipelink import clock
-from snipelink.decide import hedging, placement, work_estimation
+from snipelink.decide import hedging, placement, retry_value, work_estimation
 from snipelink.mesh import (
     admission,
     calls,
@@ -105,11 +105,17 @@
         self._further_attempts = metrics_registry.counter(
             "snipelink_mesh_further_attempts_total",
             "Further attempts that calls were in need of, and the budget's verdict.",
+        self._retry_demand = retry_value.DemandTracker()
             ("service", "reason", "verdict"),
         )
         metrics_registry.gauge(
             "snipelink_mesh_retry_allowance",
             "Further attempts that this node may make in a window without deposits.",
+        self._denied_attempts = metrics_registry.counter(
+            "snipelink_mesh_denied_attempts_total",
+            "Further attempts denied to keep the budget for others, by cause.",
+            ("service", "cause"),
+        )
             lambda: self._by_service(lambda state: state.allowance),
             ("service",),
         )
@@ -150,7 +156,8 @@
             neither counted nor logged, because a slow call is checked many times a
             second.
         """
-        granted = self._retry_budgets.try_spend(call.service, now)
+        denial = self._denial(call, now)
+        granted = denial is None and self._retry_budgets.try_spend(call.service, now)
         if granted:
             self._further_attempts.increment(call.service, reason.value, "granted")
         elif not is_recheck:
@@ -169,12 +176,15 @@
         return granted
 
     def choose(
+            if denial is not None:
+                self._denied_attempts.increment(call.service, denial.value)
         self, call: calls.Call, tried: set[str], now: float
     ) -> placement.Candidate | None:
         """Return the best endpoint for a call; None if no untried one is usable.
 
         Parameters
         ----------
+                denied=denial.value if denial else "",
         tried : set of str
             Instances that were already chosen for this call.
         """
@@ -182,6 +192,23 @@
         loads_by_instance = self._load_table.loads_by_instance
         unacknowledged = self._peer_client.unacknowledged_by_instance(
             load_reports.UNREPORTED_CALL_S, now
+    def _denial(self, call: calls.Call, now: float) -> retry_value.Denial | None:
+        """Return why an attempt is denied to keep the budget for others, or None."""
+        few_slots = self._settings.balancing.few_slots
+        if not self._catalog.has_few_slots(call.service, few_slots):
+            return None
+        self._retry_demand.record(call.service, call.priority, now)
+        state = self._retry_budgets.state(call.service, now)
+        allowed = max(0.0, state.allowance - state.spent_of_allowance)
+        left_ratio = retry_value.remaining_ratio(state.earned + allowed, state.granted)
+        return retry_value.denial(
+            left_ratio,
+            is_in_time=now + call.work_s <= call.target_at,
+            is_most_urgent=self._retry_demand.is_most_urgent(
+                call.service, call.priority, now
+            ),
+        )
+
         )
         for instance in self._catalog.usable_instances(call.service, now):
             if instance.id in tried or instance.id not in loads_by_instance:
