Schedule the returns of refused callers by the reported room

Refused callers were told the backlog of one endpoint with jitter. Callers of a burst came back together, were refused again, and most retry only once. Each node now counts the returns that it has promised for each tenth of a second and promises no more than fit, from the room that endpoints report, the learnt work and the number of nodes. Callers with little time left get the early steps, as they wait for a third of it at most. Applies to services of endpoints with few slots whose endpoints report; for others and without reports the former rule holds.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -18,6 +18,7 @@
     load_reports,
     peers,
     retry_budgets,
+    returns,
     settings,
 )
 from snipelink.observe import metrics
@@ -82,6 +83,8 @@
     ----------
     estimates : WorkEstimates
         Expected run times of calls by service and operation.
+    returns : ReturnPlanner
+        Tells refused callers when to retry.
     """
 
     def __init__(
@@ -102,20 +105,20 @@
         self._metrics = metrics_registry
         self._rng = rng
         self._retry_budgets = retry_budgets.RetryBudgets(node_settings)
+        self._retry_demand = retry_value.DemandTracker()
         self._further_attempts = metrics_registry.counter(
             "snipelink_mesh_further_attempts_total",
             "Further attempts that calls were in need of, and the budget's verdict.",
-        self._retry_demand = retry_value.DemandTracker()
             ("service", "reason", "verdict"),
         )
-        metrics_registry.gauge(
-            "snipelink_mesh_retry_allowance",
-            "Further attempts that this node may make in a window without deposits.",
         self._denied_attempts = metrics_registry.counter(
             "snipelink_mesh_denied_attempts_total",
             "Further attempts denied to keep the budget for others, by cause.",
             ("service", "cause"),
         )
+        metrics_registry.gauge(
+            "snipelink_mesh_retry_allowance",
+            "Further attempts that this node may make in a window without deposits.",
             lambda: self._by_service(lambda state: state.allowance),
             ("service",),
         )
@@ -132,12 +135,23 @@
             ("service",),
         )
         self.estimates = work_estimation.WorkEstimates()
+        self.returns = returns.ReturnPlanner(
+            node_settings,
+            service_catalog,
+            load_table,
+            self.estimates,
+            metrics_registry,
+            rng,
+        )
 
     def on_catalog_change(self, now: float) -> None:
         """Divide the retry allowance by the number of machines now published."""
         # A machine may be listed twice after its endpoint was replaced.
         hosts = {each.host for each in self._catalog.instances_by_id.values()}
         self._retry_budgets.on_published(len(hosts), now)
+        self.returns.on_catalog_change(len(hosts))
+        services = {each.service for each in self._catalog.instances_by_id.values()}
+        self._retry_demand.retain(services)
 
     def try_spend_budget(
         self,
@@ -162,12 +176,15 @@
             self._further_attempts.increment(call.service, reason.value, "granted")
         elif not is_recheck:
             self._further_attempts.increment(call.service, reason.value, "refused")
+            if denial is not None:
+                self._denied_attempts.increment(call.service, denial.value)
             state = self._retry_budgets.state(call.service, now)
             log_decision(
                 call,
                 "no budget for a further attempt",
                 now,
                 reason=reason.value,
+                denied=denial.value if denial else "",
                 allowance=round(state.allowance, 3),
                 earned=round(state.earned, 3),
                 spent_of_allowance=state.spent_of_allowance,
@@ -175,23 +192,6 @@
             )
         return granted
 
-    def choose(
-            if denial is not None:
-                self._denied_attempts.increment(call.service, denial.value)
-        self, call: calls.Call, tried: set[str], now: float
-    ) -> placement.Candidate | None:
-        """Return the best endpoint for a call; None if no untried one is usable.
-
-        Parameters
-        ----------
-                denied=denial.value if denial else "",
-        tried : set of str
-            Instances that were already chosen for this call.
-        """
-        candidates = []
-        loads_by_instance = self._load_table.loads_by_instance
-        unacknowledged = self._peer_client.unacknowledged_by_instance(
-            load_reports.UNREPORTED_CALL_S, now
     def _denial(self, call: calls.Call, now: float) -> retry_value.Denial | None:
         """Return why an attempt is denied to keep the budget for others, or None."""
         few_slots = self._settings.balancing.few_slots
@@ -209,6 +209,20 @@
             ),
         )
 
+    def choose(
+        self, call: calls.Call, tried: set[str], now: float
+    ) -> placement.Candidate | None:
+        """Return the best endpoint for a call; None if no untried one is usable.
+
+        Parameters
+        ----------
+        tried : set of str
+            Instances that were already chosen for this call.
+        """
+        candidates = []
+        loads_by_instance = self._load_table.loads_by_instance
+        unacknowledged = self._peer_client.unacknowledged_by_instance(
+            load_reports.UNREPORTED_CALL_S, now
         )
         for instance in self._catalog.usable_instances(call.service, now):
             if instance.id in tried or instance.id not in loads_by_instance:
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -7,6 +7,7 @@
 import random
 
 from snipelink import clock, errors
+import time
 from snipelink.decide import placement, retry_after, traffic_split
 from snipelink.mesh import (
     attempts,
@@ -150,6 +151,7 @@
         self._is_stopping = True
 
     def abort_calls(self) -> None:
+            outcome = self._attempts.returns.plan(call, outcome, clock.now())
         """Fail all calls in flight at once; it is unknown whether they have run."""
         now = asyncio.get_running_loop().time()
         for timeout in self._stop_timeouts:
@@ -360,6 +362,10 @@
 
 def _parse_ms(text: str) -> int:
     if text.isascii() and text.isdigit() and len(text) <= 9:
+            if call.appointment is not None:
+                returns_at = time.time() + call.appointment.after_s
+                fields["returns_at"] = round(returns_at, 3)
+                fields["booked"] = call.appointment.is_booked
         return int(text)
     return DEFAULT_REMAINING_MS
 
