--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -10,7 +10,13 @@
 from collections.abc import Callable, Mapping
 
 from snipelink import clock
-from snipelink.decide import far_cost, hedging, placement, work_estimation
+from snipelink.decide import (
+    far_cost,
+    hedging,
+    placement,
+    retry_value,
+    work_estimation,
+)
 from snipelink.mesh import (
     admission,
     calls,
@@ -18,6 +24,7 @@
     load_reports,
     peers,
     retry_budgets,
+    returns,
     settings,
 )
 from snipelink.observe import metrics
@@ -85,6 +92,8 @@
         Expected run times of calls by service and operation.
     carried_bytes : CarriedBytes
         Expected bytes of calls by service and operation.
+    returns : ReturnPlanner
+        Tells refused callers when to retry.
     """
 
     def __init__(
@@ -105,11 +114,17 @@
         self._metrics = metrics_registry
         self._rng = rng
         self._retry_budgets = retry_budgets.RetryBudgets(node_settings)
+        self._retry_demand = retry_value.DemandTracker()
         self._further_attempts = metrics_registry.counter(
             "snipelink_mesh_further_attempts_total",
             "Further attempts that calls were in need of, and the budget's verdict.",
             ("service", "reason", "verdict"),
         )
+        self._denied_attempts = metrics_registry.counter(
+            "snipelink_mesh_denied_attempts_total",
+            "Further attempts denied to keep the budget for others, by cause.",
+            ("service", "cause"),
+        )
         metrics_registry.gauge(
             "snipelink_mesh_retry_allowance",
             "Further attempts that this node may make in a window without deposits.",
@@ -130,12 +145,23 @@
         )
         self.estimates = work_estimation.WorkEstimates()
         self.carried_bytes = far_cost.CarriedBytes()
+        self.returns = returns.ReturnPlanner(
+            node_settings,
+            service_catalog,
+            load_table,
+            self.estimates,
+            metrics_registry,
+            rng,
+        )
 
     def on_catalog_change(self, now: float) -> None:
         """Divide the retry allowance by the number of machines now published."""
         # A machine may be listed twice after its endpoint was replaced.
         hosts = {each.host for each in self._catalog.instances_by_id.values()}
         self._retry_budgets.on_published(len(hosts), now)
+        self.returns.on_catalog_change(len(hosts))
+        services = {each.service for each in self._catalog.instances_by_id.values()}
+        self._retry_demand.retain(services)
 
     def try_spend_budget(
         self,
@@ -154,17 +180,21 @@
             neither counted nor logged, because a slow call is checked many times a
             second.
         """
-        granted = self._retry_budgets.try_spend(call.service, now)
+        denial = self._denial(call, now)
+        granted = denial is None and self._retry_budgets.try_spend(call.service, now)
         if granted:
             self._further_attempts.increment(call.service, reason.value, "granted")
         elif not is_recheck:
             self._further_attempts.increment(call.service, reason.value, "refused")
+            if denial is not None:
+                self._denied_attempts.increment(call.service, denial.value)
             state = self._retry_budgets.state(call.service, now)
             log_decision(
                 call,
                 "no budget for a further attempt",
                 now,
                 reason=reason.value,
+                denied=denial.value if denial else "",
                 allowance=round(state.allowance, 3),
                 earned=round(state.earned, 3),
                 spent_of_allowance=state.spent_of_allowance,
@@ -172,6 +202,23 @@
             )
         return granted
 
+    def _denial(self, call: calls.Call, now: float) -> retry_value.Denial | None:
+        """Return why an attempt is denied to keep the budget for others, or None."""
+        few_slots = self._settings.balancing.few_slots
+        if not self._catalog.has_few_slots(call.service, few_slots):
+            return None
+        self._retry_demand.record(call.service, call.priority, now)
+        state = self._retry_budgets.state(call.service, now)
+        allowed = max(0.0, state.allowance - state.spent_of_allowance)
+        left_ratio = retry_value.remaining_ratio(state.earned + allowed, state.granted)
+        return retry_value.denial(
+            left_ratio,
+            is_in_time=now + call.work_s <= call.target_at,
+            is_most_urgent=self._retry_demand.is_most_urgent(
+                call.service, call.priority, now
+            ),
+        )
+
     def choose(
         self, call: calls.Call, tried: set[str], now: float
     ) -> placement.Candidate | None:
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -358,21 +358,10 @@
     )
 
 
-def make_member(service: str, store: FakeStore, zone: str = "a") -> Member:
-    host = loopback.next_host()
-    endpoint = FakeEndpoint(host, f"i-{host}", service)
-    return Member(host, endpoint, _make_node(host, service, store, zone), store)
-
-
-def restart(ended: Member) -> Member:
-    """Return a member with a new node on the machine of one that has ended."""
-    endpoint = ended.endpoint
-    restarted = _make_node(ended.host, endpoint.service, ended.store, "a")
-    return Member(ended.host, endpoint, restarted, ended.store)
-
-
-def _make_node(host: str, service: str, store: FakeStore, zone: str) -> node.Node:
-    own = settings.Settings(
+def make_settings(
+    host: str = "127.0.0.1", service: str = SERVICES[0], zone: str = "a"
+) -> settings.Settings:
+    return settings.Settings(
         node=f"node-{host}",
         host=host,
         failure_domain=zone,
@@ -386,7 +375,21 @@
         load_port=PEER_PORT,
         bounds=BOUNDS,
     )
-    return node.Node(own, NAMES, PATHS, store)
+
+
+def make_member(service: str, store: FakeStore, zone: str = "a") -> Member:
+    host = loopback.next_host()
+    endpoint = FakeEndpoint(host, f"i-{host}", service)
+    own = make_settings(host, service, zone)
+    return Member(host, endpoint, node.Node(own, NAMES, PATHS, store), store)
+
+
+def restart(ended: Member) -> Member:
+    """Return a member with a new node on the machine of one that has ended."""
+    endpoint = ended.endpoint
+    own = make_settings(ended.host, endpoint.service)
+    restarted = node.Node(own, NAMES, PATHS, ended.store)
+    return Member(ended.host, endpoint, restarted, ended.store)
 
 
 def published_instance(
