Describe restores of the platform's store for operators

The log line of a restore says what the copy lacks and what stays leaving, with the version in force and that of the copy; lines about lag state the era.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -236,6 +236,7 @@
             "before": self.era,
             "revision": copy.revision,
             "version": self.configuration_version,
+            "copy_version": copy.configuration.version if copy.configuration else 0,
             "absent": sorted(found.absent_ids)[:MAX_LOGGED_ENDPOINTS],
             "absent_count": len(found.absent_ids),
             "absent_evacuations": sorted(absent_domains),
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -187,7 +187,11 @@
             message = "node is no longer behind"
         else:
             return
-        fields = {"revision": self._catalog.revision, "behind_s": round(behind_s, 3)}
+        fields = {
+            "era": self._catalog.era,
+            "revision": self._catalog.revision,
+            "behind_s": round(behind_s, 3),
+        }
         logger.warning(message, extra={"fields": fields})
 
     async def run(self) -> None:
