Keep the revision of each sender of summaries

The two senders of a domain overwrote each other's revision, so the one that was behind hid the newer one until the next summary. Revisions are kept by sender; tested.

--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -124,7 +124,7 @@
         self.receiving_domains: frozenset[str] = frozenset()
         self._silent_domains: frozenset[str] = frozenset()
         self._received_at_by_domain: dict[str, float] = {}
-        self._reported_by_domain: dict[str, _ReportedRevision] = {}
+        self._reported_by_host: dict[str, _ReportedRevision] = {}
         self._has_newer_revision = asyncio.Event()
         self.sent_datagrams = 0
         self.received_summaries = 0
@@ -161,13 +161,12 @@
             del self._received_at_by_domain[domain]
         for domain in far_domains:
             self._received_at_by_domain.setdefault(domain, now)
-        self._received.retain(
-            {
-                host
-                for hosts in self._published.hosts_by_domain.values()
-                for host in hosts
-            }
-        )
+        published_hosts = {
+            host for hosts in self._published.hosts_by_domain.values() for host in hosts
+        }
+        self._received.retain(published_hosts)
+        for host in [h for h in self._reported_by_host if h not in published_hosts]:
+            del self._reported_by_host[host]
         self._has_newer_revision.set()
 
     def update_senders(self, is_silent: Callable[[str], bool]) -> dict[str, bool]:
@@ -239,7 +238,7 @@
         """
         recent = [
             each
-            for each in self._reported_by_domain.values()
+            for each in self._reported_by_host.values()
             if now - each.received_at <= placement.SILENT_NODE_S
         ]
         newest = max(recent, key=lambda each: each.revision, default=None)
@@ -353,7 +352,7 @@
                 )
 
     def _on_revision(self, summary: mesh.DomainSummary, now: float) -> None:
-        self._reported_by_domain[summary.domain] = _ReportedRevision(
+        self._reported_by_host[summary.host] = _ReportedRevision(
             summary.revision, summary.host, now
         )
         if summary.revision > self._catalog.revision:
--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -412,6 +412,17 @@
     assert host in network.senders("a", "b")
 
 
+def test_sender_that_is_behind_does_not_hide_the_revision_of_another(
+    start: Start,
+) -> None:
+    network = start(9)
+    node, (first, second) = network.nodes("b")[0], network.senders("a", "b")
+    for sender, revision in ((first, 7), (second, 6)):
+        data = _summary(network, 900, 0, host=sender, revision=revision)
+        node.exchange.datagram_received(data, (sender, 0))
+    assert node.summaries.newest_revision(network.now) == (7, first)
+
+
 def test_crash_reports_reach_some_nodes_of_other_domains(start: Start) -> None:
     network = start(30)
     for node in network.nodes_by_host.values():
