--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -122,7 +122,7 @@
         self.receiving_domains: frozenset[str] = frozenset()
         self._silent_domains: frozenset[str] = frozenset()
         self._received_at_by_domain: dict[str, float] = {}
-        self._reported_by_domain: dict[str, _ReceivedState] = {}
+        self._reported_by_host: dict[str, _ReceivedState] = {}
         self._has_newer_revision = asyncio.Event()
         self.sent_datagrams = 0
         self.received_summaries = 0
@@ -159,13 +159,12 @@
             del self._received_at_by_domain[domain]
         for domain in far_domains:
             self._received_at_by_domain.setdefault(domain, now)
-        self._received.retain(
-            {
-                host
-                for hosts in self._published.hosts_by_domain.values()
-                for host in hosts
-            }
-        )
+        published_hosts = {
+            host for hosts in self._published.hosts_by_domain.values() for host in hosts
+        }
+        self._received.retain(published_hosts)
+        for host in [h for h in self._reported_by_host if h not in published_hosts]:
+            del self._reported_by_host[host]
         self._has_newer_revision.set()
 
     def update_senders(self, is_silent: Callable[[str], bool]) -> dict[str, bool]:
@@ -231,7 +230,7 @@
         """
         recent = [
             each.state
-            for each in self._reported_by_domain.values()
+            for each in self._reported_by_host.values()
             if now - each.received_at <= placement.SILENT_NODE_S
         ]
         return max(
@@ -351,7 +350,7 @@
     def _on_state(self, summary: mesh.DomainSummary, now: float) -> None:
         position = published_state.Position(summary.era, summary.revision)
         state = watcher.ReportedState(summary.host, position, summary.configuration)
-        self._reported_by_domain[summary.domain] = _ReceivedState(state, now)
+        self._reported_by_host[summary.host] = _ReceivedState(state, now)
         self._on_reported_state(state, now)
 
     def _register_gauges(self, registry: metrics.Metrics) -> None:
--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -427,6 +427,19 @@
     assert any(node.has_heard_of(restored.position) for node in network.nodes("b"))
 
 
+def test_sender_that_is_behind_does_not_hide_the_revision_of_another(
+    start: Start,
+) -> None:
+    network = start(9)
+    node, (first, second) = network.nodes("b")[0], network.senders("a", "b")
+    for sender, revision in ((first, 7), (second, 6)):
+        data = _summary(network, 900, 0, host=sender, revision=revision)
+        node.exchange.datagram_received(data, (sender, 0))
+    state = node.summaries.newest_state(network.now)
+    assert state is not None
+    assert (state.position.revision, state.host) == (7, first)
+
+
 def test_crash_reports_reach_some_nodes_of_other_domains(start: Start) -> None:
     network = start(30)
     for node in network.nodes_by_host.values():
