Count given-up requests as running until their deadline

Change: a request that ended without an answer counts as running until its deadline, and the requests of a node's former process for 4 s. A call of a caller ends precedence for 5 s. The log of answered calls states beside_running.

--- a/src/snipelink/decide/internal_operations.py
+++ b/src/snipelink/decide/internal_operations.py
@@ -17,7 +17,7 @@
 SAMPLE_COUNT = 12
 # Time for which an operation is one of callers after a call that cannot be internal,
 # seconds.
-CALLER_OPERATION_S = 10.0
+CALLER_OPERATION_S = 5.0
 # Maximum number of operations for which calls are remembered.
 MAX_OPERATIONS = 256
 # Weight of one outcome in the moving average of unserved internal calls.
--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -189,8 +189,16 @@
                     return poison_refusal
             verdict = "waited" if offered.verdict is slots.Verdict.WAIT else "started"
             self._internal_calls.record_verdict(call, verdict)
-            with self._internal_calls.running(call):
-                return await self._exchange(key, call, instance, clock.now())
+            answered = False
+            try:
+                with self._internal_calls.running(call):
+                    outcome = await self._exchange(key, call, instance, clock.now())
+                answered = outcome.response is not None
+                return outcome
+            finally:
+                self._internal_calls.on_run_ended(
+                    call, answered=answered, now=clock.now()
+                )
         finally:
             self.slots.release(key)
             ended = clock.now()
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -332,6 +332,7 @@
         if call is not None:
             fields["to_target_s"] = round(call.target_at - arrived_at, 3)
             fields["expected_work_s"] = round(call.work_s, 3)
+            fields["beside_running"] = call.beside_running
             fields["internal"] = self._internal_calls.is_known(call.operation, now)
             if call.choice is not None:
                 fields |= _choice_fields(call.choice)
--- a/src/snipelink/mesh/internal_calls.py
+++ b/src/snipelink/mesh/internal_calls.py
@@ -10,7 +10,6 @@
 import contextlib
 from collections.abc import Iterator
 
-from snipelink import clock
 from snipelink.decide import internal_operations
 from snipelink.mesh import calls, catalog, settings
 from snipelink.observe import metrics
@@ -18,9 +17,12 @@
 # Calls of one internal operation that a node passes on as internal at once for each
 # request that its endpoint runs, so that a caller gains little by using the operation.
 MAX_INTERNAL_PER_RUNNING = 2
-# Time after the last request of the endpoint for which it still counts as running,
-# seconds. A request that its node has given up may just have sent a call.
+# Time after the end of a request for which the endpoint still counts as running one,
+# seconds, as a call that the request made may still be on its way.
 RUN_GRACE_S = 0.25
+# The same time after the start of the node: requests that its former process sent may
+# still run.
+RESTART_GRACE_S = 4.0
 # Time for which a caller's node remembers that an operation is internal, seconds.
 KNOWN_INTERNAL_S = 5.0
 
@@ -59,8 +61,7 @@
         self._running_by_operation: collections.Counter[str] = collections.Counter()
         self._in_flight_by_operation: collections.Counter[str] = collections.Counter()
         self._known_until_by_operation: dict[str, float] = {}
-        # A request may have survived the node's former process.
-        self._last_run_ended_at = now
+        self._may_run_until = now + RESTART_GRACE_S
         self.verdicts = metrics_registry.counter(
             "snipelink_mesh_internal_calls_total",
             "Calls of running requests, and the verdict beside the called endpoint.",
@@ -74,9 +75,7 @@
         if not self._applies_to(call.service):
             yield
             return
-        call.beside_running = bool(running_count) or (
-            call.arrived_at < self._last_run_ended_at + RUN_GRACE_S
-        )
+        call.beside_running = running_count > 0 or call.arrived_at < self._may_run_until
         in_flight_count = self._in_flight_by_operation[call.operation]
         limit = MAX_INTERNAL_PER_RUNNING * max(1, running_count)
         call.may_precede = call.beside_running and in_flight_count < limit
@@ -132,11 +131,14 @@
             yield
         finally:
             _decrement(self._running_by_operation, call.operation)
-            self.on_run_ended(clock.now())
 
-    def on_run_ended(self, now: float) -> None:
-        """Record that a request on this node's endpoint has ended or is given up."""
-        self._last_run_ended_at = now
+    def on_run_ended(self, call: calls.Call, *, answered: bool, now: float) -> None:
+        """Record that a request on this node's endpoint has ended.
+
+        An endpoint may go on with a request that was given up, until its deadline.
+        """
+        ended_at = now if answered else max(now, call.deadline)
+        self._may_run_until = max(self._may_run_until, ended_at + RUN_GRACE_S)
 
     def retain(self, operations: set[str]) -> None:
         """Remove what is known of operations that are no longer published."""
--- a/tests/mesh/test_internal_calls.py
+++ b/tests/mesh/test_internal_calls.py
@@ -4,6 +4,8 @@
 import dataclasses
 import typing
 
+import pytest
+
 from snipelink import errors
 from snipelink.decide import internal_operations
 from snipelink.mesh import calls, catalog, internal_calls, published_state
@@ -74,15 +76,33 @@
     assert (busy.beside_running, busy.may_precede) == (True, True)
 
 
-def test_call_of_a_request_that_was_just_given_up_counts_as_beside_it() -> None:
+@pytest.mark.parametrize(
+    ("answered", "at", "beside_running"),
+    [
+        (True, NOW + internal_calls.RUN_GRACE_S / 2, True),
+        (True, NOW + internal_calls.RUN_GRACE_S * 2, False),
+        (False, NOW + 0.9, True),
+        (False, NOW + 1.1 + internal_calls.RUN_GRACE_S, False),
+    ],
+)
+def test_request_that_was_given_up_counts_as_running_until_its_deadline(
+    answered: bool, at: float, beside_running: bool
+) -> None:
+    """Guards against the loss of precedence while requests reach their deadlines."""
     tracker = _tracker()
-    with tracker.running(_call(operation="submit")):
+    tracker.on_run_ended(_call(operation="submit"), answered=answered, now=NOW)
+    call = _call(arrived_at=at)
+    with tracker.passing_on(call):
         pass
-    tracker.on_run_ended(NOW - internal_calls.RUN_GRACE_S / 2)
-    late = _call()
-    with tracker.passing_on(late):
+    assert call.beside_running is beside_running
+
+
+def test_requests_of_the_former_process_of_a_node_may_still_run() -> None:
+    tracker = _tracker()
+    early = _call(arrived_at=internal_calls.RESTART_GRACE_S / 2)
+    with tracker.passing_on(early):
         pass
-    assert late.beside_running
+    assert early.beside_running
 
 
 def test_operation_is_internal_only_at_services_with_few_slots() -> None:
