Keep the rest of a retry budget for attempts that are of use

The shared budget went to whichever calls failed first, so answers that were late anyway used it up. For services of endpoints with few slots, less than half of a node's part is only granted to calls that can be in time, and the last fifth to the most urgent operations that ask for attempts. The budget itself is unchanged: a denial only precedes the former check. Denials are counted by cause and logged.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping
 
 from snipelink import clock
-from snipelink.decide import hedging, placement, work_estimation
+from snipelink.decide import hedging, placement, retry_value, work_estimation
 from snipelink.mesh import (
     admission,
     calls,
@@ -102,11 +102,17 @@
         self._metrics = metrics_registry
         self._rng = rng
         self._retry_budgets = retry_budgets.RetryBudgets(node_settings)
+        self._retry_demand = retry_value.DemandTracker()
         self._further_attempts = metrics_registry.counter(
             "snipelink_mesh_further_attempts_total",
             "Further attempts that calls were in need of, and the budget's verdict.",
             ("service", "reason", "verdict"),
         )
+        self._denied_attempts = metrics_registry.counter(
+            "snipelink_mesh_denied_attempts_total",
+            "Further attempts denied to keep the budget for others, by cause.",
+            ("service", "cause"),
+        )
         metrics_registry.gauge(
             "snipelink_mesh_retry_allowance",
             "Further attempts that this node may make in a window without deposits.",
@@ -132,6 +138,8 @@
         # A machine may be listed twice after its endpoint was replaced.
         hosts = {each.host for each in self._catalog.instances_by_id.values()}
         self._retry_budgets.on_published(len(hosts), now)
+        services = {each.service for each in self._catalog.instances_by_id.values()}
+        self._retry_demand.retain(services)
 
     def try_spend_budget(
         self,
@@ -150,17 +158,21 @@
             neither counted nor logged, because a slow call is checked many times a
             second.
         """
-        granted = self._retry_budgets.try_spend(call.service, now)
+        denial = self._denial(call, now)
+        granted = denial is None and self._retry_budgets.try_spend(call.service, now)
         if granted:
             self._further_attempts.increment(call.service, reason.value, "granted")
         elif not is_recheck:
             self._further_attempts.increment(call.service, reason.value, "refused")
+            if denial is not None:
+                self._denied_attempts.increment(call.service, denial.value)
             state = self._retry_budgets.state(call.service, now)
             log_decision(
                 call,
                 "no budget for a further attempt",
                 now,
                 reason=reason.value,
+                denied=denial.value if denial else "",
                 allowance=round(state.allowance, 3),
                 earned=round(state.earned, 3),
                 spent_of_allowance=state.spent_of_allowance,
@@ -168,6 +180,23 @@
             )
         return granted
 
+    def _denial(self, call: calls.Call, now: float) -> retry_value.Denial | None:
+        """Return why an attempt is denied to keep the budget for others, or None."""
+        few_slots = self._settings.balancing.few_slots
+        if not self._catalog.has_few_slots(call.service, few_slots):
+            return None
+        self._retry_demand.record(call.service, call.priority, now)
+        state = self._retry_budgets.state(call.service, now)
+        allowed = max(0.0, state.allowance - state.spent_of_allowance)
+        left_ratio = retry_value.remaining_ratio(state.earned + allowed, state.granted)
+        return retry_value.denial(
+            left_ratio,
+            is_in_time=now + call.work_s <= call.target_at,
+            is_most_urgent=self._retry_demand.is_most_urgent(
+                call.service, call.priority, now
+            ),
+        )
+
     def choose(
         self, call: calls.Call, tried: set[str], now: float
     ) -> placement.Candidate | None:
--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -83,9 +83,9 @@
     client: FakePeerClient
     metrics: metrics.Metrics
 
-    def publish(self, count: int, now: float) -> None:
+    def publish(self, count: int, now: float, slots: int = 0) -> None:
         """Publish one endpoint on each of `count` machines."""
-        instances = tuple(_instance(index) for index in range(count))
+        instances = tuple(_instance(index, slots) for index in range(count))
         revision = self.catalog.revision + 1
         self.catalog.apply_snapshot(
             published_state.PublishedState(revision, None, instances), now
@@ -98,9 +98,9 @@
         return self.metrics.counter(name, "").values()
 
 
-def _instance(index: int) -> published_state.Instance:
+def _instance(index: int, slots: int = 0) -> published_state.Instance:
     return published_state.Instance(
-        f"i-{index}", SERVICE, f"10.0.0.{index}", "a", False
+        f"i-{index}", SERVICE, f"10.0.0.{index}", "a", False, slots=slots
     )
 
 
@@ -228,6 +228,29 @@
     assert f"snipelink_mesh_retry_allowance{label} {spent}" in text
 
 
+@pytest.mark.parametrize("slots", [0, 3])
+def test_rest_of_the_budget_is_kept_for_calls_in_time(slots: int) -> None:
+    """Guards against a budget that calls use up whose answers are late anyway.
+
+    Services of endpoints with more slots, or an unknown number of them, are left out.
+    """
+    subject = _subject(retry_ratio=0.0, retry_allowance=20.0)
+    now, failed = clock.now(), attempts.RetryReason.FAILED
+    subject.publish(2, now, slots)
+    late, timely = _call(target_at=now - 0.1), _call()
+    late_count = sum(
+        subject.attempts.try_spend_budget(late, failed, now) for _ in range(50)
+    )
+    timely_count = sum(
+        subject.attempts.try_spend_budget(timely, failed, now) for _ in range(50)
+    )
+    assert late_count > 0
+    assert (timely_count > 0) == (slots > 0)
+    denied = "snipelink_mesh_denied_attempts_total"
+    counts = subject.metrics.counter(denied, "").values()
+    assert counts.get((SERVICE, "late"), 0) == (50 - late_count if slots else 0)
+
+
 def test_slow_call_counts_one_refused_hedge_however_often_it_is_checked() -> None:
     """Guards against counting each check of a slow call as a refused hedge."""
     subject = _subject(_slow_on("i-0", "i-1"), retry_ratio=0.0, retry_allowance=0.0)
