Schedule the returns of refused callers by the reported room

Refused callers were told the backlog of one endpoint with jitter. Callers of a burst came back together, were refused again, and most retry only once. Each node now counts the returns that it has promised for each tenth of a second and promises no more than fit, from the room that endpoints report, the learnt work and the number of nodes. Applies to services of endpoints with few slots whose endpoints report; for others and without reports the former rule holds.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -18,6 +18,7 @@
     load_reports,
     peers,
     retry_budgets,
+    returns,
     settings,
 )
 from snipelink.observe import metrics
@@ -82,6 +83,8 @@
     ----------
     estimates : WorkEstimates
         Expected run times of calls by service and operation.
+    returns : ReturnPlanner
+        Tells refused callers when to retry.
     """
 
     def __init__(
@@ -132,12 +135,21 @@
             ("service",),
         )
         self.estimates = work_estimation.WorkEstimates()
+        self.returns = returns.ReturnPlanner(
+            node_settings,
+            service_catalog,
+            load_table,
+            self.estimates,
+            metrics_registry,
+            rng,
+        )
 
     def on_catalog_change(self, now: float) -> None:
         """Divide the retry allowance by the number of machines now published."""
         # A machine may be listed twice after its endpoint was replaced.
         hosts = {each.host for each in self._catalog.instances_by_id.values()}
         self._retry_budgets.on_published(len(hosts), now)
+        self.returns.on_catalog_change(len(hosts))
         services = {each.service for each in self._catalog.instances_by_id.values()}
         self._retry_demand.retain(services)
 
--- a/src/snipelink/mesh/calls.py
+++ b/src/snipelink/mesh/calls.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from snipelink import errors, model
-from snipelink.decide import placement, queue_policy
+from snipelink.decide import placement, queue_policy, return_schedule
 from snipelink.session import http
 
 
@@ -33,6 +33,8 @@
         Expected run time on an endpoint without slowdown, seconds.
     choice : Candidate or None
         Load data of the endpoint that the call was last sent to.
+    appointment : Appointment or None
+        When its caller should retry, if the call was refused and its return is planned.
     fingerprint : str
         Hash of the request by which `poison_requests` recognises requests that crash
         endpoints; empty until it is first needed.
@@ -54,6 +56,7 @@
     caller_service: str = ""
     max_attempts: int = 1
     choice: placement.Candidate | None = None
+    appointment: return_schedule.Appointment | None = None
     fingerprint: str = ""
 
     def demand(self) -> queue_policy.Demand:
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+import time
 
 from snipelink import clock, errors
 from snipelink.decide import placement, retry_after, traffic_split
@@ -143,6 +144,7 @@
             )
         else:
             outcome = await self._run_with_stop_timeout(call)
+            outcome = self._attempts.returns.plan(call, outcome, clock.now())
         return self._finish(request, call_id, route.name, outcome, arrived_at, call)
 
     def stop(self) -> None:
@@ -326,6 +328,10 @@
             fields["expected_work_s"] = round(call.work_s, 3)
             if call.choice is not None:
                 fields |= _choice_fields(call.choice)
+            if call.appointment is not None:
+                returns_at = time.time() + call.appointment.after_s
+                fields["returns_at"] = round(returns_at, 3)
+                fields["booked"] = call.appointment.is_booked
         logger.info("call is answered", extra={"fields": fields})
         if outcome.response is not None:
             return self._strip_headers(outcome.response)
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -335,10 +335,10 @@
     )
 
 
-def make_member(service: str, store: FakeStore, zone: str = "a") -> Member:
-    host = loopback.next_host()
-    endpoint = FakeEndpoint(host, f"i-{host}", service)
-    own = settings.Settings(
+def make_settings(
+    host: str = "127.0.0.1", service: str = SERVICES[0], zone: str = "a"
+) -> settings.Settings:
+    return settings.Settings(
         node=f"node-{host}",
         host=host,
         failure_domain=zone,
@@ -352,6 +352,12 @@
         load_port=PEER_PORT,
         bounds=BOUNDS,
     )
+
+
+def make_member(service: str, store: FakeStore, zone: str = "a") -> Member:
+    host = loopback.next_host()
+    endpoint = FakeEndpoint(host, f"i-{host}", service)
+    own = make_settings(host, service, zone)
     return Member(host, endpoint, node.Node(own, NAMES, PATHS, store), store)
 
 
--- /dev/null
+++ b/tests/mesh/test_returns.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+import pytest
+
+from snipelink import clock, errors
+from snipelink.decide import return_schedule, slowness_period, work_estimation
+from snipelink.generated import mesh
+from snipelink.mesh import (
+    calls,
+    catalog,
+    load_reports,
+    published_state,
+    returns,
+    settings,
+)
+from snipelink.observe import metrics
+from tests.mesh import fleet
+
+SERVICE = "rota"
+FEW_SLOTS = settings.Balancing().few_slots
+
+
+def _planner(
+    *, slots: int, reports: bool
+) -> tuple[returns.ReturnPlanner, metrics.Metrics]:
+    now = clock.now()
+    published = catalog.Catalog(2.0)
+    instance = published_state.Instance(
+        "i-0", SERVICE, "10.0.0.1", "a", False, slots=slots
+    )
+    published.apply_snapshot(published_state.PublishedState(1, None, (instance,)), now)
+    table = load_reports.LoadTable(slowness_period.PeriodEstimator())
+    if reports:
+        load = mesh.Load("i-0", 1, 1, 3, 2, 3, 100, 0, True, 1, 1, False)
+        table.update(load, instance.host, now)
+    recorded = metrics.Metrics()
+    planner = returns.ReturnPlanner(
+        fleet.make_settings(),
+        published,
+        table,
+        work_estimation.WorkEstimates(),
+        recorded,
+        random.Random(1),
+    )
+    return planner, recorded
+
+
+def _call(remaining_s: float) -> calls.Call:
+    now = clock.now()
+    return calls.Call(
+        "c1",
+        SERVICE,
+        "view",
+        "GET",
+        "/view/1",
+        [],
+        b"",
+        now,
+        now + 0.2,
+        now + remaining_s,
+        2,
+        True,
+        0.05,
+    )
+
+
+def _refusal(retry_after_s: float = 0.1) -> calls.Outcome:
+    return calls.failed_outcome(errors.Kind.OVERLOADED, "full", retry_after_s)
+
+
+def _retry_after_s(outcome: calls.Outcome) -> float:
+    assert outcome.failure is not None
+    return outcome.failure.retry_after_s
+
+
+def test_refused_callers_are_told_different_times_within_their_limit() -> None:
+    planner, recorded = _planner(slots=FEW_SLOTS, reports=True)
+    times = []
+    for _ in range(50):
+        call = _call(remaining_s=3.0)
+        times.append(_retry_after_s(planner.plan(call, _refusal(), clock.now())))
+        assert call.appointment is not None
+    assert 0.1 <= min(times) < 0.3
+    assert 0.9 < max(times) <= 3.0 * return_schedule.MAX_WAIT_RATIO
+    text = recorded.exposition()
+    assert f'snipelink_mesh_promised_returns{{service="{SERVICE}"}} 50' in text
+    assert "snipelink_mesh_promised_returns_total" in text
+
+
+@pytest.mark.parametrize(
+    ("slots", "reports"),
+    [(FEW_SLOTS, False), (FEW_SLOTS + 1, True), (0, True)],
+    ids=["no reports", "many slots", "unpublished slots"],
+)
+def test_former_rule_holds_without_reports_or_few_slots(
+    slots: int, reports: bool
+) -> None:
+    planner, _ = _planner(slots=slots, reports=reports)
+    call, refusal = _call(3.0), _refusal()
+    assert planner.plan(call, refusal, clock.now()) is refusal
+    assert call.appointment is None
+
+
+def test_failure_that_may_have_run_keeps_its_outcome() -> None:
+    planner, _ = _planner(slots=FEW_SLOTS, reports=True)
+    lost = calls.failed_outcome(errors.Kind.CONNECTION_LOST, "reset", reached=True)
+    assert planner.plan(_call(3.0), lost, clock.now()) is lost
+
+
+def test_refused_call_logs_its_return(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    refused = asyncio.run(_refused_answers())
+    assert refused
+    limit_s = 2.0 * return_schedule.MAX_WAIT_RATIO
+    assert all(0.0 < float(each["retry-after"]) <= limit_s for each in refused)
+    answered = [r for r in caplog.records if r.message == "call is answered"]
+    fields = [r.__dict__["fields"] for r in answered]
+    booked = [each for each in fields if "returns_at" in each and "booked" in each]
+    assert len(booked) == len(refused)
+
+
+async def _refused_answers() -> list[dict[str, str]]:
+    """Return the headers of the refusals of a burst at an endpoint with one slot."""
+    async with fleet.running(SERVICE) as members:
+        member = members[0]
+        member.endpoint.work_s, member.endpoint.slots = 0.4, 1
+        few = fleet.published_instance(member, slots=FEW_SLOTS)
+        member.store.publish(instances=(few,))
+        await fleet.wait_until(lambda: fleet.all_up_to_date(members))
+        clients = [await fleet.Client.open(member) for _ in range(8)]
+        responses = await asyncio.gather(
+            *(client.call(f"c{i}") for i, client in enumerate(clients))
+        )
+    return [dict(r.headers) for r in responses if r.status == 503]
