Let calls at a starting node wait for its first endpoints

After a loss of power callers are back before the nodes: half of the nodes had a configuration 0.11 s after their start and an endpoint that accepts 0.12 s after it, and calls in between were refused with not-ready or no-endpoint although most of them had one more try.

--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import math
 import random
 import time
 
 from snipelink import clock, errors
-from snipelink.decide import placement, retry_after, traffic_split
+from snipelink.decide import placement, retry_after, start_wait, traffic_split
 from snipelink.mesh import (
     attempts,
     calls,
@@ -92,6 +94,9 @@
         self._rng = rng
         self.stops_at: float | None = None
         self._is_stopping = False
+        self._configured = asyncio.Event()
+        # Monotonic time of the first configuration.
+        self._configured_at = math.inf
         # One timeout for each call in flight; it has no deadline until `abort_calls`.
         self._stop_timeouts: set[asyncio.Timeout] = set()
         self._splitters_by_route: dict[
@@ -107,6 +112,8 @@
             Monotonic time at which the first byte of the request arrived.
         """
         call_id = request.header(self._names.call_id)
+        if self._catalog.route_table is None:
+            await self._wait_for_configuration(request, arrived_at)
         table = self._catalog.route_table
         if table is None:
             outcome = calls.failed_outcome(
@@ -163,6 +170,9 @@
         table = self._catalog.route_table
         if table is None:
             return
+        if not self._configured.is_set():
+            self._configured_at = now
+            self._configured.set()
         routes = set(table.configuration.routes)
         for route in [r for r in self._splitters_by_route if r not in routes]:
             del self._splitters_by_route[route]
@@ -247,6 +257,9 @@
             if poison_refusal is not None:
                 return attempts.merge_outcomes(outcome, poison_refusal)
             chosen = self._attempts.choose(call, tried, now)
+            if chosen is None and outcome is None and self._may_wait(call, now):
+                await asyncio.sleep(start_wait.CHECK_INTERVAL_S)
+                continue
             if chosen is None:
                 return outcome or self._no_endpoint_outcome(call, now)
             tried.add(chosen.instance)
@@ -275,6 +288,27 @@
                 **_outcome_fields(latest),
             )
 
+    async def _wait_for_configuration(
+        self, request: http.Request, arrived_at: float
+    ) -> None:
+        """Wait for the first configuration of a node that has just started."""
+        remaining_ms = _parse_ms(request.header(self._names.remaining_ms))
+        wait_s = start_wait.for_configuration_s(remaining_ms / 1000.0)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(arrived_at + wait_s - clock.now()):
+                await self._configured.wait()
+
+    def _may_wait(self, call: calls.Call, now: float) -> bool:
+        """Whether a call may wait for the first endpoint of its service."""
+        few_slots = self._settings.balancing.few_slots
+        return (
+            not self._is_stopping
+            and self._catalog.has_few_slots(call.service, few_slots)
+            and start_wait.may_wait_for_endpoint(
+                call.demand(), now - self._configured_at, now
+            )
+        )
+
     def _may_retry(
         self,
         call: calls.Call,
--- a/tests/mesh/test_returns.py
+++ b/tests/mesh/test_returns.py
@@ -19,9 +19,14 @@
 )
 from snipelink.observe import metrics
 from tests.mesh import fleet
+from tests.mesh.test_node import run
 
 SERVICE = "rota"
 FEW_SLOTS = settings.Balancing().few_slots
+# Time for which the nodes of the tests miss their configuration or endpoints, seconds.
+MISSING_S = 0.2
+# Latency objective that leaves time for such a wait, seconds.
+TARGET_S = 1.5
 
 
 def _planner(
@@ -111,6 +116,58 @@
     assert planner.plan(_call(3.0), lost, clock.now()) is lost
 
 
+class _SlowStore(fleet.FakeStore):
+    """Store whose first answer takes `MISSING_S`."""
+
+    async def read(self, *, fresh: bool) -> published_state.PublishedState:
+        await asyncio.sleep(MISSING_S)
+        return await super().read(fresh=fresh)
+
+
+@run
+async def test_call_to_a_starting_node_waits_for_the_configuration() -> None:
+    """Guards against refusing the callers of a loss of power, who retry once."""
+    member = fleet.make_member(SERVICE, _SlowStore())
+    instance = fleet.published_instance(member, slots=FEW_SLOTS)
+    patient = fleet.route(SERVICE, target_s=TARGET_S, timeout_s=2.0)
+    member.store.publish(fleet.configuration(patient), (instance,))
+    await member.start()
+    try:
+        await asyncio.sleep(0.05)
+        client = await fleet.Client.open(member)
+        response = await client.call("c1")
+        assert response.status == 200
+    finally:
+        await member.end()
+
+
+@run
+async def test_call_waits_for_the_first_endpoint_only_while_it_can_be_in_time() -> None:
+    """Restarts a node whose endpoint starts after it."""
+    member = fleet.make_member(SERVICE, fleet.FakeStore())
+    instance = fleet.published_instance(member, slots=FEW_SLOTS)
+    routes = (
+        fleet.route(SERVICE, target_s=TARGET_S, timeout_s=2.0),
+        fleet.route(SERVICE, "/soon/", target_s=0.05, timeout_s=1.0),
+    )
+    member.store.publish(fleet.configuration(*routes), (instance,))
+    await member.start()
+    member.endpoint.stop()
+    try:
+        await fleet.wait_until(lambda: member.node.is_ready)
+        client = await fleet.Client.open(member)
+        impatient = await client.call("c1", path="/soon/1")
+        assert impatient.status == 503
+        client.send("c2")
+        await asyncio.sleep(MISSING_S)
+        await member.endpoint.start()
+        response = await client.receive()
+        assert response is not None
+        assert response.status == 200
+    finally:
+        await member.end()
+
+
 def test_refused_call_logs_its_return(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level(logging.INFO)
     refused = asyncio.run(_refused_answers())
