Correct the expected work of calls beside endpoints with few slots

A node without samples of an operation expects 0.4 of its objective as work. On cold endpoints, which work half as fast, that is nearly the whole objective, so calls that could be in time were refused as late. The node beside an endpoint now corrects what callers' nodes expect by the mean ratio of the work of its calls to that. A further attempt is no longer counted as denied if the budget is used up anyway.

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -12,7 +12,14 @@
 from result import Err
 
 from snipelink import clock, errors, model
-from snipelink.decide import polling, retry_after, slots, slowness_period
+from snipelink.decide import (
+    polling,
+    queue_policy,
+    retry_after,
+    slots,
+    slowness_period,
+    work_correction,
+)
 from snipelink.mesh import calls, endpoint, poison_requests, settings
 from snipelink.session import headers as header_rules
 from snipelink.session import http
@@ -118,6 +125,7 @@
         self._last_reported_external = 0
         self._failure_share = 0.0
         self._failure_share_at = now
+        self._work_correction = work_correction.WorkCorrection()
         self.state = EndpointState()
         self.stops_at: float | None = None
         self.slots = slots.Slots(now, period_estimator)
@@ -145,7 +153,7 @@
             # running call must not be cut off.
             return calls.failed_outcome(errors.Kind.LEAVING, "the node is leaving")
         key = next(self._keys)
-        offered = self.slots.offer(key, call.demand(), now)
+        offered = self.slots.offer(key, self._demand(call), now)
         if offered.verdict is slots.Verdict.REFUSE:
             self._log_refusal(call, offered.reason)
             after_s = retry_after.retry_after_s(offered.wait_s, self._rng)
@@ -267,6 +275,14 @@
         self.state.reported_at = now
         self.poll_schedule.on_report(now, changed=changed)
 
+    def _demand(self, call: calls.Call) -> queue_policy.Demand:
+        """Return the call's demand, with corrected work where slots are few."""
+        demand = call.demand()
+        if self.slots.capacity > self._settings.balancing.few_slots:
+            return demand
+        work_s = self._work_correction.corrected_s(call.work_s)
+        return dataclasses.replace(demand, work_s=work_s)
+
     def _log_refusal(self, call: calls.Call, reason: str) -> None:
         fields = {
             "id": call.call_id,
@@ -335,6 +351,8 @@
         work_s = 0.0
         if response.status < 400:
             work_s = self.slots.on_answer(key, now)
+            if work_s > 0.0:
+                self._work_correction.record(call.work_s, work_s)
         self._poison_guard.on_call_answered(call)
         return calls.Outcome(response, reached=True, work_s=work_s)
 
--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -200,7 +200,11 @@
         self._retry_demand.record(call.service, call.priority, now)
         state = self._retry_budgets.state(call.service, now)
         allowed = max(0.0, state.allowance - state.spent_of_allowance)
-        left_ratio = retry_value.remaining_ratio(state.earned + allowed, state.granted)
+        available = state.earned + allowed
+        if available < 1.0:
+            # The budget itself refuses the attempt.
+            return None
+        left_ratio = retry_value.remaining_ratio(available, state.granted)
         return retry_value.denial(
             left_ratio,
             is_in_time=now + call.work_s <= call.target_at,
