Refuse calls whose answers would find no memory

Callers that read large answers slowly fill the memory for answers; calls that had run then ended with 502.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -262,12 +262,17 @@
         has_few_slots = self._catalog.has_few_slots(call.service, balancing.few_slots)
         return far_cost.far_cost(
             balancing.few_slots_far_ratio if has_few_slots else far_cost.FAR_COST_RATIO,
-            self.carried_bytes.mean_bytes(
-                call.service, call.operation, call.carried_bytes()
-            ),
+            self.expected_bytes(call),
             balancing.far_s_per_mb,
         )
 
+    def expected_bytes(self, call: calls.Call) -> int:
+        """Return the expected bytes of a call, request and answer together."""
+        own_bytes = call.carried_bytes()
+        return int(
+            self.carried_bytes.mean_bytes(call.service, call.operation, own_bytes)
+        )
+
     async def run(
         self,
         call: calls.Call,
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -10,9 +10,16 @@
 import time
 
 from snipelink import clock, errors
-from snipelink.decide import placement, retry_after, start_wait, traffic_split
+from snipelink.decide import (
+    answer_room,
+    placement,
+    retry_after,
+    start_wait,
+    traffic_split,
+)
 from snipelink.mesh import (
     attempts,
+    buffers,
     calls,
     catalog,
     internal_calls,
@@ -31,6 +38,9 @@
 MAX_REFUSED_ATTEMPTS = 4
 # Retry time for callers when no endpoint is available, seconds.
 NO_ENDPOINT_RETRY_AFTER_S = 0.3
+# Retry time for callers whose answers have no room in memory, seconds. A slow reader
+# needs about that long for a part of a large answer.
+ANSWER_ROOM_RETRY_AFTER_S = 0.5
 # Remaining time of a request that states none, milliseconds.
 DEFAULT_REMAINING_MS = 30_000
 # Time before the caller's deadline at which a call without an answer fails, seconds, so
@@ -55,6 +65,8 @@
         Refuses requests that crash endpoints.
     internal_call_tracker : InternalCalls
         Observes calls that requests on this node's endpoint make.
+    node_buffers : Buffers
+        Memory in which answers are held until their callers have read them.
     metrics_registry : Metrics
         Records latencies and error kinds.
     rng : random.Random
@@ -74,6 +86,7 @@
         attempt_runner: attempts.AttemptRunner,
         poison_guard: poison_requests.PoisonRequestGuard,
         internal_call_tracker: internal_calls.InternalCalls,
+        node_buffers: buffers.Buffers,
         metrics_registry: metrics.Metrics,
         rng: random.Random,
     ) -> None:
@@ -95,6 +108,13 @@
         self._attempts = attempt_runner
         self._poison_guard = poison_guard
         self._internal_calls = internal_call_tracker
+        self._buffers = node_buffers
+        self._answer_room = answer_room.AnswerRoom()
+        self._answers_without_room = metrics_registry.counter(
+            "snipelink_mesh_answers_without_room_total",
+            "Calls refused because there would be no memory for their answers.",
+            ("service",),
+        )
         self._metrics = metrics_registry
         self._rng = rng
         self.stops_at: float | None = None
@@ -155,12 +175,29 @@
                 errors.Kind.LEAVING, "the node is leaving", after_s
             )
         else:
-            with self._internal_calls.passing_on(call):
-                outcome = await self._run_with_stop_timeout(call)
-            self._internal_calls.on_outcome(call, outcome, clock.now())
-            outcome = self._attempts.returns.plan(call, outcome, clock.now())
+            outcome = await self._run_if_answer_fits(call)
         return self._finish(request, call_id, route.name, outcome, arrived_at, call)
 
+    async def _run_if_answer_fits(self, call: calls.Call) -> calls.Outcome:
+        """Run a call, or refuse it if its answer would find no memory."""
+        answer_bytes = self._attempts.expected_bytes(call)
+        pools = [self._buffers.peer_replies]
+        if call.service == self._settings.service:
+            pools.append(self._buffers.endpoint_answers)
+        if not self._answer_room.may_start(answer_bytes, pools):
+            self._answers_without_room.increment(call.service)
+            after_s = retry_after.retry_after_s(ANSWER_ROOM_RETRY_AFTER_S, self._rng)
+            return calls.failed_outcome(
+                errors.Kind.OVERLOADED, "no memory for the answer", after_s
+            )
+        with (
+            self._answer_room.expecting(answer_bytes),
+            self._internal_calls.passing_on(call),
+        ):
+            outcome = await self._run_with_stop_timeout(call)
+        self._internal_calls.on_outcome(call, outcome, clock.now())
+        return self._attempts.returns.plan(call, outcome, clock.now())
+
     def stop(self) -> None:
         """Refuse new calls and start no retries; failed calls return their failure."""
         self._is_stopping = True
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -190,6 +190,7 @@
             call_attempts,
             self._poison_guard,
             internal_call_tracker,
+            self._buffers,
             self._metrics,
             rng,
         )
--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -20,6 +20,7 @@
 from snipelink.mesh import (
     admission,
     attempts,
+    buffers,
     calls,
     catalog,
     dispatch,
@@ -356,6 +357,7 @@
         internal_calls.InternalCalls(
             subject.own, subject.catalog, subject.metrics, clock.now()
         ),
+        buffers.Buffers.for_memory_limit(buffers.DEFAULT_MEMORY_BYTES),
         subject.metrics,
         rng,
     )
