Keep operations internal while their users move between services

Requests whose calls were refused were never held back, as a node makes about one internal call a second and the moving average forgot it before the next one.

Change: an operation is one of callers if all services use it, not if two do. Each refused internal call counts for the refusal of requests, and the recorded weight is bounded, so that requests run again soon.

--- a/src/snipelink/decide/internal_operations.py
+++ b/src/snipelink/decide/internal_operations.py
@@ -3,7 +3,7 @@
 A call that an endpoint makes while it runs a request looks like any other call, but
 its refusal also fails the request, for which a caller has waited and the endpoint has
 worked. Two observations of nodes tell such calls apart: they arrive only while the
-endpoint of their node runs a request, and only at nodes of the service that makes
+endpoint of their node runs a request, and only at nodes of the services that make
 them, whereas callers are everywhere.
 """
 
@@ -18,12 +18,20 @@
 # Time for which an operation is one of callers after a call that cannot be internal,
 # seconds.
 CALLER_OPERATION_S = 5.0
+# Time for which a service counts as a user of an operation after a call, seconds.
+USER_S = 10.0
+# Time for which a service counts as one with callers after a call, seconds.
+CALLING_SERVICE_S = 60.0
 # Maximum number of operations for which calls are remembered.
 MAX_OPERATIONS = 256
-# Weight of one outcome in the moving average of unserved internal calls.
-UNSERVED_WEIGHT = 0.2
-# Half-life of the share of unserved internal calls without new calls, seconds. As the
-# share decays, some requests are run again, which shows whether their calls are served.
+# Weight of served calls that is assumed in addition to the recorded ones. A node makes
+# about one internal call a second, and each refusal should count.
+ASSUMED_SERVED_WEIGHT = 0.5
+# Maximum weight of all recorded calls of an operation. It bounds the time for which no
+# request runs after their last calls were refused.
+MAX_RECORDED_WEIGHT = 2.0
+# Half-life of the weight of an internal call, seconds. As the weights decay, some
+# requests are run again, which shows whether their calls are served.
 UNSERVED_HALF_LIFE_S = 1.0
 # Share of unserved internal calls above which requests that make them are refused.
 MAX_UNSERVED_SHARE = 0.6
@@ -37,17 +45,17 @@
 
     Attributes
     ----------
-    caller_service : str
-        Service of the machines where the last calls were made.
-    count : int
-        Number of successive calls from that service, at most `SAMPLE_COUNT`.
+    beside_running_count : int
+        Number of successive calls beside running requests, at most `SAMPLE_COUNT`.
     callers_until : float
         Monotonic time until which the operation is one of callers.
+    called_at_by_service : dict of str to float
+        Monotonic time of the last call by the service of the machine that made it.
     """
 
-    caller_service: str
-    count: int = 0
+    beside_running_count: int = 0
     callers_until: float = 0.0
+    called_at_by_service: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class InternalOperations:
@@ -57,7 +65,7 @@
         self._observations_by_operation: collections.OrderedDict[str, _Observations] = (
             collections.OrderedDict()
         )
-        self._caller_services: set[str] = set()
+        self._called_at_by_service: dict[str, float] = {}
 
     def record(
         self, operation: str, caller_service: str, *, beside_running: bool, now: float
@@ -73,53 +81,62 @@
         """
         if not operation or not caller_service:
             return
-        if len(self._caller_services) < 2:
-            self._caller_services.add(caller_service)
-        seen = self._observations_by_operation.get(operation)
-        if seen is None:
-            seen = _Observations(caller_service)
-            self._observations_by_operation[operation] = seen
-            if len(self._observations_by_operation) > MAX_OPERATIONS:
-                self._observations_by_operation.popitem(last=False)
+        self._called_at_by_service[caller_service] = now
+        seen = self._observations_by_operation.setdefault(operation, _Observations())
         self._observations_by_operation.move_to_end(operation)
-        if not beside_running or caller_service != seen.caller_service:
-            seen.caller_service = caller_service
-            seen.count = 0
+        if len(self._observations_by_operation) > MAX_OPERATIONS:
+            self._observations_by_operation.popitem(last=False)
+        seen.called_at_by_service[caller_service] = now
+        if beside_running:
+            count = seen.beside_running_count + 1
+            seen.beside_running_count = min(SAMPLE_COUNT, count)
+        else:
+            seen.beside_running_count = 0
             seen.callers_until = now + CALLER_OPERATION_S
-            return
-        seen.count = min(SAMPLE_COUNT, seen.count + 1)
 
     def is_internal(self, operation: str, now: float) -> bool:
         """Whether only running requests use an operation, as far as observed.
 
-        While all calls come from nodes of one service, callers cannot be told from
-        endpoints and no operation is internal.
+        While all services use an operation, or all calls come from nodes of one
+        service, callers cannot be told from endpoints and it is not internal.
         """
         seen = self._observations_by_operation.get(operation)
-        return (
-            seen is not None
-            and seen.count >= SAMPLE_COUNT
-            and now >= seen.callers_until
-            and len(self._caller_services) > 1
-        )
+        if seen is None or seen.beside_running_count < SAMPLE_COUNT:
+            return False
+        if now < seen.callers_until:
+            return False
+        users = _recent(seen.called_at_by_service, USER_S, now)
+        return bool(_recent(self._called_at_by_service, CALLING_SERVICE_S, now) - users)
+
+
+def _recent(at_by_service: dict[str, float], max_age_s: float, now: float) -> set[str]:
+    return {service for service, at in at_by_service.items() if now - at < max_age_s}
 
 
 @dataclasses.dataclass(slots=True)
 class _UnservedShare:
-    """Moving average of the unserved calls of one operation at a monotonic time."""
+    """Decaying weights of the calls of one operation at a monotonic time."""
 
-    share: float = 0.0
+    unserved: float = 0.0
+    total: float = 0.0
     updated_at: float = 0.0
 
     def value(self, now: float) -> float:
-        age_s = max(0.0, now - self.updated_at)
-        return self.share * 0.5 ** (age_s / UNSERVED_HALF_LIFE_S)
+        decay = self._decay(now)
+        return self.unserved * decay / (self.total * decay + ASSUMED_SERVED_WEIGHT)
 
     def record(self, *, unserved: bool, now: float) -> None:
-        share = self.value(now)
-        self.share = share + UNSERVED_WEIGHT * (unserved - share)
+        decay = self._decay(now)
+        total = self.total * decay + 1.0
+        scale = min(1.0, MAX_RECORDED_WEIGHT / total)
+        self.unserved = (self.unserved * decay + unserved) * scale
+        self.total = total * scale
         self.updated_at = now
 
+    def _decay(self, now: float) -> float:
+        age_s = max(0.0, now - self.updated_at)
+        return 0.5 ** (age_s / UNSERVED_HALF_LIFE_S)
+
 
 class Dependencies:
     """Internal calls that requests of an endpoint make, and whether they are served."""
--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -37,7 +37,7 @@
 # for more than this multiple of its expected run time.
 HUNG_RUN_TIME_RATIO = 4.0
 # Retry time of a request whose internal calls are refused, seconds.
-UNSERVED_RETRY_AFTER_S = 0.3
+UNSERVED_RETRY_AFTER_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
