Track the runs of requests in a method of their own

Cause: the admission of a call nested two try blocks.

Change: _exchange_and_track counts a request as running and records its end; the behaviour is the same.

Measured: the tests of the node and of internal calls pass.

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -189,16 +189,7 @@
                     return poison_refusal
             verdict = "waited" if offered.verdict is slots.Verdict.WAIT else "started"
             self._internal_calls.record_verdict(call, verdict)
-            answered = False
-            try:
-                with self._internal_calls.running(call):
-                    outcome = await self._exchange(key, call, instance, clock.now())
-                answered = outcome.response is not None
-                return outcome
-            finally:
-                self._internal_calls.on_run_ended(
-                    call, answered=answered, now=clock.now()
-                )
+            return await self._exchange_and_track(key, call, instance)
         finally:
             self.slots.release(key)
             ended = clock.now()
@@ -341,6 +332,18 @@
             return calls.failed_outcome(errors.Kind.UNREACHABLE, "the endpoint is down")
         return None
 
+    async def _exchange_and_track(
+        self, key: int, call: calls.Call, instance: str
+    ) -> calls.Outcome:
+        answered = False
+        try:
+            with self._internal_calls.running(call):
+                outcome = await self._exchange(key, call, instance, clock.now())
+            answered = outcome.response is not None
+            return outcome
+        finally:
+            self._internal_calls.on_run_ended(call, answered=answered, now=clock.now())
+
     async def _exchange(
         self, key: int, call: calls.Call, instance: str, started_at: float
     ) -> calls.Outcome:
