Learn nothing from calls that may be of given-up requests

Change: calls beyond those that a node passes on as internal, among them all while none of its requests runs, have no precedence and count neither for nor against their operation, only for the services that use it.

--- a/src/snipelink/decide/internal_operations.py
+++ b/src/snipelink/decide/internal_operations.py
@@ -68,7 +68,12 @@
         self._called_at_by_service: dict[str, float] = {}
 
     def record(
-        self, operation: str, caller_service: str, *, beside_running: bool, now: float
+        self,
+        operation: str,
+        caller_service: str,
+        *,
+        beside_running: bool | None,
+        now: float,
     ) -> None:
         """Record a call.
 
@@ -76,8 +81,8 @@
         ----------
         caller_service : str
             Service of the machine where the call was made.
-        beside_running : bool
-            Whether the endpoint of that machine was running a request.
+        beside_running : bool or None
+            Whether the endpoint of that machine was running a request; None if unknown.
         """
         if not operation or not caller_service:
             return
@@ -87,6 +92,8 @@
         if len(self._observations_by_operation) > MAX_OPERATIONS:
             self._observations_by_operation.popitem(last=False)
         seen.called_at_by_service[caller_service] = now
+        if beside_running is None:
+            return
         if beside_running:
             count = seen.beside_running_count + 1
             seen.beside_running_count = min(SAMPLE_COUNT, count)
--- a/src/snipelink/mesh/internal_calls.py
+++ b/src/snipelink/mesh/internal_calls.py
@@ -77,7 +77,7 @@
             return
         call.beside_running = running_count > 0 or call.arrived_at < self._may_run_until
         in_flight_count = self._in_flight_by_operation[call.operation]
-        limit = MAX_INTERNAL_PER_RUNNING * max(1, running_count)
+        limit = MAX_INTERNAL_PER_RUNNING * running_count
         call.may_precede = call.beside_running and in_flight_count < limit
         if self.is_known(call.operation, call.arrived_at):
             running = self._running_by_operation.keys()
@@ -110,10 +110,11 @@
         """Record a call for this endpoint; return whether its operation is internal."""
         if not self._applies_to(call.service):
             return False
+        is_known = call.may_precede or not call.beside_running
         self._operations.record(
             call.operation,
             call.caller_service,
-            beside_running=call.beside_running,
+            beside_running=call.beside_running if is_known else None,
             now=now,
         )
         return self._operations.is_internal(call.operation, now)
--- a/tests/mesh/test_internal_calls.py
+++ b/tests/mesh/test_internal_calls.py
@@ -60,7 +60,8 @@
 def _teach(tracker: internal_calls.InternalCalls, **changes: typing.Any) -> None:
     tracker.classify(_call(operation="fetch", caller_service="archive"), NOW)
     for _ in range(internal_operations.SAMPLE_COUNT):
-        tracker.classify(_call(beside_running=True, **changes), NOW)
+        call = _call(beside_running=True, may_precede=True, **changes)
+        tracker.classify(call, NOW)
 
 
 def test_call_beside_a_running_request_is_told_from_one_beside_an_idle_endpoint() -> (
@@ -167,3 +168,17 @@
     tracker.record_verdict(_call(is_internal=True), "waited")
     tracker.record_verdict(_call(), "waited")
     assert tracker.verdicts.values() == {("rota", "waited"): 1}
+
+
+def test_calls_that_may_be_of_given_up_requests_teach_nothing() -> None:
+    """Guards against precedence for callers after many nodes have restarted."""
+    tracker = _tracker()
+    early = _call(arrived_at=internal_calls.RESTART_GRACE_S / 2)
+    with tracker.passing_on(early):
+        assert (early.beside_running, early.may_precede) == (True, False)
+    tracker.classify(_call(operation="fetch", caller_service="archive"), NOW)
+    for _ in range(internal_operations.SAMPLE_COUNT):
+        assert not tracker.classify(early, NOW)
+    assert not tracker.classify(early, NOW)
+    _teach(tracker)
+    assert tracker.classify(early, NOW)
