--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -676,7 +676,7 @@
         await fleet.wait_until(lambda: fleet.all_up_to_date(members))
         await silent.end()
         await fleet.wait_until(
-            lambda: silent.host in asking.node._loads._silent_hosts, 5.0
+            lambda: silent.host in asking.node._loads.silent_hosts, 5.0
         )
         for member in (silent, far):
             asking.node._loads.loads_by_host[member.host].report.revision = 1000
