--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -463,3 +463,35 @@
     assert not state.apply_snapshot(published_state.PublishedState(4, None, ()), NOW)
     assert state.apply_snapshot(published_state.PublishedState(6, None, ()), NOW)
     assert "a" not in state.instances_by_id
+
+
+def test_restore_is_logged_with_what_the_copy_lacks(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    state = _catalog_before_restore(
+        _written("a", 50), _written("b", 51, leaving=True), evacuated=("z",)
+    )
+    _restored(state, _written("b", 12, era=2), version=5)
+    (line,) = [each for each in caplog.records if "restored" in each.message]
+    assert line.__dict__["fields"] == {
+        "era": 2,
+        "before": 1,
+        "revision": 20,
+        "version": 8,
+        "copy_version": 5,
+        "absent": ["a"],
+        "absent_count": 1,
+        "absent_evacuations": ["z"],
+        "withdrawn": ["b"],
+    }
+
+
+def test_first_state_of_a_node_is_not_taken_for_a_restore(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    state = catalog.Catalog(DRAIN_S)
+    _restored(state, _written("a", 10, era=2))
+    assert not [each for each in caplog.records if "restored" in each.message]
+    assert _usable(state) == ["a"]
--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -104,6 +104,9 @@
         _publish_new_route(members, version=40)
         await fleet.wait_until(lambda: fleet.all_up_to_date(members))
         assert {member.node.position.era for member in members} == {2}
+        for member in members:
+            exposition = member.node._metrics_response().body
+            assert b"\nsnipelink_mesh_store_era 2" in bytes(exposition)
         assert await _statuses(members, "c") == [200] * 3
 
 
