Move the position in the store's histories to the decision modules

Cause: decide/revision_lag.py and decide/summary_senders.py imported mesh modules for the type of positions, against the direction of the layers. Change: Position is defined in decide/store_position.py.

--- a/src/snipelink/decide/revision_lag.py
+++ b/src/snipelink/decide/revision_lag.py
@@ -9,7 +9,7 @@
 
 import collections
 
-from snipelink.mesh import published_state
+from snipelink.decide import store_position
 
 # Missed positions whose times are kept. Beyond, later ones share the time of the last.
 MAX_MISSED_REVISIONS = 256
@@ -20,11 +20,11 @@
 
     def __init__(self) -> None:
         # Position and monotonic time of its first report, both ascending.
-        self._missed: collections.deque[tuple[published_state.Position, float]] = (
+        self._missed: collections.deque[tuple[store_position.Position, float]] = (
             collections.deque()
         )
 
-    def on_report(self, position: published_state.Position, now: float) -> None:
+    def on_report(self, position: store_position.Position, now: float) -> None:
         """Record that another node reports a position."""
         if self._missed and position <= self._missed[-1][0]:
             return
@@ -32,7 +32,7 @@
             _, now = self._missed.pop()
         self._missed.append((position, now))
 
-    def on_known(self, position: published_state.Position) -> None:
+    def on_known(self, position: store_position.Position) -> None:
         """Record that this node knows the published state up to a position."""
         while self._missed and self._missed[0][0] <= position:
             self._missed.popleft()
--- a/src/snipelink/decide/summary_senders.py
+++ b/src/snipelink/decide/summary_senders.py
@@ -12,8 +12,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from snipelink.balance import rendezvous
-from snipelink.decide import placement
-from snipelink.mesh import published_state
+from snipelink.decide import placement, store_position
 
 # Nodes that send the summaries of one domain to another one. With two, the loss of one
 # sender costs nothing until the next in order has noticed it.
@@ -59,9 +58,9 @@
 
     def __init__(self) -> None:
         self._sent_at: float | None = None
-        self._sent_position: published_state.Position | None = None
+        self._sent_position: store_position.Position | None = None
 
-    def due_at(self, position: published_state.Position) -> float:
+    def due_at(self, position: store_position.Position) -> float:
         """Return the monotonic time of the next summaries.
 
         Parameters
@@ -74,7 +73,7 @@
         is_newer = self._sent_position is None or position > self._sent_position
         return self._sent_at + (MIN_INTERVAL_S if is_newer else SUMMARY_INTERVAL_S)
 
-    def on_sent(self, position: published_state.Position, now: float) -> None:
+    def on_sent(self, position: store_position.Position, now: float) -> None:
         """Record that summaries were sent."""
         self._sent_at, self._sent_position = now, position
 
--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Collection
 
-from snipelink.decide import restored_entries
+from snipelink.decide import restored_entries, store_position
 from snipelink.mesh import published_state
 
 logger = logging.getLogger(__name__)
@@ -56,9 +56,9 @@
     era: int = 0
 
     @property
-    def position(self) -> published_state.Position:
+    def position(self) -> store_position.Position:
         """Position up to which the changes lead."""
-        return published_state.Position(self.era, self.revision)
+        return store_position.Position(self.era, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,9 +129,9 @@
         self._history_entry_count = 0
 
     @property
-    def position(self) -> published_state.Position:
+    def position(self) -> store_position.Position:
         """Position up to which this node knows the published state."""
-        return published_state.Position(self.era, self.revision)
+        return store_position.Position(self.era, self.revision)
 
     @property
     def configuration_version(self) -> int:
@@ -161,7 +161,7 @@
             self.revision, configuration, instances, tuple(sorted(evacuated)), self.era
         )
 
-    def changes_since(self, after: published_state.Position) -> Changes | None:
+    def changes_since(self, after: store_position.Position) -> Changes | None:
         """Return the changes after a position, merged into one.
 
         Returns None if the history in memory does not reach back to that position.
--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -16,7 +16,13 @@
 import msgspec
 
 from snipelink import clock
-from snipelink.decide import domain_summary, placement, reporting, summary_senders
+from snipelink.decide import (
+    domain_summary,
+    placement,
+    reporting,
+    store_position,
+    summary_senders,
+)
 from snipelink.generated import mesh
 from snipelink.mesh import catalog, load_reports, published_state, settings, watcher
 from snipelink.observe import metrics
@@ -348,7 +354,7 @@
                 )
 
     def _on_state(self, summary: mesh.DomainSummary, now: float) -> None:
-        position = published_state.Position(summary.era, summary.revision)
+        position = store_position.Position(summary.era, summary.revision)
         state = watcher.ReportedState(summary.host, position, summary.configuration)
         self._reported_by_host[summary.host] = _ReceivedState(state, now)
         self._on_reported_state(state, now)
--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -21,6 +21,7 @@
     placement,
     reporting,
     slowness_period,
+    store_position,
     work_estimation,
 )
 from snipelink.generated import mesh
@@ -279,8 +280,8 @@
         )
 
     def newest_state(
-        self, known: published_state.Position, near_hosts: Collection[str], now: float
-    ) -> tuple[published_state.Position, int, list[str]]:
+        self, known: store_position.Position, near_hosts: Collection[str], now: float
+    ) -> tuple[store_position.Position, int, list[str]]:
         """Return the highest position of the heard nodes, and the hosts to ask for it.
 
         If no node is ahead of `known`, the hosts are those of the same era that report
@@ -560,9 +561,9 @@
         self.sent_datagrams += 1
 
 
-def position(load: mesh.Load) -> published_state.Position:
+def position(load: mesh.Load) -> store_position.Position:
     """Return the position of the published state that a node reports to know."""
-    return published_state.Position(load.era, load.revision)
+    return store_position.Position(load.era, load.revision)
 
 
 def encode_level_samples(
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -16,6 +16,7 @@
     placement,
     slow_start,
     slowness_period,
+    store_position,
     subsetting,
     watch_rotation,
 )
@@ -231,7 +232,7 @@
         return self._catalog.route_table is not None and not self._is_leaving
 
     @property
-    def position(self) -> published_state.Position:
+    def position(self) -> store_position.Position:
         """Position of the published state that is in force at this node."""
         return self._catalog.position
 
--- a/src/snipelink/mesh/peers.py
+++ b/src/snipelink/mesh/peers.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from snipelink import clock, errors
+from snipelink.decide import store_position
 from snipelink.generated import mesh
 from snipelink.mesh import (
     calls,
@@ -186,7 +187,7 @@
                 sent.attempt.wake()
 
     async def fetch_published_state(
-        self, host: str, after: published_state.Position
+        self, host: str, after: store_position.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
         """Fetch the changes after a position, or the whole state, from a node."""
         request = _encoder.encode(
@@ -291,7 +292,7 @@
         # Encoded answers by the state in force, the position that the asking node
         # knows, and whether they are compressed.
         self._answers: collections.OrderedDict[
-            tuple[int, published_state.Position, bool], tuple[frames.Kind, bytes]
+            tuple[int, store_position.Position, bool], tuple[frames.Kind, bytes]
         ] = collections.OrderedDict()
         self._deduplicator = deduplicator
         self._catalog = service_catalog
@@ -360,7 +361,7 @@
     def _published_answer(
         self, request: mesh.PublishedRequest
     ) -> tuple[frames.Kind, bytes]:
-        after = published_state.Position(request.era, request.after)
+        after = store_position.Position(request.era, request.after)
         key = (self._catalog.update_count, after, request.compressed)
         answer = self._answers.get(key)
         if answer is None:
@@ -396,7 +397,7 @@
 def _encode_published(
     service_catalog: catalog.Catalog, request: mesh.PublishedRequest
 ) -> tuple[frames.Kind, bytes]:
-    after = published_state.Position(request.era, request.after)
+    after = store_position.Position(request.era, request.after)
     changes = service_catalog.changes_since(after)
     if changes is not None:
         kind, payload = frames.Kind.CHANGES, _encoder.encode(changes)
--- a/src/snipelink/mesh/published_state.py
+++ b/src/snipelink/mesh/published_state.py
@@ -3,23 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-import typing
 
-
-class Position(typing.NamedTuple):
-    """Position in the histories of the platform's store, in order of time.
-
-    Attributes
-    ----------
-    era : int
-        Number of times that the store was restored from an older copy; 0 if it does not
-        state it. Each restore starts another history, in which revisions are reused.
-    revision : int
-        Revision within the era.
-    """
-
-    era: int
-    revision: int
+from snipelink.decide import store_position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,9 +115,9 @@
     era: int = 0
 
     @property
-    def written_at(self) -> Position:
+    def written_at(self) -> store_position.Position:
         """Position of the write of this entry."""
-        return Position(self.era, self.revision)
+        return store_position.Position(self.era, self.revision)
 
     def has_same_content(self, other: Instance) -> bool:
         """Whether two entries differ in the positions of their writes at most."""
@@ -170,9 +155,9 @@
     era: int = 0
 
     @property
-    def position(self) -> Position:
+    def position(self) -> store_position.Position:
         """Position of the snapshot in the histories of the store."""
-        return Position(self.era, self.revision)
+        return store_position.Position(self.era, self.revision)
 
 
 class RouteTable:
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -12,7 +12,7 @@
 from result import Err, Result
 
 from snipelink import clock
-from snipelink.decide import revision_lag, watch_rotation
+from snipelink.decide import revision_lag, store_position, watch_rotation
 from snipelink.mesh import catalog, published_state
 
 logger = logging.getLogger(__name__)
@@ -85,12 +85,12 @@
     """
 
     host: str
-    position: published_state.Position
+    position: store_position.Position
     configuration_version: int = 0
 
 
 FetchFromNode = Callable[
-    [str, published_state.Position],
+    [str, store_position.Position],
     typing.Awaitable[Result[published_state.PublishedState | catalog.Changes, str]],
 ]
 
@@ -311,7 +311,7 @@
         known = self._catalog.position
         if reported.position <= known:
             # The changes after the known position do not contain the configuration.
-            known = published_state.Position(known.era, 0)
+            known = store_position.Position(known.era, 0)
         fetched = await fetch(reported.host, known)
         fields: dict[str, object] = {
             "host": reported.host,
@@ -338,7 +338,7 @@
             self._catalog.apply_snapshot(known, now)
         return self._known_state() != before
 
-    def _known_state(self) -> tuple[published_state.Position, int]:
+    def _known_state(self) -> tuple[store_position.Position, int]:
         return self._catalog.position, self._catalog.configuration_version
 
     def _on_store_success(self) -> None:
--- a/tests/decide/test_revision_lag.py
+++ b/tests/decide/test_revision_lag.py
@@ -1,11 +1,10 @@
 from __future__ import annotations
 
-from snipelink.decide import revision_lag
-from snipelink.mesh import published_state
+from snipelink.decide import revision_lag, store_position
 
 
-def _at(revision: int, era: int = 0) -> published_state.Position:
-    return published_state.Position(era, revision)
+def _at(revision: int, era: int = 0) -> store_position.Position:
+    return store_position.Position(era, revision)
 
 
 def test_lag_counts_from_the_first_report_of_the_oldest_missed_revision() -> None:
--- a/tests/decide/test_summary_senders.py
+++ b/tests/decide/test_summary_senders.py
@@ -5,10 +5,9 @@
 
 import pytest
 
-from snipelink.decide import placement, summary_senders
-from snipelink.mesh import published_state
+from snipelink.decide import placement, store_position, summary_senders
 
-POSITION = published_state.Position(0, 5)
+POSITION = store_position.Position(0, 5)
 HOSTS = [f"10.0.0.{index}" for index in range(20)]
 
 
@@ -64,15 +63,15 @@
     schedule = summary_senders.SendSchedule()
     schedule.on_sent(POSITION, 10.0)
     assert (
-        schedule.due_at(published_state.Position(0, 6))
+        schedule.due_at(store_position.Position(0, 6))
         == 10.0 + summary_senders.MIN_INTERVAL_S
     )
     assert (
-        schedule.due_at(published_state.Position(1, 1))
+        schedule.due_at(store_position.Position(1, 1))
         == 10.0 + summary_senders.MIN_INTERVAL_S
     )
     assert (
-        schedule.due_at(published_state.Position(0, 4))
+        schedule.due_at(store_position.Position(0, 4))
         == 10.0 + summary_senders.SUMMARY_INTERVAL_S
     )
 
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from snipelink.decide import restored_entries
+from snipelink.decide import restored_entries, store_position
 from snipelink.mesh import catalog, published_state
 
 NOW = 100.0
@@ -129,10 +129,10 @@
     )
     first.apply_changes(catalog.Changes(10, restored=("d",)), NOW)
     for after in (5, 6, 7, 8, 9, 10):
-        changes = first.changes_since(published_state.Position(0, after))
+        changes = first.changes_since(store_position.Position(0, after))
         assert changes is not None
         assert changes.revision == 10
-    changes = first.changes_since(published_state.Position(0, 5))
+    changes = first.changes_since(store_position.Position(0, 5))
     assert changes is not None
     second.apply_changes(changes, NOW)
     assert second.instances_by_id == first.instances_by_id
@@ -145,14 +145,14 @@
     state = catalog.Catalog(2.0)
     state.apply_snapshot(published_state.PublishedState(5, None, ()), NOW)
     state.apply_changes(catalog.Changes(6, instances=(_instance("a"),)), NOW)
-    assert state.changes_since(published_state.Position(0, 4)) is None
+    assert state.changes_since(store_position.Position(0, 4)) is None
     state.apply_snapshot(published_state.PublishedState(8, None, ()), NOW)
-    assert state.changes_since(published_state.Position(0, 6)) is None
+    assert state.changes_since(store_position.Position(0, 6)) is None
     for revision in range(9, 9 + 2 * catalog.MAX_HISTORY_COUNT):
         state.apply_changes(catalog.Changes(revision), NOW)
-    assert state.changes_since(published_state.Position(0, 9)) is None
+    assert state.changes_since(store_position.Position(0, 9)) is None
     assert (
-        state.changes_since(published_state.Position(0, state.revision - 1)) is not None
+        state.changes_since(store_position.Position(0, state.revision - 1)) is not None
     )
 
 
@@ -244,12 +244,12 @@
         change = catalog.Changes(revision, configurations=(_configuration(revision),))
         state.apply_changes(change, NOW)
     state.apply_changes(catalog.Changes(10, instances=(_instance("a"),)), NOW)
-    changes = state.changes_since(published_state.Position(0, 5))
+    changes = state.changes_since(store_position.Position(0, 5))
     assert changes is not None
     assert [each.version for each in changes.configurations] == [9]
     late.apply_changes(changes, NOW)
     assert late.snapshot() == state.snapshot()
-    only_instances = state.changes_since(published_state.Position(0, 9))
+    only_instances = state.changes_since(store_position.Position(0, 9))
     assert only_instances is not None
     assert only_instances.configurations == ()
 
@@ -260,8 +260,8 @@
     for revision in range(6, 16):
         instances = tuple(_instance(name, born_ms=revision) for name in names)
         state.apply_changes(catalog.Changes(revision, instances=instances), NOW)
-    assert state.changes_since(published_state.Position(0, 6)) is None
-    assert state.changes_since(published_state.Position(0, 14)) is not None
+    assert state.changes_since(store_position.Position(0, 6)) is None
+    assert state.changes_since(store_position.Position(0, 14)) is not None
 
 
 def test_service_has_few_slots_if_all_ready_endpoints_publish_few() -> None:
@@ -451,9 +451,9 @@
     _restored(state)
     state.apply_changes(catalog.Changes(21, era=2), NOW)
     for revision in (15, 20, 60):
-        assert state.changes_since(published_state.Position(1, revision)) is None
-    assert state.changes_since(published_state.Position(2, 20)) is not None
-    assert state.changes_since(published_state.Position(3, 5)) == catalog.Changes(
+        assert state.changes_since(store_position.Position(1, revision)) is None
+    assert state.changes_since(store_position.Position(2, 20)) is not None
+    assert state.changes_since(store_position.Position(3, 5)) == catalog.Changes(
         21, era=2
     )
 
--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -17,6 +17,7 @@
     placement,
     reporting,
     slowness_period,
+    store_position,
     subsetting,
     summary_senders,
 )
@@ -109,7 +110,7 @@
         near = instance.failure_domain == self.own.failure_domain
         return self.loads.candidate(instance, near=near, now=now)
 
-    def has_heard_of(self, position: published_state.Position) -> bool:
+    def has_heard_of(self, position: store_position.Position) -> bool:
         return any(state.position == position for state in self.reported)
 
     def _load(self, now: float) -> mesh.Load:
--- a/tests/mesh/test_load_reports.py
+++ b/tests/mesh/test_load_reports.py
@@ -16,6 +16,7 @@
     placement,
     reporting,
     slowness_period,
+    store_position,
 )
 from snipelink.generated import mesh
 from snipelink.mesh import load_reports, published_state
@@ -358,7 +359,7 @@
 def _newest(
     table: load_reports.LoadTable, era: int, revision: int
 ) -> tuple[tuple[int, int], int, list[str]]:
-    known = published_state.Position(era, revision)
+    known = store_position.Position(era, revision)
     return table.newest_state(known, (), 1.0)
 
 
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -11,6 +11,7 @@
 
 from bench import loopback
 from snipelink import clock
+from snipelink.decide import store_position
 from snipelink.generated import mesh
 from snipelink.mesh import (
     calls,
@@ -27,7 +28,7 @@
 from snipelink.session import memory
 from tests.mesh import fleet, test_node
 
-KNOWN = published_state.Position(0, 5)
+KNOWN = store_position.Position(0, 5)
 
 
 async def connect(member: fleet.Member) -> channel.Channel:
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from snipelink import clock
-from snipelink.decide import watch_rotation
+from snipelink.decide import store_position, watch_rotation
 from snipelink.mesh import catalog, published_state, watcher
 
 # Time within which a change must be in force in the strictest deployment, seconds.
@@ -53,7 +53,7 @@
 def _reported(
     revision: int, host: str = "10.0.0.2", *, era: int = 0, version: int = 0
 ) -> watcher.ReportedState:
-    position = published_state.Position(era, revision)
+    position = store_position.Position(era, revision)
     return watcher.ReportedState(host, position, version)
 
 
@@ -163,7 +163,7 @@
     asked: list[str] = []
 
     async def fetch(
-        host: str, after: published_state.Position
+        host: str, after: store_position.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
         asked.append(f"{host} after {after.revision}")
         return fetched
@@ -318,7 +318,7 @@
     )
 
     async def fetch(
-        host: str, after: published_state.Position
+        host: str, after: store_position.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
         await asyncio.sleep(0.3)
         return Err("no published state arrives")
@@ -346,7 +346,7 @@
     asked: list[str] = []
 
     async def fetch(
-        host: str, after: published_state.Position
+        host: str, after: store_position.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
         asked.append(host)
         if len(asked) == 1:
@@ -421,10 +421,10 @@
     state.apply_snapshot(
         published_state.PublishedState(5, configuration, (), era=1), 0.0
     )
-    asked: list[published_state.Position] = []
+    asked: list[store_position.Position] = []
 
     async def fetch(
-        host: str, after: published_state.Position
+        host: str, after: store_position.Position
     ) -> Result[published_state.PublishedState | catalog.Changes, str]:
         asked.append(after)
         return Err("refused")
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from bench.soak import store
+from snipelink.decide import store_position
 from snipelink.mesh import published_state
 
 SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
@@ -27,7 +28,7 @@
 }
 
 
-WRITTEN_AT = published_state.Position(2, 40)
+WRITTEN_AT = store_position.Position(2, 40)
 NOW_MS = 1_700_000_100_000
 
 
