Do not apply the answer to a watch from a former era

Cause: if other nodes told of a restore during a watch, the catalog was already in the era of the answer. The answer continues from a revision of the former era, and the changes of the new era up to it were skipped for good. Change: an answer is applied only in the era from which the watch started. Result: the new test fails without the change (next call is "watch 61") and passes with it; tests/mesh/test_watcher.py passes.

--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -214,13 +214,17 @@
                     await self._wait_for_turn()
                     self.read_count += 1
                     watch_s = self._rotation.watch_duration_s(clock.now())
+                    watched = self._catalog.position
                     changes = await self._store.watch(
-                        self._catalog.revision, max(MIN_WATCH_S, watch_s)
+                        watched.revision, max(MIN_WATCH_S, watch_s)
                     )
                     self._on_store_success()
                     if changes.era > self._catalog.era:
                         raise HistoryLost
-                    self._catalog.apply_changes(changes, clock.now())
+                    # Other nodes may have told of a restore during the watch. Its
+                    # answer lacks the changes up to the revision of the former era.
+                    if changes.era == watched.era:
+                        self._catalog.apply_changes(changes, clock.now())
                 self._on_change()
                 failure_count, backoff_s = 0, MIN_BACKOFF_S
                 await asyncio.sleep(watch_rotation.watch_pause_s(self._other_nodes()))
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -384,6 +384,44 @@
     assert set(state.instances_by_id) == {"a", "b"}
 
 
+def test_answer_to_a_watch_from_a_former_era_is_not_applied(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against missed changes if other nodes tell of a restore during a watch.
+
+    The watch continues from a revision of the former era, so that its answer lacks the
+    changes of the new era up to that revision.
+    """
+    monkeypatch.setattr(watch_rotation, "watch_pause_s", lambda others: 0.0)
+    state = catalog.Catalog(2.0)
+
+    class RestoredStore(ScriptedStore):
+        async def watch(self, after: int, wait_s: float) -> catalog.Changes:
+            changes = await super().watch(after, wait_s)
+            copy = published_state.PublishedState(20, None, (), era=2)
+            state.apply_snapshot(copy, clock.now())
+            return changes
+
+    store = RestoredStore(
+        [
+            published_state.PublishedState(60, None, (), era=1),
+            catalog.Changes(61, instances=(_instance("b"),), era=2),
+            catalog.Changes(61, instances=(_instance("a"), _instance("b")), era=2),
+        ]
+    )
+
+    async def run_watcher() -> None:
+        task = asyncio.ensure_future(_make_watcher(store, state).run())
+        async with asyncio.timeout(5.0):
+            while len(store.calls) <= 3:
+                await asyncio.sleep(0.005)
+        task.cancel()
+
+    asyncio.run(run_watcher())
+    assert store.calls == ["read", "watch 60", "watch 20", "watch 61"]
+    assert set(state.instances_by_id) == {"a", "b"}
+
+
 def test_late_answer_of_a_former_era_is_ignored(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
