Forget last resorts while other endpoints are ready

Cause: last resorts whose time is over were dropped only while their service had no ready endpoint, so that memory grew with each endpoint that left. Change: the catalog drops them at its regular expiry. Result: the new test fails without the change and passes with it; tests/mesh/test_catalog.py passes.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -248,7 +248,15 @@
         return dataclasses.replace(copy, instances=found.entries)
 
     def expire(self, now: float) -> bool:
-        """End what was kept after a restore for a limited time; return whether any."""
+        """End what was kept after a restore for a limited time; return whether any.
+
+        Also forgets the last resorts whose time is over.
+        """
+        self._last_resort_until_by_id = {
+            instance_id: (instance, until)
+            for instance_id, (instance, until) in self._last_resort_until_by_id.items()
+            if now < until
+        }
         absent_ids = [
             i for i, until in self._absent_until_by_id.items() if now >= until
         ]
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -57,6 +57,15 @@
     assert not state.is_usable("a", NOW + DRAIN_S)
 
 
+def test_last_resorts_are_forgotten_while_other_endpoints_are_ready() -> None:
+    state = _catalog(_instance("a"), _instance("b"))
+    state.apply_changes(catalog.Changes(6, removed=("a",)), NOW)
+    state.expire(NOW + 1.0)
+    assert set(state._last_resort_until_by_id) == {"a"}
+    assert not state.expire(NOW + DRAIN_S)
+    assert not state._last_resort_until_by_id
+
+
 def test_endpoint_that_is_published_again_is_usable_again() -> None:
     state = _catalog(_instance("a"))
     state.apply_changes(catalog.Changes(6, removed=("a",)), NOW)
