Keep the time of a withdrawn entry if an older write follows

Cause: the pages of a read may be newer than its revision. A write before that of the copy's entry was ignored, but ended the time after which the endpoint counts as running, so that it stayed leaving until it was written again. Change: older writes are ignored before withdrawn entries are looked up. Result: the new test fails without the change and passes with it; tests/mesh/test_catalog.py passes.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -413,14 +413,14 @@
         previous = self.instances_by_id.get(instance.id)
         if previous == instance:
             return
+        if previous is not None and instance.is_older_than(previous):
+            _log_instance("older entry is ignored", instance, leaving=instance.leaving)
+            return
         withdrawn, _ = self._withdrawn_until_by_id.get(instance.id, (None, 0.0))
         if withdrawn is not None and instance.written_at == withdrawn.written_at:
             instance = dataclasses.replace(instance, leaving=True)
         elif withdrawn is not None:
             del self._withdrawn_until_by_id[instance.id]
-        if previous is not None and instance.is_older_than(previous):
-            _log_instance("older entry is ignored", instance, leaving=instance.leaving)
-            return
         self.instances_by_id[instance.id] = instance
         if previous is not None and instance.has_same_content(previous):
             return
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -438,6 +438,22 @@
     assert _usable(state, later) == ["a"]
 
 
+def test_older_write_does_not_end_the_time_of_a_withdrawn_entry() -> None:
+    """Guards against a running endpoint that is never used again.
+
+    The pages of a read may be newer than its revision, so that changes before the entry
+    of the copy follow.
+    """
+    state = _catalog_before_restore(_written("a", 10, leaving=True))
+    _restored(state, _written("a", 22, era=2))
+    older = catalog.Changes(21, instances=(_written("a", 21, era=2),), era=2)
+    state.apply_changes(older, NOW)
+    assert state.instances_by_id["a"].leaving
+    later = NOW + restored_entries.WITHDRAWN_ENTRY_S
+    assert state.expire(later)
+    assert _usable(state, later) == ["a"]
+
+
 def test_evacuation_that_the_copy_lacks_ends_after_a_limited_time() -> None:
     state = _catalog_before_restore(_written("a", 10), evacuated=("a",))
     state.apply_changes(catalog.Changes(61, era=1), NOW)
