Ask a sender of another domain for a version that only it knows

Cause: the states that senders of other domains report were ordered by position first, also where this node knows more. A higher version of the configuration was not asked for while its sender was behind in revisions. Change: among senders that are not ahead in the known era, the highest version decides.

--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -227,9 +227,14 @@
             chosen.update(self._rng.sample(hosts, min(count, len(hosts))))
         return frozenset(chosen)
 
-    def newest_state(self, now: float) -> watcher.ReportedState | None:
+    def newest_state(
+        self, known: store_position.Position, now: float
+    ) -> watcher.ReportedState | None:
         """Return the newest state that a sender of another domain has reported.
 
+        Among the senders that are not ahead of `known`, the highest version of the
+        configuration in its era decides.
+
         Only summaries that arrived from their sender itself count: this node's domain
         then fetches the changes once or twice, not once for each of its nodes. Returns
         None if none has arrived recently.
@@ -238,12 +243,9 @@
             each.state
             for each in self._reported_by_host.values()
             if now - each.received_at <= placement.SILENT_NODE_S
+            and each.state.position.era >= known.era
         ]
-        return max(
-            recent,
-            key=lambda each: (each.position, each.configuration_version),
-            default=None,
-        )
+        return max(recent, key=lambda each: each.order_from(known), default=None)
 
     async def run(self) -> None:
         """Send the summaries that are due until cancelled."""
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -555,11 +555,10 @@
         """
         near = {host for host, is_near in self._followed_hosts.items() if is_near}
         now = clock.now()
-        position, version, hosts = self._loads.newest_state(
-            self._catalog.position, near, now
-        )
-        far = self._summaries.newest_state(now)
-        if far and (far.position, far.configuration_version) > (position, version):
+        known = self._catalog.position
+        position, version, hosts = self._loads.newest_state(known, near, now)
+        far = self._summaries.newest_state(known, now)
+        if far and far.order_from(known) > (position, version):
             return far
         host = self._rng.choice(hosts) if hosts else ""
         return watcher.ReportedState(host, position, version)
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -88,6 +88,15 @@
     position: store_position.Position
     configuration_version: int = 0
 
+    def order_from(
+        self, known: store_position.Position
+    ) -> tuple[store_position.Position, int]:
+        """Return the sort key of states for a node that knows a position of their era.
+
+        The version of the configuration decides among states that are not ahead.
+        """
+        return max(self.position, known), self.configuration_version
+
 
 FetchFromNode = Callable[
     [str, store_position.Position],
--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -413,7 +413,7 @@
     position = newer.position
     informed = [n for n in network.nodes("b") if n.has_heard_of(position)]
     assert 1 <= len(informed) <= summary_senders.SENDER_COUNT
-    state = informed[0].summaries.newest_state(network.now)
+    state = informed[0].summaries.newest_state(network.published.position, network.now)
     assert state is not None
     assert state.position == position
     assert state.host in network.senders("a", "b")
@@ -436,11 +436,31 @@
     for sender, revision in ((first, 7), (second, 6)):
         data = _summary(network, 900, 0, host=sender, revision=revision)
         node.exchange.datagram_received(data, (sender, 0))
-    state = node.summaries.newest_state(network.now)
+    state = node.summaries.newest_state(network.published.position, network.now)
     assert state is not None
     assert (state.position.revision, state.host) == (7, first)
 
 
+@pytest.mark.parametrize(("known_revision", "expected"), [(5, 0), (6, 0), (7, 1)])
+def test_highest_version_counts_among_senders_that_are_not_ahead(
+    start: Start, known_revision: int, expected: int
+) -> None:
+    """Guards against a version in force that a position hides after a restore."""
+    network = start(9)
+    node, senders = network.nodes("b")[0], network.senders("a", "b")
+    for sender, revision, version in ((senders[0], 7, 5), (senders[1], 6, 8)):
+        data = _summary(
+            network, 900, 0, host=sender, revision=revision, configuration=version
+        )
+        node.exchange.datagram_received(data, (sender, 0))
+    known = store_position.Position(0, known_revision)
+    state = node.summaries.newest_state(known, network.now)
+    assert state is not None
+    assert state.host == senders[expected]
+    later_era = store_position.Position(1, 1)
+    assert node.summaries.newest_state(later_era, network.now) is None
+
+
 def test_crash_reports_reach_some_nodes_of_other_domains(start: Start) -> None:
     network = start(30)
     for node in network.nodes_by_host.values():
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -13,11 +13,13 @@
 from snipelink.decide import internal_operations, placement
 from snipelink.mesh import (
     channel,
+    domain_summaries,
     frames,
     messages,
     node,
     published_state,
     retry_budgets,
+    watcher,
 )
 from snipelink.session import http
 from tests.mesh import fleet
@@ -685,6 +687,27 @@
             assert (newest.position.revision, newest.host) == (1000, far.host)
 
 
+@run
+async def test_version_that_only_a_far_sender_knows_is_asked_for() -> None:
+    """Guards against an older version in force after a restore of the store.
+
+    The sender of the other domain is behind in revisions.
+    """
+    async with fleet.running("rota", "rota") as members:
+        asking = members[0]
+        await fleet.wait_until(lambda: fleet.all_up_to_date(members))
+        position = asking.node.position
+        far = watcher.ReportedState(
+            "127.9.9.9",
+            position._replace(revision=position.revision - 1),
+            asking.node._catalog.configuration_version + 1,
+        )
+        asking.node._summaries._reported_by_host[far.host] = (
+            domain_summaries._ReceivedState(far, clock.now())
+        )
+        assert asking.node._newest_state() == far
+
+
 @run
 async def test_older_configuration_is_not_applied() -> None:
     async with fleet.running("rota") as members:
