--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Collection
 
-from snipelink.decide import restored_entries
+from snipelink.decide import restored_entries, store_position
 from snipelink.mesh import published_state
 
 logger = logging.getLogger(__name__)
@@ -56,9 +56,9 @@
     era: int = 0
 
     @property
-    def position(self) -> published_state.Position:
+    def position(self) -> store_position.Position:
         """Position up to which the changes lead."""
-        return published_state.Position(self.era, self.revision)
+        return store_position.Position(self.era, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,9 +129,9 @@
         self._history_entry_count = 0
 
     @property
-    def position(self) -> published_state.Position:
+    def position(self) -> store_position.Position:
         """Position up to which this node knows the published state."""
-        return published_state.Position(self.era, self.revision)
+        return store_position.Position(self.era, self.revision)
 
     @property
     def configuration_version(self) -> int:
@@ -161,7 +161,7 @@
             self.revision, configuration, instances, tuple(sorted(evacuated)), self.era
         )
 
-    def changes_since(self, after: published_state.Position) -> Changes | None:
+    def changes_since(self, after: store_position.Position) -> Changes | None:
         """Return the changes after a position, merged into one.
 
         Returns None if the history in memory does not reach back to that position.
@@ -248,7 +248,15 @@
         return dataclasses.replace(copy, instances=found.entries)
 
     def expire(self, now: float) -> bool:
-        """End what was kept after a restore for a limited time; return whether any."""
+        """End what was kept after a restore for a limited time; return whether any.
+
+        Also forgets the last resorts whose time is over.
+        """
+        self._last_resort_until_by_id = {
+            instance_id: (instance, until)
+            for instance_id, (instance, until) in self._last_resort_until_by_id.items()
+            if now < until
+        }
         absent_ids = [
             i for i, until in self._absent_until_by_id.items() if now >= until
         ]
@@ -405,14 +413,14 @@
         previous = self.instances_by_id.get(instance.id)
         if previous == instance:
             return
+        if previous is not None and instance.is_older_than(previous):
+            _log_instance("older entry is ignored", instance, leaving=instance.leaving)
+            return
         withdrawn, _ = self._withdrawn_until_by_id.get(instance.id, (None, 0.0))
         if withdrawn is not None and instance.written_at == withdrawn.written_at:
             instance = dataclasses.replace(instance, leaving=True)
         elif withdrawn is not None:
             del self._withdrawn_until_by_id[instance.id]
-        if previous is not None and instance.is_older_than(previous):
-            _log_instance("older entry is ignored", instance, leaving=instance.leaving)
-            return
         self.instances_by_id[instance.id] = instance
         if previous is not None and instance.has_same_content(previous):
             return
--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -16,7 +16,13 @@
 import msgspec
 
 from snipelink import clock
-from snipelink.decide import domain_summary, placement, reporting, summary_senders
+from snipelink.decide import (
+    domain_summary,
+    placement,
+    reporting,
+    store_position,
+    summary_senders,
+)
 from snipelink.generated import mesh
 from snipelink.mesh import catalog, load_reports, published_state, settings, watcher
 from snipelink.observe import metrics
@@ -221,9 +227,14 @@
             chosen.update(self._rng.sample(hosts, min(count, len(hosts))))
         return frozenset(chosen)
 
-    def newest_state(self, now: float) -> watcher.ReportedState | None:
+    def newest_state(
+        self, known: store_position.Position, now: float
+    ) -> watcher.ReportedState | None:
         """Return the newest state that a sender of another domain has reported.
 
+        Among the senders that are not ahead of `known`, the highest version of the
+        configuration in its era decides.
+
         Only summaries that arrived from their sender itself count: this node's domain
         then fetches the changes once or twice, not once for each of its nodes. Returns
         None if none has arrived recently.
@@ -232,12 +243,9 @@
             each.state
             for each in self._reported_by_host.values()
             if now - each.received_at <= placement.SILENT_NODE_S
+            and each.state.position.era >= known.era
         ]
-        return max(
-            recent,
-            key=lambda each: (each.position, each.configuration_version),
-            default=None,
-        )
+        return max(recent, key=lambda each: each.order_from(known), default=None)
 
     async def run(self) -> None:
         """Send the summaries that are due until cancelled."""
@@ -348,7 +356,7 @@
                 )
 
     def _on_state(self, summary: mesh.DomainSummary, now: float) -> None:
-        position = published_state.Position(summary.era, summary.revision)
+        position = store_position.Position(summary.era, summary.revision)
         state = watcher.ReportedState(summary.host, position, summary.configuration)
         self._reported_by_host[summary.host] = _ReceivedState(state, now)
         self._on_reported_state(state, now)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -16,6 +16,7 @@
     placement,
     slow_start,
     slowness_period,
+    store_position,
     subsetting,
     watch_rotation,
 )
@@ -232,7 +233,7 @@
         return self._catalog.route_table is not None and not self._is_leaving
 
     @property
-    def position(self) -> published_state.Position:
+    def position(self) -> store_position.Position:
         """Position of the published state that is in force at this node."""
         return self._catalog.position
 
@@ -555,11 +556,10 @@
         """
         near = {host for host, is_near in self._followed_hosts.items() if is_near}
         now = clock.now()
-        position, version, hosts = self._loads.newest_state(
-            self._catalog.position, near, now
-        )
-        far = self._summaries.newest_state(now)
-        if far and (far.position, far.configuration_version) > (position, version):
+        known = self._catalog.position
+        position, version, hosts = self._loads.newest_state(known, near, now)
+        far = self._summaries.newest_state(known, now)
+        if far and far.order_from(known) > (position, version):
             return far
         host = self._rng.choice(hosts) if hosts else ""
         return watcher.ReportedState(host, position, version)
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -12,7 +12,7 @@
 from result import Err, Result
 
 from snipelink import clock
-from snipelink.decide import revision_lag, watch_rotation
+from snipelink.decide import revision_lag, store_position, watch_rotation
 from snipelink.mesh import catalog, published_state
 
 logger = logging.getLogger(__name__)
@@ -85,12 +85,21 @@
     """
 
     host: str
-    position: published_state.Position
+    position: store_position.Position
     configuration_version: int = 0
 
+    def order_from(
+        self, known: store_position.Position
+    ) -> tuple[store_position.Position, int]:
+        """Return the sort key of states for a node that knows a position of their era.
+
+        The version of the configuration decides among states that are not ahead.
+        """
+        return max(self.position, known), self.configuration_version
+
 
 FetchFromNode = Callable[
-    [str, published_state.Position],
+    [str, store_position.Position],
     typing.Awaitable[Result[published_state.PublishedState | catalog.Changes, str]],
 ]
 
@@ -214,13 +223,17 @@
                     await self._wait_for_turn()
                     self.read_count += 1
                     watch_s = self._rotation.watch_duration_s(clock.now())
+                    watched = self._catalog.position
                     changes = await self._store.watch(
-                        self._catalog.revision, max(MIN_WATCH_S, watch_s)
+                        watched.revision, max(MIN_WATCH_S, watch_s)
                     )
                     self._on_store_success()
                     if changes.era > self._catalog.era:
                         raise HistoryLost
-                    self._catalog.apply_changes(changes, clock.now())
+                    # Other nodes may have told of a restore during the watch. Its
+                    # answer lacks the changes up to the revision of the former era.
+                    if changes.era == watched.era:
+                        self._catalog.apply_changes(changes, clock.now())
                 self._on_change()
                 failure_count, backoff_s = 0, MIN_BACKOFF_S
                 await asyncio.sleep(watch_rotation.watch_pause_s(self._other_nodes()))
@@ -311,7 +324,7 @@
         known = self._catalog.position
         if reported.position <= known:
             # The changes after the known position do not contain the configuration.
-            known = published_state.Position(known.era, 0)
+            known = store_position.Position(known.era, 0)
         fetched = await fetch(reported.host, known)
         fields: dict[str, object] = {
             "host": reported.host,
@@ -338,7 +351,7 @@
             self._catalog.apply_snapshot(known, now)
         return self._known_state() != before
 
-    def _known_state(self) -> tuple[published_state.Position, int]:
+    def _known_state(self) -> tuple[store_position.Position, int]:
         return self._catalog.position, self._catalog.configuration_version
 
     def _on_store_success(self) -> None:
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from snipelink.decide import restored_entries
+from snipelink.decide import restored_entries, store_position
 from snipelink.mesh import catalog, published_state
 
 NOW = 100.0
@@ -57,6 +57,15 @@
     assert not state.is_usable("a", NOW + DRAIN_S)
 
 
+def test_last_resorts_are_forgotten_while_other_endpoints_are_ready() -> None:
+    state = _catalog(_instance("a"), _instance("b"))
+    state.apply_changes(catalog.Changes(6, removed=("a",)), NOW)
+    state.expire(NOW + 1.0)
+    assert set(state._last_resort_until_by_id) == {"a"}
+    assert not state.expire(NOW + DRAIN_S)
+    assert not state._last_resort_until_by_id
+
+
 def test_endpoint_that_is_published_again_is_usable_again() -> None:
     state = _catalog(_instance("a"))
     state.apply_changes(catalog.Changes(6, removed=("a",)), NOW)
@@ -129,10 +138,10 @@
     )
     first.apply_changes(catalog.Changes(10, restored=("d",)), NOW)
     for after in (5, 6, 7, 8, 9, 10):
-        changes = first.changes_since(published_state.Position(0, after))
+        changes = first.changes_since(store_position.Position(0, after))
         assert changes is not None
         assert changes.revision == 10
-    changes = first.changes_since(published_state.Position(0, 5))
+    changes = first.changes_since(store_position.Position(0, 5))
     assert changes is not None
     second.apply_changes(changes, NOW)
     assert second.instances_by_id == first.instances_by_id
@@ -145,14 +154,14 @@
     state = catalog.Catalog(2.0)
     state.apply_snapshot(published_state.PublishedState(5, None, ()), NOW)
     state.apply_changes(catalog.Changes(6, instances=(_instance("a"),)), NOW)
-    assert state.changes_since(published_state.Position(0, 4)) is None
+    assert state.changes_since(store_position.Position(0, 4)) is None
     state.apply_snapshot(published_state.PublishedState(8, None, ()), NOW)
-    assert state.changes_since(published_state.Position(0, 6)) is None
+    assert state.changes_since(store_position.Position(0, 6)) is None
     for revision in range(9, 9 + 2 * catalog.MAX_HISTORY_COUNT):
         state.apply_changes(catalog.Changes(revision), NOW)
-    assert state.changes_since(published_state.Position(0, 9)) is None
+    assert state.changes_since(store_position.Position(0, 9)) is None
     assert (
-        state.changes_since(published_state.Position(0, state.revision - 1)) is not None
+        state.changes_since(store_position.Position(0, state.revision - 1)) is not None
     )
 
 
@@ -244,12 +253,12 @@
         change = catalog.Changes(revision, configurations=(_configuration(revision),))
         state.apply_changes(change, NOW)
     state.apply_changes(catalog.Changes(10, instances=(_instance("a"),)), NOW)
-    changes = state.changes_since(published_state.Position(0, 5))
+    changes = state.changes_since(store_position.Position(0, 5))
     assert changes is not None
     assert [each.version for each in changes.configurations] == [9]
     late.apply_changes(changes, NOW)
     assert late.snapshot() == state.snapshot()
-    only_instances = state.changes_since(published_state.Position(0, 9))
+    only_instances = state.changes_since(store_position.Position(0, 9))
     assert only_instances is not None
     assert only_instances.configurations == ()
 
@@ -260,8 +269,8 @@
     for revision in range(6, 16):
         instances = tuple(_instance(name, born_ms=revision) for name in names)
         state.apply_changes(catalog.Changes(revision, instances=instances), NOW)
-    assert state.changes_since(published_state.Position(0, 6)) is None
-    assert state.changes_since(published_state.Position(0, 14)) is not None
+    assert state.changes_since(store_position.Position(0, 6)) is None
+    assert state.changes_since(store_position.Position(0, 14)) is not None
 
 
 def test_service_has_few_slots_if_all_ready_endpoints_publish_few() -> None:
@@ -429,6 +438,22 @@
     assert _usable(state, later) == ["a"]
 
 
+def test_older_write_does_not_end_the_time_of_a_withdrawn_entry() -> None:
+    """Guards against a running endpoint that is never used again.
+
+    The pages of a read may be newer than its revision, so that changes before the entry
+    of the copy follow.
+    """
+    state = _catalog_before_restore(_written("a", 10, leaving=True))
+    _restored(state, _written("a", 22, era=2))
+    older = catalog.Changes(21, instances=(_written("a", 21, era=2),), era=2)
+    state.apply_changes(older, NOW)
+    assert state.instances_by_id["a"].leaving
+    later = NOW + restored_entries.WITHDRAWN_ENTRY_S
+    assert state.expire(later)
+    assert _usable(state, later) == ["a"]
+
+
 def test_evacuation_that_the_copy_lacks_ends_after_a_limited_time() -> None:
     state = _catalog_before_restore(_written("a", 10), evacuated=("a",))
     state.apply_changes(catalog.Changes(61, era=1), NOW)
@@ -451,9 +476,9 @@
     _restored(state)
     state.apply_changes(catalog.Changes(21, era=2), NOW)
     for revision in (15, 20, 60):
-        assert state.changes_since(published_state.Position(1, revision)) is None
-    assert state.changes_since(published_state.Position(2, 20)) is not None
-    assert state.changes_since(published_state.Position(3, 5)) == catalog.Changes(
+        assert state.changes_since(store_position.Position(1, revision)) is None
+    assert state.changes_since(store_position.Position(2, 20)) is not None
+    assert state.changes_since(store_position.Position(3, 5)) == catalog.Changes(
         21, era=2
     )
 
