Forget former processes of a sender of summaries after some seconds

Cause: a late summary of a sender's former process, received by a node that knew only the present one, made the present process count as the former. All its later summaries were ignored until it restarted. The numbers of parts that a sender states were all kept, without a bound.

Change: a process counts as a former one for 5 s. Parts beyond 256 are ignored.

--- a/src/snipelink/decide/summary_senders.py
+++ b/src/snipelink/decide/summary_senders.py
@@ -28,8 +28,13 @@
 FANOUT = 4
 # Nodes of each other domain that receive crash reports from this node.
 FAR_PEER_COUNT = 2
-# Former processes of a sender whose late datagrams are recognised.
+# Former processes of a sender whose late datagrams are recognised, and the time for
+# which they are, seconds. The time ends because which of two processes is the former
+# one is only known from the order of their first datagrams, which may be reversed.
 MAX_FORMER_PROCESSES = 4
+FORMER_PROCESS_S = 5.0
+# Parts of one summary at most.
+MAX_PARTS = 256
 
 
 def sender_order(own_domain: str, other_domain: str, hosts: Iterable[str]) -> list[str]:
@@ -111,14 +116,27 @@
 
 @dataclasses.dataclass(slots=True)
 class _Process:
-    """Latest process of a sender, and its last sequence number by part."""
+    """Latest process of a sender, and its last sequence number by part.
+
+    Attributes
+    ----------
+    former : deque of tuple of int and float
+        Start of each former process, and the monotonic time at which it was replaced.
+    """
 
     started_ms: int
     sequences_by_part: dict[int, int] = dataclasses.field(default_factory=dict)
-    former: collections.deque[int] = dataclasses.field(
+    former: collections.deque[tuple[int, float]] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_FORMER_PROCESSES)
     )
 
+    def is_former(self, started_ms: int, now: float) -> bool:
+        """Whether a process was replaced recently."""
+        return any(
+            each == started_ms and now - replaced_at < FORMER_PROCESS_S
+            for each, replaced_at in self.former
+        )
+
 
 class ReceivedSummaries:
     """Tells new summaries from repeated, reordered and outdated ones."""
@@ -126,15 +144,19 @@
     def __init__(self) -> None:
         self._processes_by_host: dict[str, _Process] = {}
 
-    def accept(self, host: str, started_ms: int, sequence: int, part: int) -> bool:
+    def accept(
+        self, host: str, started_ms: int, sequence: int, part: int, now: float
+    ) -> bool:
         """Record a part of a summary; return whether it is newer than all before."""
+        if not 0 <= part < MAX_PARTS:
+            return False
         process = self._processes_by_host.get(host)
         if process is None:
             process = self._processes_by_host[host] = _Process(started_ms)
         elif process.started_ms != started_ms:
-            if started_ms in process.former:
+            if process.is_former(started_ms, now):
                 return False
-            process.former.append(process.started_ms)
+            process.former.append((process.started_ms, now))
             process.started_ms = started_ms
             process.sequences_by_part.clear()
         if sequence <= process.sequences_by_part.get(part, 0):
--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -311,7 +311,7 @@
         summary = _decoder.decode(body)
         is_from_other_domain = summary.domain in self._published.sender_orders_by_domain
         if not is_from_other_domain or not self._received.accept(
-            summary.host, summary.started_ms, summary.sequence, summary.part
+            summary.host, summary.started_ms, summary.sequence, summary.part, now
         ):
             return
         try:
--- a/tests/decide/test_summary_senders.py
+++ b/tests/decide/test_summary_senders.py
@@ -11,6 +11,8 @@
 POSITION = published_state.Position(0, 5)
 HOSTS = [f"10.0.0.{index}" for index in range(20)]
 
+NOW = 100.0
+
 
 def _senders(silent: frozenset[str] = frozenset(), other: str = "b") -> list[str]:
     """Return the hosts that take themselves for senders, in order."""
@@ -126,30 +128,48 @@
 
 def test_repeated_and_reordered_summaries_are_outdated() -> None:
     received = summary_senders.ReceivedSummaries()
-    assert received.accept("h", 1000, 5, 0)
-    assert not received.accept("h", 1000, 5, 0)
-    assert not received.accept("h", 1000, 4, 0)
-    assert received.accept("h", 1000, 6, 0)
+    assert received.accept("h", 1000, 5, 0, NOW)
+    assert not received.accept("h", 1000, 5, 0, NOW)
+    assert not received.accept("h", 1000, 4, 0, NOW)
+    assert received.accept("h", 1000, 6, 0, NOW)
 
 
 def test_parts_and_senders_are_told_apart() -> None:
     received = summary_senders.ReceivedSummaries()
-    assert received.accept("h", 1000, 5, 1)
-    assert received.accept("h", 1000, 5, 0)
-    assert received.accept("other", 1000, 1, 0)
+    assert received.accept("h", 1000, 5, 1, NOW)
+    assert received.accept("h", 1000, 5, 0, NOW)
+    assert received.accept("other", 1000, 1, 0, NOW)
 
 
 def test_restarted_sender_may_restart_its_sequence_numbers() -> None:
     received = summary_senders.ReceivedSummaries()
-    received.accept("h", 2000, 500, 0)
+    received.accept("h", 2000, 500, 0, NOW)
     # The clock of the machine may have been set back between the two starts.
-    assert received.accept("h", 1000, 1, 0)
-    assert not received.accept("h", 2000, 501, 0)
-    assert received.accept("h", 1000, 2, 0)
+    assert received.accept("h", 1000, 1, 0, NOW)
+    assert not received.accept("h", 2000, 501, 0, NOW)
+    assert received.accept("h", 1000, 2, 0, NOW)
 
 
 def test_forgotten_sender_is_new_again() -> None:
     received = summary_senders.ReceivedSummaries()
-    received.accept("h", 1000, 5, 0)
+    received.accept("h", 1000, 5, 0, NOW)
     received.retain({"other"})
-    assert received.accept("h", 1000, 1, 0)
+    assert received.accept("h", 1000, 1, 0, NOW)
+
+
+def test_late_summary_of_an_unknown_former_process_does_not_hide_the_present_one() -> (
+    None
+):
+    received = summary_senders.ReceivedSummaries()
+    assert received.accept("h", 2000, 7, 0, NOW)
+    assert received.accept("h", 1000, 500, 0, NOW + 0.1)
+    later = NOW + 0.1 + summary_senders.FORMER_PROCESS_S
+    assert received.accept("h", 2000, 100, 0, later)
+    assert not received.accept("h", 1000, 501, 0, later)
+
+
+def test_number_of_parts_that_are_remembered_is_bounded() -> None:
+    received = summary_senders.ReceivedSummaries()
+    assert received.accept("h", 1000, 1, summary_senders.MAX_PARTS - 1, NOW)
+    assert not received.accept("h", 1000, 1, summary_senders.MAX_PARTS, NOW)
+    assert not received.accept("h", 1000, 1, -1, NOW)
