Keep the newer load of an endpoint when summaries of it differ

Cause: a summary replaced the load in the table whatever its age. Where one of two senders no longer heard an endpoint and the other did, the endpoint's load and age went back with each summary of the first.

Change: a summary with an older load than the known one is ignored.

Measured: the new test failed before (the older load had replaced the newer one) and passes now.

--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -164,7 +164,8 @@
     ) -> None:
         """Store the load of an endpoint from a summary of its failure domain.
 
-        Does nothing if there is a recent direct report.
+        Does nothing if there is a recent direct report, or a load that is newer: the
+        senders of a domain may hear its endpoints at different times.
 
         Parameters
         ----------
@@ -175,7 +176,7 @@
         """
         previous = self.loads_by_host.get(host)
         if previous is not None:
-            if (
+            if received_at < previous.received_at or (
                 not previous.is_summarized
                 and now - previous.received_at <= DIRECT_PRECEDENCE_S
             ):
--- a/tests/mesh/test_load_reports.py
+++ b/tests/mesh/test_load_reports.py
@@ -153,6 +153,20 @@
     assert table.update(_load(sequence=6, running=6), HOST, 11.1)
 
 
+def test_summary_of_an_older_load_does_not_replace_a_newer_one() -> None:
+    """Guards against a sender that no longer hears an endpoint the other one hears."""
+    table = load_reports.LoadTable(slowness_period.PeriodEstimator())
+    _summarized(table, 10.0, running=2)
+    late = _load(started_ms=0, sequence=0, running=7)
+    table.update_from_summary(late, HOST, 9.2, 10.1)
+    candidate = _candidate(table, 10.1)
+    assert candidate is not None
+    assert (candidate.running, candidate.age_s) == (2, pytest.approx(0.1))
+    former = _load(started_ms=0, sequence=0, instance="i-0")
+    table.update_from_summary(former, HOST, 9.2, 10.1)
+    assert table.loads_by_host[HOST].report.instance == "i-1"
+
+
 def test_sent_calls_are_counted_until_a_summary_can_include_them() -> None:
     table = load_reports.LoadTable(slowness_period.PeriodEstimator())
     _summarized(table, 10.0, running=0)
