Send no summaries for a second after a pause of the sender

Cause: reports that waited in the socket of a paused process count as new when it goes on. It then told other domains that endpoints lost during the pause were recent, and these got calls.

Change: a sender whose iterations are more than a second apart sends nothing for one second. The other sender of its domain goes on.

--- a/src/snipelink/mesh/domain_summaries.py
+++ b/src/snipelink/mesh/domain_summaries.py
@@ -25,6 +25,8 @@
 
 # First byte of a datagram with a part of a summary.
 SUMMARY_KIND = b"S"
+# Time between two iterations of the sender from which this process counts as paused.
+PAUSE_S = placement.SILENT_NODE_S
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(mesh.DomainSummary)
@@ -119,6 +121,8 @@
         self._schedule = summary_senders.SendSchedule()
         self._received = summary_senders.ReceivedSummaries()
         self._sequence = 0
+        self._checked_at: float | None = None
+        self._resumes_at = 0.0
         self.receiving_domains: frozenset[str] = frozenset()
         self._silent_domains: frozenset[str] = frozenset()
         self._received_at_by_domain: dict[str, float] = {}
@@ -252,7 +256,16 @@
                 continue
 
     def send_due(self, now: float) -> float:
-        """Send the summaries if they are due; return when the next ones are."""
+        """Send the summaries if they are due; return when the next ones are.
+
+        None are sent for some time after a pause of this process: reports that waited
+        in the socket meanwhile look recent.
+        """
+        if self._checked_at is not None and now - self._checked_at > PAUSE_S:
+            self._resumes_at = now + placement.SILENT_NODE_S
+        self._checked_at = now
+        if now < self._resumes_at:
+            return min(self._resumes_at, now + summary_senders.SUMMARY_INTERVAL_S)
         position = self._catalog.position
         if not self.receiving_domains:
             return now + summary_senders.SUMMARY_INTERVAL_S
--- a/tests/mesh/test_domain_summaries.py
+++ b/tests/mesh/test_domain_summaries.py
@@ -294,6 +294,36 @@
     assert len(sending) == summary_senders.SENDER_COUNT
 
 
+def test_resumed_sender_does_not_tell_reports_that_waited_as_recent(
+    start: Start,
+) -> None:
+    """Guards against calls to endpoints that were lost while a sender was paused."""
+    network = start(30)
+    paused = network.nodes_by_host.pop(network.senders("a", "b")[0])
+    lost = next(
+        instance
+        for instance in network.instances
+        if instance.failure_domain == "a"
+        and instance.host not in network.senders("a", "b")
+    )
+    last_report = network.nodes_by_host[lost.host]._load(network.now)
+    last_report.sequence = 1_000_000
+    del network.nodes_by_host[lost.host]
+    network.run(2.0)
+    network.nodes_by_host[paused.own.host] = paused
+    payload = load_reports.LOAD_KIND + load_reports._encoder.encode(last_report)
+    paused.exchange.datagram_received(payload, (lost.host, 0))
+    for _ in range(10):
+        network.run(0.2)
+        for node in network.nodes("b"):
+            candidate = node.candidate(lost, network.now)
+            assert candidate is None or candidate.is_silent
+    assert "b" in paused.summaries.receiving_domains
+    sent = paused.summaries.sent_datagrams
+    network.run(0.5)
+    assert paused.summaries.sent_datagrams > sent
+
+
 def test_domain_behind_a_cut_link_is_silent_though_a_third_one_reaches_both(
     start: Start,
 ) -> None:
