Refuse requests for unserved calls only where slots are few

Cause: a request whose internal calls fail was also refused at services whose endpoints have many slots, for which nothing of this is to apply. Requests of nodes that state no operation were taken for one operation. Calls with less time than their work takes counted as unserved, so a caller beside a running request could have requests of others refused.

Change: the three cases are left out.

--- a/src/snipelink/mesh/internal_calls.py
+++ b/src/snipelink/mesh/internal_calls.py
@@ -89,10 +89,19 @@
             _decrement(self._in_flight_by_operation, call.operation)
 
     def on_outcome(self, call: calls.Call, outcome: calls.Outcome, now: float) -> None:
-        """Record the outcome that the maker of a call receives."""
+        """Record the outcome that the maker of a call receives.
+
+        The failure of a call that had less time than its work takes does not tell
+        whether other calls are served.
+        """
         if outcome.internal:
             self._known_until_by_operation[call.operation] = now + KNOWN_INTERNAL_S
-        if call.beside_running and self.is_known(call.operation, now):
+        had_time = call.deadline - call.arrived_at >= call.work_s
+        if (
+            call.beside_running
+            and (had_time or outcome.failure is None)
+            and self.is_known(call.operation, now)
+        ):
             unserved = outcome.failure is not None
             self._dependencies.record_outcome(
                 call.operation, unserved=unserved, now=now
@@ -104,6 +113,8 @@
 
     def unserved_operation(self, call: calls.Call, now: float) -> str | None:
         """Return an internal operation that a call needs and that is not served."""
+        if not call.operation or not self._applies_to(call.service):
+            return None
         return self._dependencies.unserved_operation(call.operation, now)
 
     def classify(self, call: calls.Call, now: float) -> bool:
