Correct work by published slots, and end refused requests at once

Cause: whether the expected work is corrected depended on the slots that an endpoint reports, or on a default before it does, so that services with many published slots could be affected. A request that the endpoint refused without running it counted as running until its deadline, so callers of an idle node were taken for its endpoint.

Change: the published slots of the service decide, as elsewhere. A request that was certainly not run has ended.

--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -22,6 +22,7 @@
 )
 from snipelink.mesh import (
     calls,
+    catalog,
     endpoint,
     internal_calls,
     poison_requests,
@@ -83,6 +84,8 @@
         Connections to the endpoint.
     node_settings : Settings
         Source of the endpoint's service.
+    service_catalog : Catalog
+        Published slots of the endpoints.
     header_names : HeaderNames
         Names of the mesh's own headers.
     rng : random.Random
@@ -115,6 +118,7 @@
         self,
         endpoint_client: endpoint.EndpointClient,
         node_settings: settings.Settings,
+        service_catalog: catalog.Catalog,
         header_names: settings.HeaderNames,
         rng: random.Random,
         now: float,
@@ -125,6 +129,7 @@
     ) -> None:
         self._client = endpoint_client
         self._settings = node_settings
+        self._catalog = service_catalog
         self._names = header_names
         self._rng = rng
         self._on_change = on_change
@@ -197,15 +202,16 @@
                     return poison_refusal
             verdict = "waited" if offered.verdict is slots.Verdict.WAIT else "started"
             self._internal_calls.record_verdict(call, verdict)
-            answered = False
+            has_ended = False
             try:
                 with self._internal_calls.running(call):
                     outcome = await self._exchange(key, call, instance, clock.now())
-                answered = outcome.response is not None
+                failure = outcome.failure
+                has_ended = failure is None or failure.not_run
                 return outcome
             finally:
                 self._internal_calls.on_run_ended(
-                    call, answered=answered, now=clock.now()
+                    call, has_ended=has_ended, now=clock.now()
                 )
         finally:
             self.slots.release(key)
@@ -315,7 +321,8 @@
     def _demand(self, call: calls.Call) -> queue_policy.Demand:
         """Return the call's demand, with corrected work where slots are few."""
         demand = call.demand()
-        if self.slots.capacity > self._settings.balancing.few_slots:
+        few_slots = self._settings.balancing.few_slots
+        if not self._catalog.has_few_slots(call.service, few_slots):
             return demand
         work_s = self._work_correction.corrected_s(call.work_s)
         return dataclasses.replace(demand, work_s=work_s)
--- a/src/snipelink/mesh/internal_calls.py
+++ b/src/snipelink/mesh/internal_calls.py
@@ -143,12 +143,16 @@
         finally:
             _decrement(self._running_by_operation, call.operation)
 
-    def on_run_ended(self, call: calls.Call, *, answered: bool, now: float) -> None:
-        """Record that a request on this node's endpoint has ended.
-
-        An endpoint may go on with a request that was given up, until its deadline.
+    def on_run_ended(self, call: calls.Call, *, has_ended: bool, now: float) -> None:
+        """Record that this node no longer waits for a request on its endpoint.
+
+        Parameters
+        ----------
+        has_ended : bool
+            Whether the endpoint answered the request or has not run it. It may go on
+            with a request that was given up, until its deadline.
         """
-        ended_at = now if answered else max(now, call.deadline)
+        ended_at = now if has_ended else max(now, call.deadline)
         self._may_run_until = max(self._may_run_until, ended_at + RUN_GRACE_S)
 
     def retain(self, operations: set[str]) -> None:
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -154,6 +154,7 @@
         self._runner = admission.EndpointRunner(
             self._endpoint,
             node_settings,
+            self._catalog,
             header_names,
             rng,
             now,
--- a/tests/mesh/test_internal_calls.py
+++ b/tests/mesh/test_internal_calls.py
@@ -77,7 +77,7 @@
 
 
 @pytest.mark.parametrize(
-    ("answered", "at", "beside_running"),
+    ("has_ended", "at", "beside_running"),
     [
         (True, NOW + internal_calls.RUN_GRACE_S / 2, True),
         (True, NOW + internal_calls.RUN_GRACE_S * 2, False),
@@ -86,11 +86,11 @@
     ],
 )
 def test_request_that_was_given_up_counts_as_running_until_its_deadline(
-    answered: bool, at: float, beside_running: bool
+    has_ended: bool, at: float, beside_running: bool
 ) -> None:
     """Guards against the loss of precedence while requests reach their deadlines."""
     tracker = _tracker()
-    tracker.on_run_ended(_call(operation="submit"), answered=answered, now=NOW)
+    tracker.on_run_ended(_call(operation="submit"), has_ended=has_ended, now=NOW)
     call = _call(arrived_at=at)
     with tracker.passing_on(call):
         pass
@@ -176,7 +176,7 @@
 
 
 def test_requests_that_state_no_operation_are_not_refused() -> None:
-    """Guards against the refusal of all requests that a node of an older version sends."""
+    """Guards against the refusal of all requests of a node of an older version."""
     tracker = _tracker()
     refused = calls.failed_outcome(errors.Kind.OVERLOADED, "would start in 1 s")
     refused = dataclasses.replace(refused, internal=True)
