End the wait for the first configuration when the node leaves

Cause: a call that waited for the first configuration of a starting node was not part of the calls that a shutdown ends, so its connection could be closed without an answer.

Change: a leaving node does not wait, and the end of the shutdown ends the waits.

Measured: both cases of the new test failed before (no answer within the limit of the test) and pass now.

--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -99,7 +99,8 @@
         self._rng = rng
         self.stops_at: float | None = None
         self._is_stopping = False
-        self._configured = asyncio.Event()
+        # Set by the first configuration, and by `stop`, which ends the wait for it.
+        self._may_answer = asyncio.Event()
         # Monotonic time of the first configuration.
         self._configured_at = math.inf
         # One timeout for each call in flight; it has no deadline until `abort_calls`.
@@ -117,7 +118,7 @@
             Monotonic time at which the first byte of the request arrived.
         """
         call_id = request.header(self._names.call_id)
-        if self._catalog.route_table is None:
+        if self._catalog.route_table is None and self.stops_at is None:
             await self._wait_for_configuration(request, arrived_at)
         table = self._catalog.route_table
         if table is None:
@@ -164,6 +165,7 @@
     def stop(self) -> None:
         """Refuse new calls and start no retries; failed calls return their failure."""
         self._is_stopping = True
+        self._may_answer.set()
 
     def abort_calls(self) -> None:
         """Fail all calls in flight at once; it is unknown whether they have run."""
@@ -177,9 +179,9 @@
         table = self._catalog.route_table
         if table is None:
             return
-        if not self._configured.is_set():
+        if self._configured_at == math.inf:
             self._configured_at = now
-            self._configured.set()
+            self._may_answer.set()
         routes = set(table.configuration.routes)
         for route in [r for r in self._splitters_by_route if r not in routes]:
             del self._splitters_by_route[route]
@@ -306,7 +308,7 @@
         wait_s = start_wait.for_configuration_s(remaining_ms / 1000.0)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(arrived_at + wait_s - clock.now()):
-                await self._configured.wait()
+                await self._may_answer.wait()
 
     def _may_wait(self, call: calls.Call, now: float) -> bool:
         """Whether a call may wait for the first endpoint of its service."""
--- a/tests/mesh/test_returns.py
+++ b/tests/mesh/test_returns.py
@@ -7,7 +7,12 @@
 import pytest
 
 from snipelink import clock, errors
-from snipelink.decide import return_schedule, slowness_period, work_estimation
+from snipelink.decide import (
+    return_schedule,
+    slowness_period,
+    start_wait,
+    work_estimation,
+)
 from snipelink.generated import mesh
 from snipelink.mesh import (
     calls,
@@ -18,6 +23,7 @@
     settings,
 )
 from snipelink.observe import metrics
+from snipelink.session import http
 from tests.mesh import fleet
 from tests.mesh.test_node import run
 
@@ -141,6 +147,29 @@
         await member.end()
 
 
+async def _refusal_status(*, leaves_before: bool) -> int:
+    """Return the answer of a node that stops without a configuration."""
+    dispatcher = fleet.make_member(SERVICE, _SlowStore()).node._dispatcher
+    if leaves_before:
+        dispatcher.stops_at = clock.now() + 5.0
+    request = http.Request("GET", "/view/1", [(fleet.NAMES.call_id, "c1")])
+    answering = asyncio.ensure_future(dispatcher.answer(request, clock.now()))
+    await asyncio.sleep(0.0)
+    if not leaves_before:
+        dispatcher.stop()
+    response = await asyncio.wait_for(answering, 5.0)
+    return response.status
+
+
+@pytest.mark.parametrize("leaves_before", [True, False])
+def test_no_call_waits_for_the_configuration_of_a_node_that_stops(
+    monkeypatch: pytest.MonkeyPatch, *, leaves_before: bool
+) -> None:
+    """Guards against connections that a shutdown closes without an answer."""
+    monkeypatch.setattr(start_wait, "for_configuration_s", lambda remaining_s: 60.0)
+    assert asyncio.run(_refusal_status(leaves_before=leaves_before)) == 503
+
+
 @run
 async def test_call_waits_for_the_first_endpoint_only_while_it_can_be_in_time() -> None:
     """Restarts a node whose endpoint starts after it."""
