Test that far costs and waits for endpoints spare many slots

Cause: no test failed when the higher cost of far calls or the wait for the first endpoint applied to services whose endpoints have many slots.

Change: two tests. Both fail if the check of the slots is removed.

--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -15,7 +15,7 @@
 import pytest
 
 from snipelink import clock, errors
-from snipelink.decide import slowness_period
+from snipelink.decide import far_cost, slowness_period
 from snipelink.generated import mesh
 from snipelink.mesh import (
     admission,
@@ -252,6 +252,16 @@
     assert counts.get((SERVICE, "late"), 0) == (50 - late_count if slots else 0)
 
 
+@pytest.mark.parametrize("slots", [0, 3, 4])
+def test_far_calls_cost_more_only_at_services_with_few_slots(slots: int) -> None:
+    subject = _subject()
+    subject.publish(2, clock.now(), slots)
+    cost = subject.attempts._far_cost(_call())
+    few_slots_ratio = settings_module.Balancing().few_slots_far_ratio
+    expected = far_cost.FarCost(few_slots_ratio) if slots == 3 else far_cost.FarCost()
+    assert cost == expected
+
+
 def test_slow_call_counts_one_refused_hedge_however_often_it_is_checked() -> None:
     """Guards against counting each check of a slow call as a refused hedge."""
     subject = _subject(_slow_on("i-0", "i-1"), retry_ratio=0.0, retry_allowance=0.0)
--- a/tests/mesh/test_returns.py
+++ b/tests/mesh/test_returns.py
@@ -197,6 +197,33 @@
         await member.end()
 
 
+@pytest.mark.parametrize("slots", [0, FEW_SLOTS + 1])
+def test_call_of_a_service_with_many_slots_waits_for_no_endpoint(
+    monkeypatch: pytest.MonkeyPatch, slots: int
+) -> None:
+    monkeypatch.setattr(start_wait, "may_wait_for_endpoint", lambda *_: True)
+    node = fleet.make_member(SERVICE, fleet.FakeStore()).node
+    instance = published_state.Instance("i-1", SERVICE, "h", "a", False, slots=slots)
+    published = published_state.PublishedState(
+        1, fleet.configuration(fleet.route(SERVICE)), (instance,)
+    )
+    node._catalog.apply_snapshot(published, clock.now())
+    request = http.Request(
+        "GET",
+        "/view/1",
+        [(fleet.NAMES.call_id, "c1")],
+        host="example",
+        path="/view/1",
+        raw_target="/view/1",
+    )
+
+    async def scenario() -> http.Response:
+        answer = node._dispatcher.answer(request, clock.now())
+        return await asyncio.wait_for(answer, 5.0)
+
+    assert asyncio.run(scenario()).status == 503
+
+
 def test_refused_call_logs_its_return(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level(logging.INFO)
     refused = asyncio.run(_refused_answers())
