--- a/src/snipelink/mesh/retry_budgets.py
+++ b/src/snipelink/mesh/retry_budgets.py
@@ -26,9 +26,8 @@
 RESERVE_SHARE = 0.2
 EARNED_SHARE = 0.5
 # Share of the configured ratio that answers earn. Calls made by a retried run count as
-# further attempts at the service that they go to. With a share of 0.15, the attempts
-# there exceeded the bound on sites whose endpoints make seven or more calls for each
-# request, such as clpw-mesh.
+# further attempts at the service that they go to. With a larger share, the attempts
+# there exceed the bound where endpoints make seven or more calls for each request.
 RATIO_SHARE = 0.1
 
 
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -899,7 +899,7 @@
 
 @run
 async def test_evacuated_failure_domain_gets_no_calls_until_it_is_restored() -> None:
-    """Guards against calls to servers of a zone that operators have evacuated."""
+    """Guards against calls to a failure domain that operators have evacuated."""
     async with fleet.running("rota", "rota") as members:
         evacuated, staying = members
         instances = (
@@ -962,7 +962,7 @@
 
     They were passed on and ended without an answer, also those that run once at most.
     """
-    requester_count, work_s = 16, 0.4
+    caller_count, work_s = 16, 0.4
     routes = await both_routes("rota")
     async with fleet.running("rota", "rota", routes=routes) as members:
         leaving, staying = members
@@ -999,7 +999,7 @@
 
         tasks = [
             asyncio.ensure_future(send_steadily(number))
-            for number in range(requester_count)
+            for number in range(caller_count)
         ]
         await asyncio.sleep(0.5)
         leaving.stop.set()
@@ -1008,7 +1008,7 @@
             assert await leaving.task == 0
         async with asyncio.timeout(5.0):
             await asyncio.gather(*tasks)
-        assert answered_count > requester_count
+        assert answered_count > caller_count
         ran = {
             call_id for call_id in unanswered + refused if arrivals(members, call_id)
         }
