--- a/src/snipelink/mesh/internal_calls.py
+++ b/src/snipelink/mesh/internal_calls.py
@@ -89,10 +89,19 @@
             _decrement(self._in_flight_by_operation, call.operation)
 
     def on_outcome(self, call: calls.Call, outcome: calls.Outcome, now: float) -> None:
-        """Record the outcome that the maker of a call receives."""
+        """Record the outcome that the maker of a call receives.
+
+        The failure of a call that had less time than its work takes does not tell
+        whether other calls are served.
+        """
         if outcome.internal:
             self._known_until_by_operation[call.operation] = now + KNOWN_INTERNAL_S
-        if call.beside_running and self.is_known(call.operation, now):
+        had_time = call.deadline - call.arrived_at >= call.work_s
+        if (
+            call.beside_running
+            and (had_time or outcome.failure is None)
+            and self.is_known(call.operation, now)
+        ):
             unserved = outcome.failure is not None
             self._dependencies.record_outcome(
                 call.operation, unserved=unserved, now=now
@@ -104,6 +113,8 @@
 
     def unserved_operation(self, call: calls.Call, now: float) -> str | None:
         """Return an internal operation that a call needs and that is not served."""
+        if not call.operation or not self._applies_to(call.service):
+            return None
         return self._dependencies.unserved_operation(call.operation, now)
 
     def classify(self, call: calls.Call, now: float) -> bool:
@@ -133,12 +144,16 @@
         finally:
             _decrement(self._running_by_operation, call.operation)
 
-    def on_run_ended(self, call: calls.Call, *, answered: bool, now: float) -> None:
-        """Record that a request on this node's endpoint has ended.
+    def on_run_ended(self, call: calls.Call, *, has_ended: bool, now: float) -> None:
+        """Record that this node no longer waits for a request on its endpoint.
 
-        An endpoint may go on with a request that was given up, until its deadline.
+        Parameters
+        ----------
+        has_ended : bool
+            Whether the endpoint answered the request or has not run it. It may go on
+            with a request that was given up, until its deadline.
         """
-        ended_at = now if answered else max(now, call.deadline)
+        ended_at = now if has_ended else max(now, call.deadline)
         self._may_run_until = max(self._may_run_until, ended_at + RUN_GRACE_S)
 
     def retain(self, operations: set[str]) -> None:
--- a/tests/mesh/test_internal_calls.py
+++ b/tests/mesh/test_internal_calls.py
@@ -14,7 +14,7 @@
 from tests.mesh import fleet
 
 NOW = 100.0
-SLOTS_BY_SERVICE = {"rota": 3, "archive": 9}
+SLOTS_BY_SERVICE = {"rota": 3, "records": 2, "archive": 9}
 
 
 def _tracker(**changes: typing.Any) -> internal_calls.InternalCalls:
@@ -78,7 +78,7 @@
 
 
 @pytest.mark.parametrize(
-    ("answered", "at", "beside_running"),
+    ("has_ended", "at", "beside_running"),
     [
         (True, NOW + internal_calls.RUN_GRACE_S / 2, True),
         (True, NOW + internal_calls.RUN_GRACE_S * 2, False),
@@ -87,11 +87,11 @@
     ],
 )
 def test_request_that_was_given_up_counts_as_running_until_its_deadline(
-    answered: bool, at: float, beside_running: bool
+    has_ended: bool, at: float, beside_running: bool
 ) -> None:
     """Guards against the loss of precedence while requests reach their deadlines."""
     tracker = _tracker()
-    tracker.on_run_ended(_call(operation="submit"), answered=answered, now=NOW)
+    tracker.on_run_ended(_call(operation="submit"), has_ended=has_ended, now=NOW)
     call = _call(arrived_at=at)
     with tracker.passing_on(call):
         pass
@@ -138,13 +138,13 @@
     tracker = _tracker()
     refused = calls.failed_outcome(errors.Kind.OVERLOADED, "would start in 1 s")
     refused = dataclasses.replace(refused, internal=True)
-    submit = _call("archive", "submit")
+    submit = _call("records", "submit")
     for _ in range(9):
         call = _call()
         with tracker.running(submit), tracker.passing_on(call):
             tracker.on_outcome(call, refused, NOW)
     assert tracker.unserved_operation(submit, NOW) == "index"
-    assert tracker.unserved_operation(_call("archive", "lookup"), NOW) is None
+    assert tracker.unserved_operation(_call("records", "lookup"), NOW) is None
     answered = calls.Outcome(http.Response(200, []), reached=True)
     for _ in range(3):
         with tracker.running(submit), tracker.passing_on(call):
@@ -152,10 +152,47 @@
     assert tracker.unserved_operation(submit, NOW) is None
 
 
+def _unserved(tracker: internal_calls.InternalCalls, **changes: typing.Any) -> None:
+    """Let calls of requests of the operation `submit` fail."""
+    refused = calls.failed_outcome(errors.Kind.OVERLOADED, "would start in 1 s")
+    refused = dataclasses.replace(refused, internal=True)
+    for _ in range(9):
+        call = _call(**changes)
+        with tracker.running(_call("records", "submit")), tracker.passing_on(call):
+            tracker.on_outcome(call, refused, NOW)
+
+
+def test_requests_of_a_service_with_many_slots_run_though_their_calls_fail() -> None:
+    tracker = _tracker()
+    _unserved(tracker)
+    assert tracker.unserved_operation(_call("records", "submit"), NOW) == "index"
+    assert tracker.unserved_operation(_call("archive", "submit"), NOW) is None
+
+
+def test_calls_that_had_no_time_refuse_no_requests() -> None:
+    """Guards against a caller that has requests refused by calls that must fail."""
+    tracker = _tracker()
+    _unserved(tracker, deadline=NOW + 0.001)
+    assert tracker.unserved_operation(_call("records", "submit"), NOW) is None
+
+
+def test_requests_that_state_no_operation_are_not_refused() -> None:
+    """Guards against the refusal of all requests of a node of an older version."""
+    tracker = _tracker()
+    refused = calls.failed_outcome(errors.Kind.OVERLOADED, "would start in 1 s")
+    refused = dataclasses.replace(refused, internal=True)
+    unnamed = _call("records", "")
+    for _ in range(9):
+        call = _call()
+        with tracker.running(unnamed), tracker.passing_on(call):
+            tracker.on_outcome(call, refused, NOW)
+    assert tracker.unserved_operation(unnamed, NOW) is None
+
+
 def test_failed_calls_of_an_ordinary_operation_refuse_no_requests() -> None:
     tracker = _tracker()
     refused = calls.failed_outcome(errors.Kind.OVERLOADED, "would start in 1 s")
-    submit = _call("archive", "submit")
+    submit = _call("records", "submit")
     for _ in range(9):
         call = _call()
         with tracker.running(submit), tracker.passing_on(call):
