--- a/bench/replay.py
+++ b/bench/replay.py
@@ -362,6 +362,7 @@
         self._seconds = seconds
         self._snapshots: list[tuple[float, list[placement.Candidate]]] = []
         self._peer_samples_at = 0.0
+        self._events: list[tuple[float, int, int, Call | Server]] = []
 
     def live_servers(self) -> list[Server]:
         """Return the servers that are up."""
@@ -391,6 +392,10 @@
         """Refuse a call without running it."""
         call.refused, call.finished_at = True, now
 
+    def place_again(self, call: Call, at: float) -> None:
+        """Pass a call to the policy once more at a later time."""
+        heapq.heappush(self._events, (at, 1, call.key, call))
+
     def run(self) -> None:
         """Simulate the load pattern to its end."""
         arrivals = [(call.arrived, 1, call.key, call) for call in self.calls]
@@ -404,13 +409,13 @@
             for step in range(int((self._seconds + 5.0) / SPEED_PHASE_S))
             for index, server in enumerate(self.servers_by_name.values())
         ]
-        events: list[tuple[float, int, int, Call | Server]] = [*arrivals, *phases]
-        heapq.heapify(events)
+        self._events = [*arrivals, *phases]
+        heapq.heapify(self._events)
         now = 0.0
-        while events:
-            until = events[0][0]
+        while self._events:
+            until = self._events[0][0]
             now = self._run_calls_until(now, until)
-            _, _, _, event = heapq.heappop(events)
+            _, _, _, event = heapq.heappop(self._events)
             if isinstance(event, Call):
                 self._policy.place_call(event, self, now)
             else:
--- a/src/snipelink/decide/queue_policy.py
+++ b/src/snipelink/decide/queue_policy.py
@@ -96,6 +96,13 @@
         Number of calls that run concurrently.
     """
     ahead = [each for each in waiting if each.priority <= demand.priority]
+    return queue_work_s(ahead, remaining_s, slots)
+
+
+def queue_work_s(
+    ahead: Sequence[Demand], remaining_s: Sequence[float], slots: int
+) -> float:
+    """Return the work per slot before a call starts behind all of `ahead`."""
     if len(remaining_s) + len(ahead) < slots:
         return 0.0
     # The first slot that becomes free serves the first waiting call, and so on.
--- a/src/snipelink/decide/slots.py
+++ b/src/snipelink/decide/slots.py
@@ -13,6 +13,7 @@
 from snipelink.decide import (
     concurrency_limit,
     queue_policy,
+    service_floor,
     slow_start,
     slowness_period,
     work_estimation,
@@ -105,6 +106,8 @@
         Number of running calls that were not offered here.
     slow_start : SlowStartLimiter
         Limits the calls that start while the endpoint is cold.
+    floor : ServiceFloor
+        Floors of the priorities of the waiting calls.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         self.limit = DEFAULT_SLOT_COUNT
         self.external_count = 0
         self.slow_start = slow_start.SlowStartLimiter(now)
+        self.floor = service_floor.ServiceFloor()
         self._concurrency_limit = concurrency_limit.ConcurrencyLimit()
         self._running_by_key: dict[int, _RunningCall] = {}
         self._waiting_by_key: dict[int, _WaitingCall] = {}
@@ -131,6 +135,7 @@
 
     def offer(self, key: int, demand: queue_policy.Demand, now: float) -> OfferResult:
         """Start a call, queue it or refuse it."""
+        self.floor.on_offer(demand.priority, demand.work_s, now)
         mean_s = demand.work_s * self.progress.mean_slowness
         if queue_policy.misses_deadline(demand, mean_s, now):
             reason = f"takes {mean_s:.2f} s, too long for its deadline"
@@ -245,6 +250,7 @@
         done_s = self.progress.done_until_s(now)
         self._running_by_key[key] = _RunningCall(demand, done_s, self._busy_count() + 1)
         self.slow_start.on_start(now)
+        self.floor.on_start(demand.priority, demand.work_s, now)
 
     def _busy_count(self) -> int:
         return len(self._running_by_key) + self.external_count
@@ -263,11 +269,15 @@
         duration_s = self.progress.max_duration_s(demand.work_s)
         return not queue_policy.misses_deadline(demand, duration_s, now)
 
-    def _rank(self, key: int, now: float) -> tuple[int, bool, float]:
-        demand = self._waiting_by_key[key].demand
-        return queue_policy.rank(
-            demand, self.progress.duration_s(demand.work_s, now), now
-        )
+    def _rank(self, key: int, now: float) -> tuple[bool, int, bool, float]:
+        return self._rank_demand(self._waiting_by_key[key].demand, now)
+
+    def _rank_demand(
+        self, demand: queue_policy.Demand, now: float
+    ) -> tuple[bool, int, bool, float]:
+        run_s = self.progress.duration_s(demand.work_s, now)
+        priority, is_late, arrived_at = queue_policy.rank(demand, run_s, now)
+        return self.floor.rank(priority, arrived_at, is_late=is_late)
 
     def _expected_wait_s(self, demand: queue_policy.Demand, now: float) -> float:
         done_s = self.progress.done_until_s(now)
@@ -277,7 +287,12 @@
         ]
         others = [entry.demand for entry in self._waiting_by_key.values()]
         limit = max(1, self.limit)
-        work_s = queue_policy.work_ahead_s(demand, others, remaining_s, limit)
+        if self.floor.is_enabled:
+            rank = self._rank_demand(demand, now)
+            ahead = [each for each in others if self._rank_demand(each, now) <= rank]
+            work_s = queue_policy.queue_work_s(ahead, remaining_s, limit)
+        else:
+            work_s = queue_policy.work_ahead_s(demand, others, remaining_s, limit)
         wait_s = self.progress.duration_s(work_s, now)
         wait_s = max(wait_s, self.slow_start.wait_s(self._count_ahead(demand), now))
         if self._meets_deadline(demand, now):
