Refuse calls at the caller's node if their service has no room

The dispatcher asks once, before the first attempt, and after a refusal by an endpoint's node tries only endpoints with a free slot. Applies to services whose endpoints publish at most `Balancing.admission_slots` slots, as do the floors beside the endpoint; others are served as before. Refusals are logged and counted by service.

--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -9,8 +9,15 @@
 import random
 from collections.abc import Callable, Mapping
 
-from snipelink import clock
-from snipelink.decide import hedging, placement, work_estimation
+from snipelink import clock, errors
+from snipelink.decide import (
+    hedging,
+    placement,
+    retry_after,
+    service_admission,
+    service_floor,
+    work_estimation,
+)
 from snipelink.mesh import (
     admission,
     calls,
@@ -126,9 +133,18 @@
             ("service",),
         )
         self.estimates = work_estimation.WorkEstimates()
+        self._sent_by_service: dict[str, service_floor.ServiceFloor] = {}
+        self._service_refusals = metrics_registry.counter(
+            "snipelink_mesh_service_refusals_total",
+            "Calls refused by this node because no endpoint of the service had room.",
+            ("service",),
+        )
 
     def on_catalog_change(self, now: float) -> None:
         """Divide the retry allowance by the number of machines now published."""
+        services = {each.service for each in self._catalog.instances_by_id.values()}
+        for service in [s for s in self._sent_by_service if s not in services]:
+            del self._sent_by_service[service]
         # A machine may be listed twice after its endpoint was replaced.
         hosts = {each.host for each in self._catalog.instances_by_id.values()}
         self._retry_budgets.on_published(len(hosts), now)
@@ -178,6 +194,78 @@
         tried : set of str
             Instances that were already chosen for this call.
         """
+        mean_s = self.estimates.mean_work_s(call.service)
+        return placement.choose(
+            self._candidates(call, tried, now),
+            call.work_s,
+            mean_s,
+            self._rng,
+            may_hedge=call.idempotent,
+        )
+
+    def refuse_without_room(self, call: calls.Call, now: float) -> calls.Outcome | None:
+        """Return the refusal of a new call if its service has no room; else None."""
+        if not self._is_admitted_by_service(call):
+            return None
+        sent = self._sent_work(call.service)
+        sent.on_offer(call.priority, call.work_s, now)
+        room = self._find_room(
+            call,
+            set(),
+            sent.share_ahead(call.priority),
+            service_admission.SERVICE_WAIT_FACTOR,
+            now,
+        )
+        if room.is_sufficient:
+            sent.on_start(call.priority, call.work_s, now)
+            return None
+        self._service_refusals.increment(call.service)
+        log_decision(call, "service has no room", now, start_s=round(room.start_s, 3))
+        detail = f"{call.service} would start it in {room.start_s:.2f} s"
+        after_s = retry_after.retry_after_s(room.start_s, self._rng)
+        return calls.failed_outcome(errors.Kind.OVERLOADED, detail, after_s)
+
+    def has_room_elsewhere(self, call: calls.Call, tried: set[str], now: float) -> bool:
+        """Whether an untried endpoint may have room for a call that was refused."""
+        if not self._is_admitted_by_service(call):
+            return True
+        share_ahead = self._sent_work(call.service).share_ahead(call.priority)
+        factor = service_admission.RETRY_WAIT_FACTOR
+        return self._find_room(call, tried, share_ahead, factor, now).is_sufficient
+
+    def _find_room(
+        self,
+        call: calls.Call,
+        tried: set[str],
+        share_ahead: float,
+        wait_factor: float,
+        now: float,
+    ) -> service_admission.Room:
+        return service_admission.find_room(
+            self._candidates(call, tried, now),
+            call.demand(),
+            self.estimates.mean_work_s(call.service),
+            share_ahead,
+            now,
+            wait_factor=wait_factor,
+        )
+
+    def _is_admitted_by_service(self, call: calls.Call) -> bool:
+        few_slots = self._settings.balancing.admission_slots
+        return self._catalog.has_few_slots(call.service, few_slots)
+
+    def _sent_work(self, service: str) -> service_floor.ServiceFloor:
+        """Return the work by priority that this node sends to a service."""
+        sent = self._sent_by_service.get(service)
+        if sent is None:
+            sent = service_floor.ServiceFloor(service_floor.SENT_TIME_CONSTANT_S)
+            sent.is_enabled = True
+            self._sent_by_service[service] = sent
+        return sent
+
+    def _candidates(
+        self, call: calls.Call, tried: set[str], now: float
+    ) -> list[placement.Candidate]:
         candidates = []
         loads_by_instance = self._load_table.loads_by_instance
         unacknowledged = self._peer_client.unacknowledged_by_instance(
@@ -192,10 +280,7 @@
             )
             if candidate is not None:
                 candidates.append(candidate)
-        mean_s = self.estimates.mean_work_s(call.service)
-        return placement.choose(
-            candidates, call.work_s, mean_s, self._rng, may_hedge=call.idempotent
-        )
+        return candidates
 
     async def run(
         self,
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -239,6 +239,9 @@
         tried: set[str] = set()
         reached_count = unreached_count = 0
         outcome: calls.Outcome | None = None
+        no_room = self._attempts.refuse_without_room(call, clock.now())
+        if no_room is not None:
+            return no_room
         while True:
             now = clock.now()
             poison_refusal = self._poison_guard.check(call, now)
@@ -262,6 +265,10 @@
             now = clock.now()
             if not self._may_retry(call, latest, reached_count, unreached_count, now):
                 return outcome
+            if _is_overloaded(latest) and not self._attempts.has_room_elsewhere(
+                call, tried, now
+            ):
+                return outcome
             failed = attempts.RetryReason.FAILED
             if reached_count and not self._attempts.try_spend_budget(call, failed, now):
                 return outcome
@@ -358,6 +365,11 @@
     return http.Response(traits.status, fields, text.encode())
 
 
+def _is_overloaded(outcome: calls.Outcome) -> bool:
+    failure = outcome.failure
+    return failure is not None and failure.kind is errors.Kind.OVERLOADED
+
+
 def _parse_ms(text: str) -> int:
     if text.isascii() and text.isdigit() and len(text) <= 9:
         return int(text)
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -460,6 +460,9 @@
         self._update_endpoint_subset()
         self._update_leaving(now)
         self._update_cold_limits(now)
+        self._runner.slots.floor.is_enabled = self._catalog.has_few_slots(
+            self._settings.service, self._settings.balancing.admission_slots
+        )
         self._runner.admit(now)
         self._publish_load(now)
 
--- a/src/snipelink/mesh/settings.py
+++ b/src/snipelink/mesh/settings.py
@@ -60,9 +60,13 @@
         failure domain, and a call that it refuses seldom finds room by trying the
         next one. The mechanisms for services of such endpoints are described in
         ``docs/design``.
+    admission_slots : int
+        Calls are admitted by service, and waiting calls have floors by priority, if
+        the endpoints of a service publish at most this many slots; 0 if never.
     """
 
     few_slots: int = 3
+    admission_slots: int = 4
 
 
 @dataclasses.dataclass(slots=True)
