Try refused calls again where they would start in time

After a refusal only endpoints with a free slot were tried. On endpoints of three slots most calls wait behind one or two others, and on a trial with the rule below 2,736 of 3,729 calls that an endpoint's node refused were never answered with a refusal. The rule of the first attempt now also holds after a refusal, without its tolerance.

--- a/src/snipelink/decide/service_admission.py
+++ b/src/snipelink/decide/service_admission.py
@@ -18,9 +18,9 @@
 
 # Maximum expected wait at the caller's node, as a multiple of the one at the endpoint.
 SERVICE_WAIT_FACTOR = 1.5
-# The same for a call that an endpoint's node has refused: its reports were outdated, so
-# only an endpoint that can start the call at once is tried.
-RETRY_WAIT_FACTOR = 0.0
+# The same for a call that an endpoint's node has refused: its report was outdated, so
+# the others get no tolerance.
+RETRY_WAIT_FACTOR = 1.0
 # Fraction of the endpoints whose reports must be fresh for a refusal.
 MIN_FRESH_RATIO = 0.5
 
