--- a/src/snipelink/mesh/settings.py
+++ b/src/snipelink/mesh/settings.py
@@ -66,7 +66,7 @@
     """
 
     few_slots: int = 3
-    admission_slots: int = 4
+    admission_slots: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/mesh/test_dispatch.py
+++ b/tests/mesh/test_dispatch.py
@@ -10,7 +10,7 @@
 from snipelink import clock, errors
 from snipelink.decide import placement
 from snipelink.generated import mesh
-from snipelink.mesh import calls, dispatch, published_state
+from snipelink.mesh import calls, dispatch, published_state, settings
 from snipelink.session import http
 from tests.mesh import test_attempts
 
@@ -30,6 +30,7 @@
 ) -> test_attempts.Subject:
     """Return a node that has heard the same load of all endpoints."""
     subject = test_attempts._subject(script, known=ENDPOINT_COUNT)
+    subject.own.balancing = settings.Balancing(admission_slots=FEW_SLOTS)
     now = clock.now()
     instances = tuple(
         dataclasses.replace(instance, slots=slots)
