--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -300,6 +300,13 @@
         tried: set[str] = set()
         reached_count = unreached_count = 0
         outcome: calls.Outcome | None = None
+        now = clock.now()
+        is_internal = call.may_precede and self._internal_calls.is_known(
+            call.operation, now
+        )
+        no_room = None if is_internal else self._attempts.refuse_without_room(call, now)
+        if no_room is not None:
+            return no_room
         while True:
             now = clock.now()
             poison_refusal = self._poison_guard.check(call, now)
@@ -326,6 +333,10 @@
             now = clock.now()
             if not self._may_retry(call, latest, reached_count, unreached_count, now):
                 return outcome
+            if _is_overloaded(latest) and not self._attempts.has_room_elsewhere(
+                call, tried, now
+            ):
+                return outcome
             failed = attempts.RetryReason.FAILED
             if reached_count and not self._attempts.try_spend_budget(call, failed, now):
                 return outcome
@@ -449,6 +460,11 @@
     return http.Response(traits.status, fields, text.encode())
 
 
+def _is_overloaded(outcome: calls.Outcome) -> bool:
+    failure = outcome.failure
+    return failure is not None and failure.kind is errors.Kind.OVERLOADED
+
+
 def _parse_ms(text: str) -> int:
     if text.isascii() and text.isdigit() and len(text) <= 9:
         return int(text)
--- a/src/snipelink/mesh/settings.py
+++ b/src/snipelink/mesh/settings.py
@@ -66,11 +66,15 @@
     far_s_per_mb : float
         Cost of a megabyte that a call carries to and from another failure domain, in
         seconds of the call's duration.
+    admission_slots : int
+        Calls are admitted by service, and waiting calls have floors by priority, if
+        the endpoints of a service publish at most this many slots; 0 if never.
     """
 
     few_slots: int = 3
     few_slots_far_ratio: float = 0.5
     far_s_per_mb: float = 0.0
+    admission_slots: int = 0
 
 
 @dataclasses.dataclass(slots=True)
