--- a/src/snipelink/decide/work_correction.py
+++ b/src/snipelink/decide/work_correction.py
@@ -4,11 +4,15 @@
 part of their latency objectives as work. Where that is too much, calls that could be
 answered in time are refused as late. The node beside an endpoint sees the calls of all
 other nodes, so it knows within a few answers how their expectations compare with the
-work.
+work. Once the nodes have learnt the work themselves, nothing is corrected: under
+overload, the calls that are answered are the shorter ones.
 """
 
 from __future__ import annotations
 
+# Time after the start of a node or its endpoint for which expectations are corrected,
+# seconds.
+LEARNING_S = 5.0
 # Samples from which on expectations are corrected.
 MIN_SAMPLES = 3
 # Minimum weight of a new sample. Expectations become right as the other nodes learn, so
@@ -25,9 +29,16 @@
 
 
 class WorkCorrection:
-    """Mean ratio of the work of calls to what their nodes expected."""
+    """Mean ratio of the work of calls to what their nodes expected.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    now : float
+        Present monotonic time, seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._started_at = now
         self._mean_ratio = 1.0
         self._count = 0
 
@@ -47,8 +58,8 @@
         weight = max(MIN_SAMPLE_WEIGHT, 1.0 / self._count)
         self._mean_ratio += weight * (ratio - self._mean_ratio)
 
-    def corrected_s(self, expected_s: float) -> float:
+    def corrected_s(self, expected_s: float, now: float) -> float:
         """Return the work to expect of a call, in seconds at normal speed."""
-        if self._count < MIN_SAMPLES:
+        if self._count < MIN_SAMPLES or now - self._started_at > LEARNING_S:
             return expected_s
         return expected_s * min(MAX_CORRECTION, max(MIN_CORRECTION, self._mean_ratio))
--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -125,7 +125,7 @@
         self._last_reported_external = 0
         self._failure_share = 0.0
         self._failure_share_at = now
-        self._work_correction = work_correction.WorkCorrection()
+        self._work_correction = work_correction.WorkCorrection(now)
         self.state = EndpointState()
         self.stops_at: float | None = None
         self.slots = slots.Slots(now, period_estimator)
@@ -153,7 +153,7 @@
             # running call must not be cut off.
             return calls.failed_outcome(errors.Kind.LEAVING, "the node is leaving")
         key = next(self._keys)
-        offered = self.slots.offer(key, self._demand(call), now)
+        offered = self.slots.offer(key, self._demand(call, now), now)
         if offered.verdict is slots.Verdict.REFUSE:
             self._log_refusal(call, offered.reason)
             after_s = retry_after.retry_after_s(offered.wait_s, self._rng)
@@ -222,6 +222,7 @@
         self._last_reported_external = 0
         self._failure_share = 0.0
         self.slots.on_new_process(now)
+        self._work_correction = work_correction.WorkCorrection(now)
         self.poll_schedule.reset()
 
     @property
@@ -275,12 +276,12 @@
         self.state.reported_at = now
         self.poll_schedule.on_report(now, changed=changed)
 
-    def _demand(self, call: calls.Call) -> queue_policy.Demand:
+    def _demand(self, call: calls.Call, now: float) -> queue_policy.Demand:
         """Return the call's demand, with corrected work where slots are few."""
         demand = call.demand()
         if self.slots.capacity > self._settings.balancing.few_slots:
             return demand
-        work_s = self._work_correction.corrected_s(call.work_s)
+        work_s = self._work_correction.corrected_s(call.work_s, now)
         return dataclasses.replace(demand, work_s=work_s)
 
     def _log_refusal(self, call: calls.Call, reason: str) -> None:
