--- a/src/snipelink/mesh/admission.py
+++ b/src/snipelink/mesh/admission.py
@@ -142,7 +142,7 @@
         self._last_reported_external = 0
         self._failure_share = 0.0
         self._failure_share_at = now
-        self._work_correction = work_correction.WorkCorrection()
+        self._work_correction = work_correction.WorkCorrection(now)
         self.state = EndpointState()
         self.stops_at: float | None = None
         self.slots = slots.Slots(now, period_estimator)
@@ -182,7 +182,7 @@
             after_s = retry_after.retry_after_s(UNSERVED_RETRY_AFTER_S, self._rng)
             return calls.failed_outcome(errors.Kind.OVERLOADED, reason, after_s)
         key = next(self._keys)
-        offered = self.slots.offer(key, self._demand(call), now)
+        offered = self.slots.offer(key, self._demand(call, now), now)
         if offered.verdict is slots.Verdict.REFUSE:
             self._log_refusal(call, offered.reason)
             self._internal_calls.record_verdict(call, "refused")
@@ -255,6 +255,7 @@
         self._last_reported_external = 0
         self._failure_share = 0.0
         self.slots.on_new_process(now)
+        self._work_correction = work_correction.WorkCorrection(now)
         self.poll_schedule.reset()
 
     @property
@@ -308,13 +309,13 @@
         self.state.reported_at = now
         self.poll_schedule.on_report(now, changed=changed)
 
-    def _demand(self, call: calls.Call) -> queue_policy.Demand:
+    def _demand(self, call: calls.Call, now: float) -> queue_policy.Demand:
         """Return the call's demand, with corrected work where slots are few."""
         demand = call.demand()
         few_slots = self._settings.balancing.few_slots
         if not self._catalog.has_few_slots(call.service, few_slots):
             return demand
-        work_s = self._work_correction.corrected_s(call.work_s)
+        work_s = self._work_correction.corrected_s(call.work_s, now)
         return dataclasses.replace(demand, work_s=work_s)
 
     def _log_refusal(self, call: calls.Call, reason: str) -> None:
