--- a/src/snipelink/decide/restored_entries.py
+++ b/src/snipelink/decide/restored_entries.py
@@ -9,9 +9,8 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
-
-from snipelink.mesh import published_state
+import typing
+from collections.abc import Mapping, Sequence
 
 # Entries that were lost in an outage or by a restore of the store are published again
 # within about two seconds of its return.
@@ -23,14 +22,36 @@
 MAX_REMOVED_ENTRIES = 4096
 
 
-class RemovedEntries:
+class Entry(typing.Protocol):
+    """Published entry of an endpoint process."""
+
+    @property
+    def id(self) -> str:
+        """Identity of the process."""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the process is about to stop."""
+
+    @property
+    def born_ms(self) -> int:
+        """Start time of the process in Unix milliseconds; 0 if it is not stated."""
+
+    def at_position_of(self, other: typing.Self) -> typing.Self:
+        """Return this entry as if it was written at the position of another one."""
+
+
+EntryT = typing.TypeVar("EntryT", bound=Entry)
+
+
+class RemovedEntries(typing.Generic[EntryT]):
     """Entries that were removed within the last `WITHDRAWN_ENTRY_S`."""
 
     def __init__(self) -> None:
         # In order of removal.
-        self._removed_by_id: dict[str, tuple[published_state.Instance, float]] = {}
+        self._removed_by_id: dict[str, tuple[EntryT, float]] = {}
 
-    def add(self, instance: published_state.Instance, now: float) -> None:
+    def add(self, instance: EntryT, now: float) -> None:
         """Record that an entry was removed."""
         self._removed_by_id.pop(instance.id, None)
         self._removed_by_id[instance.id] = (instance, now)
@@ -41,7 +62,7 @@
         """Record that an entry is published again."""
         self._removed_by_id.pop(instance_id, None)
 
-    def recent_by_id(self, now: float) -> dict[str, published_state.Instance]:
+    def recent_by_id(self, now: float) -> dict[str, EntryT]:
         """Return the entries that were removed recently, and forget older ones."""
         for instance_id, (_, removed_at) in list(self._removed_by_id.items()):
             if now - removed_at <= WITHDRAWN_ENTRY_S:
@@ -54,12 +75,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reconciliation:
+class Reconciliation(typing.Generic[EntryT]):
     """Difference between a restored copy and what a node knew before.
 
     Attributes
     ----------
-    entries : tuple of Instance
+    entries : tuple of Entry
         Entries in force. They are those of the copy, except where the copy has the
         entry of a former process of the same identity.
     withdrawn_ids : frozenset of str
@@ -68,26 +89,26 @@
         Known entries that the copy lacks, without those of leaving endpoints.
     """
 
-    entries: tuple[published_state.Instance, ...]
+    entries: tuple[EntryT, ...]
     withdrawn_ids: frozenset[str]
     absent_ids: frozenset[str]
 
 
 def reconcile(
-    known_by_id: Mapping[str, published_state.Instance],
-    removed_by_id: dict[str, published_state.Instance],
-    copy: published_state.PublishedState,
-) -> Reconciliation:
+    known_by_id: Mapping[str, EntryT],
+    removed_by_id: dict[str, EntryT],
+    copy: Sequence[EntryT],
+) -> Reconciliation[EntryT]:
     """Compare the first state of a new era with the entries known before.
 
     Parameters
     ----------
-    known_by_id : dict of str to Instance
+    known_by_id : dict of str to Entry
         Entries in force before the restore.
-    removed_by_id : dict of str to Instance
+    removed_by_id : dict of str to Entry
         Entries that were removed shortly before the restore.
-    copy : PublishedState
-        First state of the new era that this node has received.
+    copy : sequence of Entry
+        Entries of the first state of the new era that this node has received.
     """
     withdrawn_by_id = removed_by_id | {
         known.id: known for known in known_by_id.values() if known.leaving
@@ -95,15 +116,12 @@
     running_by_id = {
         known.id: known for known in known_by_id.values() if not known.leaving
     }
-    present_ids = {entry.id for entry in copy.instances}
+    present_ids = {entry.id for entry in copy}
     return Reconciliation(
-        tuple(
-            _entry_in_force(entry, running_by_id.get(entry.id))
-            for entry in copy.instances
-        ),
+        tuple(_entry_in_force(entry, running_by_id.get(entry.id)) for entry in copy),
         frozenset(
             entry.id
-            for entry in copy.instances
+            for entry in copy
             if entry.id in withdrawn_by_id
             and entry.born_ms <= withdrawn_by_id[entry.id].born_ms
         ),
@@ -111,10 +129,8 @@
     )
 
 
-def _entry_in_force(
-    entry: published_state.Instance, running: published_state.Instance | None
-) -> published_state.Instance:
+def _entry_in_force(entry: EntryT, running: EntryT | None) -> EntryT:
     """Return the entry of the later process, as written at the entry of the copy."""
     if running is None or entry.born_ms >= running.born_ms:
         return entry
-    return dataclasses.replace(running, era=entry.era, revision=entry.revision)
+    return running.at_position_of(entry)
--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -116,7 +116,9 @@
             str, tuple[published_state.Instance, float]
         ] = {}
         self._lapsed_entries_usable_until = 0.0
-        self._removed_entries = restored_entries.RemovedEntries()
+        self._removed_entries = restored_entries.RemovedEntries[
+            published_state.Instance
+        ]()
         # Entries and evacuations of a former era that the restored copy lacks, with the
         # time at which they end.
         self._absent_until_by_id: dict[str, float] = {}
@@ -219,7 +221,9 @@
     ) -> published_state.PublishedState:
         """Return the state in force after a restore of the platform's store."""
         found = restored_entries.reconcile(
-            self.instances_by_id, self._removed_entries.recent_by_id(now), copy
+            self.instances_by_id,
+            self._removed_entries.recent_by_id(now),
+            copy.instances,
         )
         absent_until = now + restored_entries.LAPSED_ENTRY_S
         self._absent_until_by_id = dict.fromkeys(found.absent_ids, absent_until)
--- a/src/snipelink/mesh/published_state.py
+++ b/src/snipelink/mesh/published_state.py
@@ -119,10 +119,13 @@
         """Position of the write of this entry."""
         return store_position.Position(self.era, self.revision)
 
+    def at_position_of(self, other: Instance) -> Instance:
+        """Return this entry as if it was written at the position of another one."""
+        return dataclasses.replace(self, era=other.era, revision=other.revision)
+
     def has_same_content(self, other: Instance) -> bool:
         """Whether two entries differ in the positions of their writes at most."""
-        own = dataclasses.replace(self, era=other.era, revision=other.revision)
-        return own == other
+        return self.at_position_of(other) == other
 
     def is_older_than(self, other: Instance) -> bool:
         """Whether `other`, an entry of the same identity, replaces this one.
--- a/tests/decide/test_restored_entries.py
+++ b/tests/decide/test_restored_entries.py
@@ -20,12 +20,12 @@
     *known: published_state.Instance,
     removed: tuple[published_state.Instance, ...] = (),
     copy: tuple[published_state.Instance, ...],
-) -> restored_entries.Reconciliation:
+) -> restored_entries.Reconciliation[published_state.Instance]:
     written = tuple(dataclasses.replace(entry, era=2) for entry in copy)
     return restored_entries.reconcile(
         {entry.id: entry for entry in known},
         {entry.id: entry for entry in removed},
-        published_state.PublishedState(60, None, written, era=2),
+        written,
     )
 
 
@@ -63,7 +63,7 @@
 
 
 def test_removed_entries_are_forgotten_once_their_processes_have_ended() -> None:
-    removed = restored_entries.RemovedEntries()
+    removed = restored_entries.RemovedEntries[published_state.Instance]()
     removed.add(_instance("a"), NOW)
     removed.add(_instance("b"), NOW + 10.0)
     removed.add(_instance("c"), NOW + 10.0)
@@ -74,7 +74,7 @@
 
 
 def test_number_of_removed_entries_in_memory_is_bounded() -> None:
-    removed = restored_entries.RemovedEntries()
+    removed = restored_entries.RemovedEntries[published_state.Instance]()
     for number in range(restored_entries.MAX_REMOVED_ENTRIES + 10):
         removed.add(_instance(f"i-{number}"), NOW)
     recent_by_id = removed.recent_by_id(NOW)
