--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -6,6 +6,8 @@
 import platform_settings
 import pytest
 
+from snipelink.mesh import settings
+
 TEXT = """
 [self]
 node_name = "n-1"
@@ -63,9 +65,19 @@
     assert (bounds.cold_over, bounds.cold_slack) == (1.5, 8.0)
 
 
+def test_balancing_is_read_if_present() -> None:
+    defaults = platform_settings.decode(TEXT).unwrap().node_settings.balancing
+    assert defaults == settings.Balancing()
+    text = TEXT + "[balancing]\nfew_slots = 2\nfar_s_per_mb = 0.5\n"
+    balancing = platform_settings.decode(text).unwrap().node_settings.balancing
+    assert (balancing.few_slots, balancing.far_s_per_mb) == (2, 0.5)
+    assert balancing.admission_slots == defaults.admission_slots
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected"),
     [
+        ("[self]", "[balancing]\nfew_slots = -1\n[self]", "$.balancing.few_slots"),
         ('ip = "10.1.0.38"', "ip = 7", "$.self.ip"),
         ('zone = "ar-central-a"\n', "", "zone"),
         ("grace_s = 6", "grace_s = 0", "$.terms.bounds.grace_s"),
