--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -47,7 +47,10 @@
     runner.slots.set_capacity(reported_slots, NOW)
     for _ in range(work_correction.MIN_SAMPLES):
         runner._work_correction.record(call.work_s, call.work_s / 2)
-    assert (runner._demand(call).work_s < call.work_s) is is_corrected
+    now = clock.now()
+    assert (runner._demand(call, now).work_s < call.work_s) is is_corrected
+    later = now + work_correction.LEARNING_S + 1.0
+    assert runner._demand(call, later).work_s == call.work_s
 
 
 def test_request_that_the_endpoint_refused_does_not_count_as_running() -> None:
