Do not take large requests for large answers

The size learnt for an operation contained its requests, so uploads would have been refused while answers held the memory. Answers are now learnt alone, and the cost of far calls adds the size of the call itself. The new test failed before the change (503 for the second upload).

--- a/src/snipelink/decide/far_cost.py
+++ b/src/snipelink/decide/far_cost.py
@@ -46,22 +46,22 @@
     return FarCost(ratio, carried_bytes / BYTES_PER_MB * s_per_mb)
 
 
-class CarriedBytes:
-    """Expected bytes of calls, request and answer, by service and operation."""
+class AnswerSizes:
+    """Expected bytes of answers by service and operation."""
 
     def __init__(self) -> None:
         self._mean_by_operation: dict[tuple[str, str], work_estimation.RunningMean] = {}
 
     def record(self, service: str, operation: str, byte_count: int) -> None:
-        """Record the bytes of one answered call."""
+        """Record the bytes of one answer."""
         key = (service, operation)
         mean = self._mean_by_operation.setdefault(key, work_estimation.RunningMean())
         mean.add(byte_count)
 
-    def mean_bytes(self, service: str, operation: str, request_bytes: int) -> float:
-        """Return the expected bytes of a call; those of its request if unknown."""
+    def mean_bytes(self, service: str, operation: str) -> float:
+        """Return the expected bytes of an answer; 0 if none is known."""
         mean = self._mean_by_operation.get((service, operation))
-        return float(request_bytes) if mean is None else mean.value
+        return 0.0 if mean is None else mean.value
 
     def retain(self, operations: set[tuple[str, str]]) -> None:
         """Discard the operations that are not among the given ones."""
--- a/src/snipelink/mesh/attempts.py
+++ b/src/snipelink/mesh/attempts.py
@@ -93,8 +93,8 @@
     ----------
     estimates : WorkEstimates
         Expected run times of calls by service and operation.
-    carried_bytes : CarriedBytes
-        Expected bytes of calls by service and operation.
+    answer_sizes : AnswerSizes
+        Expected bytes of answers by service and operation.
     returns : ReturnPlanner
         Tells refused callers when to retry.
     """
@@ -147,7 +147,7 @@
             ("service",),
         )
         self.estimates = work_estimation.WorkEstimates()
-        self.carried_bytes = far_cost.CarriedBytes()
+        self.answer_sizes = far_cost.AnswerSizes()
         self.returns = returns.ReturnPlanner(
             node_settings,
             service_catalog,
@@ -339,16 +339,13 @@
         has_few_slots = self._catalog.has_few_slots(call.service, balancing.few_slots)
         return far_cost.far_cost(
             balancing.few_slots_far_ratio if has_few_slots else far_cost.FAR_COST_RATIO,
-            self.expected_bytes(call),
+            call.carried_bytes() + self.expected_answer_bytes(call),
             balancing.far_s_per_mb,
         )
 
-    def expected_bytes(self, call: calls.Call) -> int:
-        """Return the expected bytes of a call, request and answer together."""
-        own_bytes = call.carried_bytes()
-        return int(
-            self.carried_bytes.mean_bytes(call.service, call.operation, own_bytes)
-        )
+    def expected_answer_bytes(self, call: calls.Call) -> int:
+        """Return the expected bytes of the answer to a call."""
+        return int(self.answer_sizes.mean_bytes(call.service, call.operation))
 
     async def run(
         self,
@@ -475,10 +472,10 @@
         if outcome.is_success:
             self._retry_budgets.on_answer(call.service, now)
         if outcome.response is not None:
-            byte_count = call.carried_bytes() + http.message_bytes(
+            byte_count = http.message_bytes(
                 outcome.response.headers, outcome.response.body
             )
-            self.carried_bytes.record(call.service, call.operation, byte_count)
+            self.answer_sizes.record(call.service, call.operation, byte_count)
         if outcome.work_s > 0.0:
             self.estimates.record(call.service, call.operation, outcome.work_s)
 
--- a/src/snipelink/mesh/dispatch.py
+++ b/src/snipelink/mesh/dispatch.py
@@ -181,7 +181,7 @@
 
     async def _run_if_answer_fits(self, call: calls.Call) -> calls.Outcome:
         """Run a call, or refuse it if its answer would find no memory."""
-        answer_bytes = self._attempts.expected_bytes(call)
+        answer_bytes = self._attempts.expected_answer_bytes(call)
         pools = [self._buffers.peer_replies]
         if call.service == self._settings.service:
             pools.append(self._buffers.endpoint_answers)
@@ -226,7 +226,7 @@
             (part.service, route.name) for route in routes for part in route.parts
         }
         self._attempts.estimates.retain(operations)
-        self._attempts.carried_bytes.retain(operations)
+        self._attempts.answer_sizes.retain(operations)
         self._internal_calls.retain({route.name for route in routes})
 
     def _build_call(
--- a/tests/decide/test_far_cost.py
+++ b/tests/decide/test_far_cost.py
@@ -34,11 +34,12 @@
 
 
 def test_bytes_of_an_operation_are_learnt_from_answered_calls() -> None:
-    carried = far_cost.CarriedBytes()
-    assert carried.mean_bytes("rota", "view", 700) == 700
-    carried.record("rota", "view", 1000)
-    carried.record("rota", "view", 3000)
-    carried.record("rota", "upload", 90000)
-    assert carried.mean_bytes("rota", "view", 700) == pytest.approx(2000)
-    carried.retain({("rota", "upload")})
-    assert carried.mean_bytes("rota", "view", 700) == 700
+    sizes = far_cost.AnswerSizes()
+    assert sizes.mean_bytes("rota", "view") == 0
+    sizes.record("rota", "view", 1000)
+    sizes.record("rota", "view", 3000)
+    sizes.record("rota", "download", 90000)
+    assert sizes.mean_bytes("rota", "view") == pytest.approx(2000)
+    sizes.retain({("rota", "download")})
+    assert sizes.mean_bytes("rota", "view") == 0
+    assert sizes.mean_bytes("rota", "download") == 90000
--- a/tests/mesh/test_slow_readers.py
+++ b/tests/mesh/test_slow_readers.py
@@ -79,3 +79,21 @@
         ]
         assert len(ran) == statuses["HTTP/1.1 200 OK"]
         await fleet.wait_until(lambda: pool.used == 0)
+
+
+@test_node.run
+async def test_large_requests_do_not_count_as_answers() -> None:
+    """Guards against uploads that are refused because answers hold the memory."""
+    upload = fleet.route("rota", prefix="/claim/", idempotent=False)
+    routes = (fleet.route("rota"), upload)
+    async with fleet.running("rota", "archive", routes=routes) as members:
+        member = members[1]
+        client = await fleet.Client.open(member)
+        for index in range(2):
+            response = await client.call(
+                f"upload-{index}", path="/claim/1", method="POST", body=ANSWER
+            )
+            assert response.status == 200
+            pool = member.node._buffers.peer_replies
+            pool.used = pool.limit - len(ANSWER) // 2
+        pool.used = 0
