--- a/review/8/case.py
+++ b/review/8/case.py
@@ -36,7 +36,7 @@
     """Play the case; return the exit status of the script."""
     record = standins_2.Record(pathlib.Path(__file__).parent / "record.txt")
     deployment = standins_2.Deployment(
-        MACHINES, 9, {"GET": 0.1}, record, folder, random.Random(7)
+        MACHINES, 9, {"GET": 0.1}, record, folder, random.Random(8)
     )
     requesters: list[asyncio.Task[standins_2.Attempt]] = []
     try:
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -26,6 +26,8 @@
 HEARTBEAT_S = 1.5
 # Bounds of the small sites.
 DRAIN_S, GRACE_S, LIVENESS_S = 2.0, 6.0, 3.0
+# Memory of a machine; the platform kills a process that exceeds it.
+MEMORY_MB = 300
 START_TIMEOUT_S = 20.0
 SETTINGS = """
 [self]
@@ -42,7 +44,7 @@
 [self.limits]
 cpu_share = 0.86
 cores = 1
-memory_mb = 300
+memory_mb = {memory_mb}
 max_fds = 4100
 [network]
 port_range = [{peer_port}, {peer_port}]
@@ -400,6 +402,7 @@
                 store_host=store_host,
                 zone=zone,
                 service=service,
+                memory_mb=MEMORY_MB,
                 **fields,
             )
         )
@@ -425,11 +428,26 @@
         )
 
     def stop(self) -> None:
-        """Kill the process."""
+        """End the process."""
+        self.kill()
+        self._log.close()
+
+    def memory_mb(self) -> float:
+        """Return the anonymous memory of the process; 0 if it has ended."""
+        if not self.is_running or self._process is None:
+            return 0.0
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        fields = dict(line.split(":", 1) for line in text.splitlines())
+        return int(fields.get("RssAnon", "0 kB").split()[0]) / 1024.0
+
+    def kill(self) -> None:
+        """Kill the process, as the platform does above `MEMORY_MB`."""
         if self._process is not None and self._process.poll() is None:
             self._process.kill()
             self._process.wait()
-        self._log.close()
 
     @property
     def is_running(self) -> bool:
@@ -598,7 +616,7 @@
         },
         "limits": {
             "max_header_bytes": 16384,
-            "max_body_bytes": 1 << 20,
+            "max_body_bytes": 1 << 26,
             "header_timeout_s": 3,
             "idle_timeout_s": 15,
         },
