--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -14,8 +14,11 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import time
 import tomllib
 import typing
@@ -85,6 +88,21 @@
 }
 
 
+def run_play(
+    play: typing.Callable[[pathlib.Path, bool], typing.Awaitable[int]],
+) -> typing.NoReturn:
+    """Play a case in a temporary folder and exit with its status."""
+    # An exception lets the case end its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run() -> int:
+        with tempfile.TemporaryDirectory() as folder:
+            return await play(pathlib.Path(folder), has_trouble)
+
+    sys.exit(asyncio.run(run()))
+
+
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
 
