--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -160,6 +160,8 @@
     ----------
     cut_hosts : set of str
         Addresses at which connections are reset, as on a cut link.
+    staleness_s : float
+        How old the state in answers to reads with `serializable` is.
     """
 
     def __init__(self, record: Record) -> None:
@@ -170,7 +172,11 @@
         self._changed = asyncio.Event()
         self._writers_by_host: dict[str, set[asyncio.StreamWriter]] = {}
         self._servers: list[asyncio.Server] = []
+        self._era = 1
+        # Revision, era and items after each write, with the time of the write.
+        self._states: list[tuple[float, int, dict[str, dict[str, typing.Any]]]] = []
         self.cut_hosts: set[str] = set()
+        self.staleness_s = 0.0
 
     async def start(self, hosts: list[str], port: int) -> None:
         """Listen at one address for each node."""
@@ -198,9 +204,37 @@
             item["created"], item["lease"] = self._revision, 0
             self._items_by_key[key] = item
         self._events.append(item)
+        self._on_write()
+        return self._record.now()
+
+    def restore(self, age_s: float) -> list[str]:
+        """Return to the state of some time ago; return the keys of lost writes."""
+        at = self._record.now() - age_s
+        lost = [state for state in self._states if state[0] > at]
+        kept = [state for state in self._states if state[0] <= at]
+        _, self._revision, items = kept[-1]
+        self._items_by_key = dict(items)
+        lost_keys = [e["key"] for e in self._events if e["revision"] > self._revision]
+        self._events = [e for e in self._events if e["revision"] <= self._revision]
+        self._era += 1
+        self._record.write(
+            f"the store is back from a copy {age_s:.1f} s old: revision "
+            f"{self._revision}, {len(lost)} writes are lost, Store-Era {self._era}"
+        )
+        self._on_write()
+        return list(dict.fromkeys(lost_keys))
+
+    def _on_write(self) -> None:
+        state = (self._record.now(), self._revision, dict(self._items_by_key))
+        self._states.append(state)
         self._changed.set()
         self._changed = asyncio.Event()
-        return self._record.now()
+
+    def _state_of(self, age_s: float) -> tuple[int, dict[str, dict[str, typing.Any]]]:
+        at = self._record.now() - age_s
+        known = [state for state in self._states if state[0] <= at]
+        _, revision, items = known[-1] if known else self._states[0]
+        return revision, items
 
     def reset_connections(self, host: str) -> None:
         """Reset the open connections of one node."""
@@ -219,7 +253,8 @@
                     break
                 status, body = await self._answer(request.start.split(" ")[1])
                 data = json.dumps(body).encode()
-                writer.write(encode_answer(status, {"Store-Era": "1"}, data))
+                headers = {"Store-Era": str(self._era)}
+                writer.write(encode_answer(status, headers, data))
         finally:
             self._writers_by_host[host].discard(writer)
             writer.transport.abort()
@@ -228,20 +263,22 @@
         path, _, text = target.partition("?")
         query = dict(urllib.parse.parse_qsl(text))
         if path == "/snipelink/kv-range":
+            is_stale = query.get("serializable") == "1"
+            revision, known = self._state_of(self.staleness_s if is_stale else 0.0)
             items = [
                 item
-                for key, item in sorted(self._items_by_key.items())
+                for key, item in sorted(known.items())
                 if key.startswith(query.get("prefix", ""))
             ]
-            return 200, {"items": items, "has_more": False, "as_of": self._revision}
+            return 200, {"items": items, "has_more": False, "as_of": revision}
         if path != "/snipelink/kv-watch":
             return 404, {}
         after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1000.0
-        if after > self._revision:
-            return 410, {}
         if after == self._revision:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), wait_s)
+        if after > self._revision:
+            return 410, {}
         events = [each for each in self._events if each["revision"] > after]
         return 200, {"events": events, "as_of": self._revision}
 
@@ -545,7 +582,7 @@
             Prefix, type and service of each route.
         """
         await self.store.start(self.store_hosts, self._ports[5])
-        self.store.put("op/config", _configuration(routes))
+        self.store.put("op/config", configuration(routes, 3))
         for server in self.servers:
             await server.start()
             self.store.put(f"servers/{server.instance}", server.entry())
@@ -617,7 +654,10 @@
     return attempt
 
 
-def _configuration(routes: list[tuple[str, str, str]]) -> dict[str, typing.Any]:
+def configuration(
+    routes: list[tuple[str, str, str]], version: int
+) -> dict[str, typing.Any]:
+    """Return the operator's configuration; routes as in `Deployment.start`."""
     columns = ["name", "host", "prefix", "route_type", "timeout_s"]
     columns += ["target_latency_s", "priority", "service", "max_attempts"]
     rows = [
@@ -626,7 +666,7 @@
     ]
     services = sorted({service for _, _, service in routes})
     return {
-        "version": "r3",
+        "version": f"r{version}",
         "routes": {"columns": columns, "rows": rows},
         "services": {
             "columns": ["name", "health_path"],
