--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -207,6 +207,14 @@
         self._on_write()
         return self._record.now()
 
+    def value(self, key: str) -> dict[str, typing.Any] | None:
+        """Return the value of an item, or None."""
+        item = self._items_by_key.get(key)
+        if item is None:
+            return None
+        value: dict[str, typing.Any] = json.loads(base64.b64decode(item["value"]))
+        return value
+
     def restore(self, age_s: float) -> list[str]:
         """Return to the state of some time ago; return the keys of lost writes."""
         at = self._record.now() - age_s
