--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -145,6 +145,11 @@
         """Parts of the configuration in force that cannot be read."""
         return len(self.route_table.configuration.problems) if self.route_table else 0
 
+    @property
+    def last_resort_count(self) -> int:
+        """Number of endpoints that are used only if their service has no other."""
+        return len(self._last_resort_until_by_id)
+
     def snapshot(self) -> published_state.PublishedState:
         """Return the whole state in force, to be sent to another node.
 
@@ -384,7 +389,7 @@
             return
         for instance in self.instances_by_id.values():
             if instance.failure_domain in domains - before and not instance.leaving:
-                self._keep_as_last_resort(instance, now)
+                self._keep_as_last_resort(instance, "evacuated", now)
         self._evacuated = domains
         fields = {"evacuated": sorted(domains), "before": sorted(before)}
         logger.info("evacuated domains have changed", extra={"fields": fields})
@@ -432,7 +437,7 @@
         # An endpoint that is first read as leaving is no last resort: it may have been
         # leaving for any time, for example while this process was down.
         if instance.leaving and previous is not None:
-            self._keep_as_last_resort(instance, now)
+            self._keep_as_last_resort(instance, "leaving", now)
         _log_instance("endpoint is published", instance, leaving=instance.leaving)
 
     def _remove(self, instance_id: str, now: float) -> None:
@@ -443,13 +448,13 @@
             return
         self._removed_entries.add(instance, now)
         if not instance.leaving:
-            self._keep_as_last_resort(instance, now)
+            self._keep_as_last_resort(instance, "removed", now)
         _log_instance(
             "endpoint is no longer published", instance, leaving=instance.leaving
         )
 
     def _keep_as_last_resort(
-        self, instance: published_state.Instance, now: float
+        self, instance: published_state.Instance, cause: str, now: float
     ) -> None:
         if instance.failure_domain in self._evacuated:
             # The last-resort time of an evacuated endpoint started with the evacuation
@@ -457,6 +462,14 @@
             return
         until = max(now + self._last_resort_s, self._lapsed_entries_usable_until)
         self._last_resort_until_by_id[instance.id] = (instance, until)
+        fields = {
+            "instance": instance.id,
+            "service": instance.service,
+            "cause": cause,
+            "usable_s": round(until - now, 3),
+            "store_outage": until > now + self._last_resort_s,
+        }
+        logger.info("endpoint is a last resort", extra={"fields": fields})
 
 
 def _merge(successive: list[Changes]) -> Changes:
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -588,6 +588,7 @@
             "catalog_revision": lambda: self._catalog.revision,
             "store_era": lambda: self._catalog.era,
             "configuration_version": lambda: self._catalog.configuration_version,
+            "last_resorts": lambda: self._catalog.last_resort_count,
             "configuration_problems": lambda: self._catalog.configuration_problem_count,
             "calls_running": lambda: self._runner.slots.running_count,
             "calls_waiting": lambda: self._runner.slots.waiting_count,
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -57,6 +57,31 @@
     assert not state.is_usable("a", NOW + DRAIN_S)
 
 
+def _last_resort_fields(caplog: pytest.LogCaptureFixture) -> list[dict[str, object]]:
+    return [
+        record.__dict__["fields"]
+        for record in caplog.records
+        if record.message == "endpoint is a last resort"
+    ]
+
+
+def test_last_resort_is_logged_with_its_cause_and_time(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    state = _catalog(_instance("a"), _instance("b"), _instance("c", domain="c"))
+    changes = catalog.Changes(
+        6, instances=(_instance("a", leaving=True),), removed=("b",), evacuated=("c",)
+    )
+    state.apply_changes(changes, NOW)
+    seen = {
+        fields["instance"]: fields["cause"] for fields in _last_resort_fields(caplog)
+    }
+    assert seen == {"a": "leaving", "b": "removed", "c": "evacuated"}
+    assert {fields["usable_s"] for fields in _last_resort_fields(caplog)} == {1.2}
+    assert state.last_resort_count == 3
+
+
 def test_last_resorts_are_forgotten_while_other_endpoints_are_ready() -> None:
     state = _catalog(_instance("a"), _instance("b"))
     state.apply_changes(catalog.Changes(6, removed=("a",)), NOW)
