Do not prolong announced departures during an outage of the store

Cause: an endpoint that becomes a last resort while the store counts as unavailable stays usable until LAPSED_ENTRY_S (2.2 s) after the outage, as entries that lapsed in it come back. That time was given to every departure: also to endpoints that report to leave and those of evacuated domains, which have not lapsed.

Change: only removed entries get the longer time.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import enum
 import logging
 import math
 from collections.abc import Collection
@@ -86,6 +87,14 @@
         return len(changes.instances) + len(changes.removed) + domain_count
 
 
+class _Departure(enum.Enum):
+    """Why an endpoint is no longer ready."""
+
+    LEAVING = "leaving"
+    REMOVED = "removed"
+    EVACUATED = "evacuated"
+
+
 class Catalog:
     """Routes and endpoints, merged from the platform's store and from other nodes.
 
@@ -324,7 +333,10 @@
             self._history_entry_count -= self._history.popleft().entry_count
 
     def on_store_unavailable(self, now: float) -> None:
-        """Record that the platform's store is unavailable, or was until now."""
+        """Record that the platform's store is unavailable, or was until now.
+
+        Entries that are removed shortly after may have lapsed, and stay usable longer.
+        """
         self._lapsed_entries_usable_until = now + restored_entries.LAPSED_ENTRY_S
 
     def usable_instances(
@@ -389,7 +401,7 @@
             return
         for instance in self.instances_by_id.values():
             if instance.failure_domain in domains - before and not instance.leaving:
-                self._keep_as_last_resort(instance, "evacuated", now)
+                self._keep_as_last_resort(instance, _Departure.EVACUATED, now)
         self._evacuated = domains
         fields = {"evacuated": sorted(domains), "before": sorted(before)}
         logger.info("evacuated domains have changed", extra={"fields": fields})
@@ -437,7 +449,7 @@
         # An endpoint that is first read as leaving is no last resort: it may have been
         # leaving for any time, for example while this process was down.
         if instance.leaving and previous is not None:
-            self._keep_as_last_resort(instance, "leaving", now)
+            self._keep_as_last_resort(instance, _Departure.LEAVING, now)
         _log_instance("endpoint is published", instance, leaving=instance.leaving)
 
     def _remove(self, instance_id: str, now: float) -> None:
@@ -448,24 +460,27 @@
             return
         self._removed_entries.add(instance, now)
         if not instance.leaving:
-            self._keep_as_last_resort(instance, "removed", now)
+            self._keep_as_last_resort(instance, _Departure.REMOVED, now)
         _log_instance(
             "endpoint is no longer published", instance, leaving=instance.leaving
         )
 
     def _keep_as_last_resort(
-        self, instance: published_state.Instance, cause: str, now: float
+        self, instance: published_state.Instance, cause: _Departure, now: float
     ) -> None:
         if instance.failure_domain in self._evacuated:
             # The last-resort time of an evacuated endpoint started with the evacuation
             # and must not start again when the endpoint leaves or is removed.
             return
-        until = max(now + self._last_resort_s, self._lapsed_entries_usable_until)
+        until = now + self._last_resort_s
+        if cause is _Departure.REMOVED:
+            # The entry may have lapsed in an outage of the store, and come back.
+            until = max(until, self._lapsed_entries_usable_until)
         self._last_resort_until_by_id[instance.id] = (instance, until)
         fields = {
             "instance": instance.id,
             "service": instance.service,
-            "cause": cause,
+            "cause": cause.value,
             "usable_s": round(until - now, 3),
             "store_outage": until > now + self._last_resort_s,
         }
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -106,6 +106,34 @@
     assert _usable(state, NOW + 2.3) == []
 
 
+@pytest.mark.parametrize("cause", ["leaving", "evacuated"])
+@pytest.mark.parametrize("is_snapshot", [False, True])
+def test_outage_of_the_store_does_not_prolong_an_announced_departure(
+    *, cause: str, is_snapshot: bool
+) -> None:
+    """Guards against calls to a leaving endpoint after its drain time.
+
+    The longer time is for entries that lapsed. An endpoint that reports its departure,
+    or whose failure domain is evacuated, has not lapsed.
+    """
+    state = _catalog(_instance("a"))
+    state.on_store_unavailable(NOW)
+    leaving = _instance("a", leaving=cause == "leaving")
+    evacuated = ("a",) if cause == "evacuated" else ()
+    if is_snapshot:
+        copy = published_state.PublishedState(6, None, (leaving,), evacuated)
+        state.apply_snapshot(copy, NOW)
+    else:
+        changes = catalog.Changes(6, instances=(leaving,), evacuated=evacuated)
+        state.apply_changes(changes, NOW)
+    assert _usable(state, NOW + 1.1) == ["a"]
+    state.on_store_unavailable(NOW + 1.0)
+    assert _usable(state, NOW + 1.3) == []
+    assert not state.is_usable("a", NOW + 1.3)
+    state.apply_changes(catalog.Changes(7, removed=("a",)), NOW + 1.3)
+    assert _usable(state, NOW + 1.3) == []
+
+
 def test_late_entry_of_a_former_process_is_ignored() -> None:
     state = _catalog(_instance("a", born_ms=2000))
     late = _instance("a", leaving=True, born_ms=1000)
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -648,6 +648,28 @@
         assert (await client.call("c2")).status == 503
 
 
+@run
+async def test_node_without_the_store_does_not_prolong_departures_at_others() -> None:
+    """Guards against calls to leaving endpoints after their drain time.
+
+    One node could not reach the store, and the others took that for an outage of the
+    store, after which entries of running endpoints come back.
+    """
+    async with fleet.running("rota", "archive", "archive") as members:
+        leaving, other, cut = members
+        cut.store.cut()
+        await asyncio.sleep(watcher.STORE_OUTAGE_S + 1.0)
+        instances = tuple(
+            fleet.published_instance(each, leaving=each is leaving) for each in members
+        )
+        fleet.publish([leaving, other], instances=instances)
+        await fleet.wait_until(lambda: fleet.all_up_to_date([leaving, other]), 1.0)
+        client = await fleet.Client.open(other)
+        assert (await client.call("c1")).status == 200
+        await asyncio.sleep(1.5)
+        assert (await client.call("c2")).status == 503
+
+
 @run
 async def test_node_without_the_store_syncs_from_other_nodes() -> None:
     async with fleet.running("rota", "rota") as members:
