Take the store for out only if most nodes fail to reach it

Callers saw: requests that reached a removed server later than drain_s (2 s) after the store had acknowledged its removal, while one machine could not reach the store. Servers that never report to leave are removed so.

Cause: a node took the store for unavailable if any node that reports to it said so, and kept removed endpoints until 2.2 s later, for entries that lapse in an outage. One node's trouble so changed what all others believed.

Change: load reports also tell the time since the store last answered the sender. The store is out if more nodes are away than had an answer within 3 s, the time between two answers to a watching node with a margin; nodes that have not asked do not count. A node that returns judges its own failures likewise. What an outage for most nodes is given stays, and its end is now followed until the check after it. Sleeping less because a node is refused stays, too: it costs calls, and changes nothing that is believed.

Measured: test_node_without_the_store_does_not_prolong_departures_at_others failed for removed endpoints before and holds now; its counterpart for an outage for all nodes holds before and after.

--- a/src/snipelink/decide/watch_rotation.py
+++ b/src/snipelink/decide/watch_rotation.py
@@ -13,6 +13,8 @@
 import math
 import random
 
+from snipelink.decide import store_outage
+
 # Mean number of nodes that watch at any time. With this number, a gap of two seconds
 # without a watching node is unlikely even while the store refuses a third of the nodes.
 MEAN_WATCHER_COUNT = 6.0
@@ -52,12 +54,15 @@
         those of them whose loads arrive.
     store_refused : bool
         Whether the store does not answer this node or one of the followed machines.
+    store_contacts : tuple of Contact
+        Contacts of the other nodes with the store.
     """
 
     published_count: int
     followed_count: int
     reporting_count: int
     store_refused: bool = False
+    store_contacts: tuple[store_outage.Contact, ...] = ()
 
     @property
     def reachable_count(self) -> float:
--- a/src/snipelink/mesh/load_reports.py
+++ b/src/snipelink/mesh/load_reports.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 import socket
 import typing
@@ -21,6 +22,7 @@
     placement,
     reporting,
     slowness_period,
+    store_outage,
     store_position,
     work_estimation,
 )
@@ -567,6 +569,15 @@
     return store_position.Position(load.era, load.revision)
 
 
+def store_contact(endpoint_load: EndpointLoad) -> store_outage.Contact:
+    """Return the contact with the platform's store that a node reports."""
+    report = endpoint_load.report
+    answered_at = -math.inf
+    if report.source_age_ms >= 0:
+        answered_at = endpoint_load.received_at - report.source_age_ms / 1000.0
+    return store_outage.Contact(report.source_away, answered_at)
+
+
 def encode_level_samples(
     samples: Iterable[concurrency_limit.LevelSample],
 ) -> list[list[int]]:
--- a/src/snipelink/mesh/node.py
+++ b/src/snipelink/mesh/node.py
@@ -16,6 +16,7 @@
     placement,
     slow_start,
     slowness_period,
+    store_outage,
     store_position,
     subsetting,
     watch_rotation,
@@ -401,8 +402,7 @@
             self._poison_guard.run_due_work(now)
             self._loads.expire(self._observed_hosts(), now)
             self._update_peer_samples(now)
-            if self._is_store_unavailable(now):
-                self._catalog.on_store_unavailable(now)
+            self._watcher.follow_outage(now)
             if self._catalog.expire(now):
                 self._on_catalog()
             self._watcher.log_lag(now)
@@ -416,12 +416,13 @@
             fields = {"delay_s": round(delay_s, 3)}
             logger.warning("event loop is late", extra={"fields": fields})
 
-    def _is_store_unavailable(self, now: float) -> bool:
-        """Whether this node, or a node that reports to it, cannot reach the store."""
-        return self._watcher.is_store_unavailable(now) or any(
-            endpoint_load.report.source_away
+    def _store_contacts(self, now: float) -> tuple[store_outage.Contact, ...]:
+        """Return the contacts with the store that other nodes report."""
+        return tuple(
+            load_reports.store_contact(endpoint_load)
+            for host, endpoint_load in self._loads.loads_by_host.items()
+            if host != self._settings.host
             and now - endpoint_load.received_at < placement.SILENT_NODE_S
-            for endpoint_load in self._loads.loads_by_host.values()
         )
 
     def _observed_hosts(self) -> set[str]:
@@ -431,13 +432,16 @@
     def _other_nodes(self) -> watch_rotation.PeerView:
         now = clock.now()
         observed = self._observed_hosts()
+        contacts = self._store_contacts(now)
+        is_any_away = any(contact.is_away for contact in contacts)
         return watch_rotation.PeerView(
             published_count=len(self._catalog.instances_by_id),
             followed_count=len(observed),
             reporting_count=sum(
                 self._loads.has_recent_report(host, now) for host in observed
             ),
-            store_refused=self._is_store_unavailable(now),
+            store_refused=is_any_away or self._watcher.is_store_unavailable(now),
+            store_contacts=contacts,
         )
 
     def _on_check(self, now: float) -> float:
@@ -519,6 +523,7 @@
 
     def _current_load(self, now: float) -> mesh.Load:
         state, slots = self._runner.state, self._runner.slots
+        answer_age_s = self._watcher.answer_age_s(now)
         running, capacity = slots.reported_load(now)
         return mesh.Load(
             state.instance,
@@ -536,6 +541,7 @@
             slots.capacity,
             load_reports.encode_level_samples(slots.level_samples(now)),
             self._catalog.era,
+            -1 if answer_age_s is None else int(answer_age_s * 1000),
         )
 
     def _update_peer_samples(self, now: float) -> None:
@@ -586,6 +592,7 @@
     def _register_gauges(self) -> None:
         values = {
             "catalog_revision": lambda: self._catalog.revision,
+            "store_out": lambda: float(self._watcher.is_store_out(clock.now())),
             "store_era": lambda: self._catalog.era,
             "configuration_version": lambda: self._catalog.configuration_version,
             "last_resorts": lambda: self._catalog.last_resort_count,
--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 import typing
 from collections.abc import Callable
@@ -12,7 +13,12 @@
 from result import Err, Result
 
 from snipelink import clock
-from snipelink.decide import revision_lag, store_position, watch_rotation
+from snipelink.decide import (
+    revision_lag,
+    store_outage,
+    store_position,
+    watch_rotation,
+)
 from snipelink.mesh import catalog, published_state
 
 logger = logging.getLogger(__name__)
@@ -40,8 +46,8 @@
 # while none has been answered.
 MAX_PEER_REQUESTS = 3
 PEER_REQUEST_INTERVAL_S = 0.3
-# Failures for longer than this count as an outage of the store, in which entries of
-# running servers may have expired.
+# A node whose requests have failed for longer than this is away from the store. While
+# most nodes are, entries of running endpoints may expire.
 STORE_OUTAGE_S = 1.0
 
 
@@ -138,6 +144,8 @@
         self._is_own_turn = False
         self._unavailable_since: float | None = None
         self._last_failure_at = 0.0
+        self._answered_at = -math.inf
+        self._is_outage_known = False
         self._newer_state_reported = asyncio.Event()
         self._lag = revision_lag.RevisionLag()
         self._logged_lag_since: float | None = None
@@ -158,6 +166,37 @@
             return False
         return now - self._unavailable_since > STORE_OUTAGE_S
 
+    def answer_age_s(self, now: float) -> float | None:
+        """Return the seconds since the last answer of the store; None before it."""
+        return now - self._answered_at if math.isfinite(self._answered_at) else None
+
+    def is_store_out(self, now: float) -> bool:
+        """Whether the store is out for the nodes as a whole."""
+        contact = store_outage.Contact(
+            self.is_store_unavailable(now), self._answered_at
+        )
+        return self._is_out_with(contact, now)
+
+    def _is_out_with(self, contact: store_outage.Contact, now: float) -> bool:
+        others = self._other_nodes().store_contacts
+        return store_outage.is_store_out((contact, *others), now)
+
+    def follow_outage(self, now: float) -> None:
+        """Tell the catalog of an outage of the store, and log its start and its end.
+
+        The catalog is told at the first check after the end, too, since the store may
+        have come back shortly before it.
+        """
+        is_out = self.is_store_out(now)
+        if is_out or self._is_outage_known:
+            self._catalog.on_store_unavailable(now)
+        if is_out != self._is_outage_known:
+            self._is_outage_known = is_out
+            logger.warning(
+                "platform is out" if is_out else "platform is no longer out",
+                extra={"fields": {"is_own": self.is_store_unavailable(now)}},
+            )
+
     def behind_s(self, now: float) -> float:
         """Return for how long this node has missed a revision that others report."""
         self._lag.on_known(self._catalog.position)
@@ -355,12 +394,15 @@
         return self._catalog.position, self._catalog.configuration_version
 
     def _on_store_success(self) -> None:
+        now = clock.now()
+        self._answered_at = now
         if self._unavailable_since is None:
             return
-        now = clock.now()
         away_s = now - self._unavailable_since
         self._unavailable_since = None
-        if away_s > STORE_OUTAGE_S:
+        if away_s > STORE_OUTAGE_S and self._is_out_with(
+            store_outage.Contact(is_away=True), now
+        ):
             self._catalog.on_store_unavailable(now)
         logger.info("platform is back", extra={"fields": {"away_s": round(away_s, 3)}})
 
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -648,19 +648,27 @@
         assert (await client.call("c2")).status == 503
 
 
-@run
-async def test_node_without_the_store_does_not_prolong_departures_at_others() -> None:
-    """Guards against calls to leaving endpoints after their drain time.
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_node_without_the_store_does_not_prolong_departures_at_others(
+    *, is_removed: bool
+) -> None:
+    """Guards against calls to endpoints after the drain time of their departure.
 
     One node could not reach the store, and the others took that for an outage of the
     store, after which entries of running endpoints come back.
     """
+    asyncio.run(_leave_while_a_node_is_cut_off(is_removed=is_removed))
+
+
+async def _leave_while_a_node_is_cut_off(*, is_removed: bool) -> None:
     async with fleet.running("rota", "archive", "archive") as members:
         leaving, other, cut = members
         cut.store.cut()
         await asyncio.sleep(watcher.STORE_OUTAGE_S + 1.0)
         instances = tuple(
-            fleet.published_instance(each, leaving=each is leaving) for each in members
+            fleet.published_instance(each, leaving=each is leaving)
+            for each in members
+            if not (is_removed and each is leaving)
         )
         fleet.publish([leaving, other], instances=instances)
         await fleet.wait_until(lambda: fleet.all_up_to_date([leaving, other]), 1.0)
@@ -670,6 +678,31 @@
         assert (await client.call("c2")).status == 503
 
 
+@run
+async def test_removed_endpoint_stays_usable_longer_after_an_outage_for_all() -> None:
+    """Guards against refused calls to a running endpoint whose entry has lapsed.
+
+    It is published again within about two seconds of the return of the store.
+    """
+    async with fleet.running("rota", "archive", "archive") as members:
+        lapsed, other, _ = members
+        published = other.store.state.instances
+        for each in members:
+            each.store.cut()
+        await asyncio.sleep(watcher.STORE_OUTAGE_S + 1.0)
+        for each in members:
+            each.store.is_unavailable = False
+        left = tuple(each for each in published if each.id != lapsed.endpoint.instance)
+        fleet.publish(members, instances=left)
+        await fleet.wait_until(lambda: fleet.all_up_to_date(members), 2.0)
+        client = await fleet.Client.open(other)
+        await asyncio.sleep(1.5)
+        assert (await client.call("c1")).status == 200
+        fleet.publish(members, instances=published)
+        await asyncio.sleep(1.0)
+        assert (await client.call("c2")).status == 200
+
+
 @run
 async def test_node_without_the_store_syncs_from_other_nodes() -> None:
     async with fleet.running("rota", "rota") as members:
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from snipelink import clock
-from snipelink.decide import store_position, watch_rotation
+from snipelink.decide import store_outage, store_position, watch_rotation
 from snipelink.mesh import catalog, published_state, watcher
 
 # Time within which a change must be in force in the strictest deployment, seconds.
@@ -236,6 +236,80 @@
     assert asyncio.run(run_watcher()) == [True, False]
 
 
+def _view_with(
+    *contacts: store_outage.Contact,
+) -> Callable[[], watch_rotation.PeerView]:
+    return lambda: watch_rotation.PeerView(1, 2, 2, store_contacts=contacts)
+
+
+def _last_resort_s_after_failures(
+    monkeypatch: pytest.MonkeyPatch, *contacts: store_outage.Contact
+) -> float:
+    """Return the time of an endpoint that is removed when the store answers again."""
+    monkeypatch.setattr(watcher, "STORE_OUTAGE_S", 0.0)
+    state = catalog.Catalog(2.0)
+    store = ScriptedStore(
+        [
+            published_state.PublishedState(7, None, (_instance("a"),)),
+            watcher.StoreError("down"),
+            catalog.Changes(8, removed=("a",)),
+        ]
+    )
+
+    async def run_watcher() -> float:
+        task = asyncio.ensure_future(
+            _make_watcher(store, state, _view_with(*contacts)).run()
+        )
+        async with asyncio.timeout(5.0):
+            while not state.last_resort_count:
+                await asyncio.sleep(0.005)
+        removed_at = clock.now()
+        task.cancel()
+        step_s = 0.01
+        steps = (n * step_s for n in itertools.count())
+        return next(s for s in steps if not state.is_usable("a", removed_at + s))
+
+    return asyncio.run(run_watcher())
+
+
+def test_failures_of_all_nodes_count_as_an_outage(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    away = store_outage.Contact(is_away=True)
+    assert _last_resort_s_after_failures(monkeypatch) > 2.0
+    assert _last_resort_s_after_failures(monkeypatch, away) > 2.0
+
+
+def test_failures_of_one_node_are_no_outage_while_others_are_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against calls to a removed endpoint after its drain time."""
+    answered = store_outage.Contact(answered_at=clock.now())
+    assert _last_resort_s_after_failures(monkeypatch, answered) < 1.3
+
+
+def test_outage_is_followed_until_the_check_after_its_end(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    state = catalog.Catalog(2.0)
+    now = clock.now()
+    contacts = [store_outage.Contact(is_away=True)]
+    tested = _make_watcher(ScriptedStore([]), state, lambda: _view_with(*contacts)())
+    tested.follow_outage(now)
+    contacts[0] = store_outage.Contact(answered_at=now + 5.0)
+    tested.follow_outage(now + 5.0)
+    tested.follow_outage(now + 6.0)
+    state.apply_snapshot(
+        published_state.PublishedState(7, None, (_instance("a"),)), now + 6.0
+    )
+    state.apply_changes(catalog.Changes(8, removed=("a",)), now + 5.3)
+    assert state.is_usable("a", now + 7.1)
+    assert not state.is_usable("a", now + 7.3)
+    messages = [record.message for record in caplog.records]
+    assert messages[:2] == ["platform is out", "platform is no longer out"]
+
+
 def test_refused_node_leaves_the_watch_rotation_to_others(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
