Do not count a rest after a failed request as an outage of the store

Cause: a node that is refused ends its turn and rests, but the start of its failures was kept until its next answer. One lost answer, and a rest of 10 s later a success, counted as an outage of 10 s that had just ended; one lost answer in each of two turns made the node report itself away at once, which the others took for an outage.

Change: a request that starts more than OUTAGE_EXPIRY_S after the last failure starts the measurement anew. Requests that follow each other, also slow ones, count as before.

--- a/src/snipelink/mesh/watcher.py
+++ b/src/snipelink/mesh/watcher.py
@@ -253,14 +253,14 @@
         while True:
             try:
                 if must_read:
-                    self.read_count += 1
+                    self._on_attempt(clock.now())
                     published = await self._store.read(fresh=fresh)
                     self._on_store_success()
                     self._catalog.apply_snapshot(published, clock.now())
                     must_read = False
                 else:
                     await self._wait_for_turn()
-                    self.read_count += 1
+                    self._on_attempt(clock.now())
                     watch_s = self._rotation.watch_duration_s(clock.now())
                     watched = self._catalog.position
                     changes = await self._store.watch(
@@ -393,6 +393,19 @@
     def _known_state(self) -> tuple[store_position.Position, int]:
         return self._catalog.position, self._catalog.configuration_version
 
+    def _on_attempt(self, now: float) -> None:
+        """Record the start of a request to the store.
+
+        After a rest, nothing tells whether the store answered meanwhile, so that a
+        failure before it belongs to no outage that lasts until now.
+        """
+        self.read_count += 1
+        if (
+            self._unavailable_since is not None
+            and now - self._last_failure_at > OUTAGE_EXPIRY_S
+        ):
+            self._unavailable_since = now
+
     def _on_store_success(self) -> None:
         now = clock.now()
         self._answered_at = now
--- a/tests/mesh/test_watcher.py
+++ b/tests/mesh/test_watcher.py
@@ -25,6 +25,8 @@
     def __init__(self, steps: Sequence[Step]) -> None:
         self.steps = list(steps)
         self.calls: list[str] = []
+        # Monotonic time of the last step.
+        self.answered_at = 0.0
 
     async def read(self, *, fresh: bool) -> published_state.PublishedState:
         step = await self._next("read fresh" if fresh else "read")
@@ -41,6 +43,7 @@
         if not self.steps:
             await asyncio.Event().wait()
         step = self.steps.pop(0)
+        self.answered_at = clock.now()
         if isinstance(step, Exception):
             raise step
         return step
@@ -288,6 +291,65 @@
     assert _last_resort_s_after_failures(monkeypatch, answered) < 1.3
 
 
+def _run_with_a_rest(
+    monkeypatch: pytest.MonkeyPatch, state: catalog.Catalog, after_rest: Step
+) -> tuple[watcher.Watcher, ScriptedStore]:
+    """Let one request fail and the watcher rest, until the next request has ended."""
+    monkeypatch.setattr(watcher, "MAX_FAILURES_PER_TURN", 1)
+    monkeypatch.setattr(watcher, "TURN_CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(watcher, "STORE_OUTAGE_S", 0.2)
+    monkeypatch.setattr(watcher, "OUTAGE_EXPIRY_S", 0.1)
+    monkeypatch.setattr(watch_rotation, "watch_pause_s", lambda others: 0.0)
+    first = published_state.PublishedState(7, None, (_instance("a"),))
+    store = ScriptedStore([first, watcher.StoreError("lost"), after_rest])
+    is_over = False
+
+    def others() -> watch_rotation.PeerView:
+        is_resting = len(store.steps) == 1 and not is_over
+        return watch_rotation.PeerView(3900 if is_resting else 1, 20, 20)
+
+    tested = _make_watcher(store, state, others)
+
+    async def run_watcher() -> None:
+        nonlocal is_over
+        task = asyncio.ensure_future(tested.run())
+        async with asyncio.timeout(5.0):
+            while len(store.steps) > 1:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.3)
+            assert store.steps == [after_rest]
+            is_over = True
+            while store.steps:
+                await asyncio.sleep(0.001)
+        task.cancel()
+
+    asyncio.run(run_watcher())
+    return tested, store
+
+
+def test_failure_before_a_rest_is_no_outage_until_the_next_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against calls to a removed endpoint after its drain time.
+
+    A request failed once. When the node asked the store again after its rest, all the
+    time since then counted as an outage.
+    """
+    state = catalog.Catalog(2.0)
+    _run_with_a_rest(monkeypatch, state, catalog.Changes(8, removed=("a",)))
+    assert state.last_resort_count == 1
+    assert not state.is_usable("a", clock.now() + 1.3)
+
+
+def test_failures_before_and_after_a_rest_are_no_outage(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a node that reports itself away after one failed request."""
+    state = catalog.Catalog(2.0)
+    tested, store = _run_with_a_rest(monkeypatch, state, watcher.StoreError("lost"))
+    assert not tested.is_store_unavailable(store.answered_at)
+
+
 def test_outage_is_followed_until_the_check_after_its_end(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
