Start the time of a last resort only when an endpoint stops being ready

Callers may have seen: requests to a leaving server after its drain time, when its entry was written again with another value; refusals in an evacuated domain after such a write.

Cause: each entry with other content removed the last resort and, if it was a leaving one, started its time anew, whether or not the endpoint had been ready before.

Change: the time starts when an entry replaces a ready one, or removes one; an entry that replaces a departed one keeps the time that is left.

Measured: the six tests on changed entries failed before and hold now, as do the others of the file.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -445,11 +445,15 @@
         self.instances_by_id[instance.id] = instance
         if previous is not None and instance.has_same_content(previous):
             return
-        self._last_resort_until_by_id.pop(instance.id, None)
+        _, until = self._last_resort_until_by_id.pop(instance.id, (None, 0.0))
         # An endpoint that is first read as leaving is no last resort: it may have been
         # leaving for any time, for example while this process was down.
-        if instance.leaving and previous is not None:
-            self._keep_as_last_resort(instance, _Departure.LEAVING, now)
+        if previous is not None and not self._is_ready(instance):
+            if self._is_ready(previous):
+                self._keep_as_last_resort(instance, _Departure.LEAVING, now)
+            elif until:
+                # The time does not start again with another entry.
+                self._last_resort_until_by_id[instance.id] = (instance, until)
         _log_instance("endpoint is published", instance, leaving=instance.leaving)
 
     def _remove(self, instance_id: str, now: float) -> None:
@@ -459,7 +463,8 @@
         if instance is None:
             return
         self._removed_entries.add(instance, now)
-        if not instance.leaving:
+        # The time of an endpoint that was not ready has started before.
+        if self._is_ready(instance):
             self._keep_as_last_resort(instance, _Departure.REMOVED, now)
         _log_instance(
             "endpoint is no longer published", instance, leaving=instance.leaving
@@ -468,10 +473,6 @@
     def _keep_as_last_resort(
         self, instance: published_state.Instance, cause: _Departure, now: float
     ) -> None:
-        if instance.failure_domain in self._evacuated:
-            # The last-resort time of an evacuated endpoint started with the evacuation
-            # and must not start again when the endpoint leaves or is removed.
-            return
         until = now + self._last_resort_s
         if cause is _Departure.REMOVED:
             # The entry may have lapsed in an outage of the store, and come back.
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -134,6 +134,52 @@
     assert _usable(state, NOW + 1.3) == []
 
 
+@pytest.mark.parametrize("field", ["slots", "born_ms"])
+@pytest.mark.parametrize("is_snapshot", [False, True])
+def test_changed_entry_of_a_leaving_endpoint_does_not_restart_its_time(
+    field: str, *, is_snapshot: bool
+) -> None:
+    """Guards against calls to a leaving endpoint after its drain time.
+
+    Its entry was written again with another value of a field.
+    """
+    state = _catalog(_instance("a"))
+    leaving = _instance("a", leaving=True)
+    state.apply_changes(catalog.Changes(6, instances=(leaving,)), NOW)
+    changed = dataclasses.replace(leaving, **{field: 7})
+    if is_snapshot:
+        copy = published_state.PublishedState(7, None, (changed,))
+        state.apply_snapshot(copy, NOW + 1.0)
+    else:
+        state.apply_changes(catalog.Changes(7, instances=(changed,)), NOW + 1.0)
+    assert list(state.usable_instances("rota", NOW + 1.1)) == [changed]
+    assert _usable(state, NOW + 1.3) == []
+    assert not state.is_usable("a", NOW + 1.3)
+
+
+@pytest.mark.parametrize("is_leaving", [False, True])
+def test_changed_entry_in_an_evacuated_domain_keeps_its_time(
+    *, is_leaving: bool
+) -> None:
+    """Guards against refused calls while an evacuated endpoint still serves."""
+    state = _catalog(_instance("a"))
+    state.apply_changes(catalog.Changes(6, evacuated=("a",)), NOW)
+    changed = dataclasses.replace(_instance("a", leaving=is_leaving), slots=7)
+    state.apply_changes(catalog.Changes(7, instances=(changed,)), NOW + 1.0)
+    assert _usable(state, NOW + 1.1) == ["a"]
+    assert _usable(state, NOW + 1.3) == []
+
+
+def test_departure_after_an_evacuation_has_a_time_of_its_own() -> None:
+    state = _catalog(_instance("a"))
+    state.apply_changes(catalog.Changes(6, evacuated=("a",)), NOW)
+    state.apply_changes(catalog.Changes(7, restored=("a",)), NOW + 0.5)
+    leaving = _instance("a", leaving=True)
+    state.apply_changes(catalog.Changes(8, instances=(leaving,)), NOW + 1.0)
+    assert _usable(state, NOW + 2.1) == ["a"]
+    assert _usable(state, NOW + 2.3) == []
+
+
 def test_late_entry_of_a_former_process_is_ignored() -> None:
     state = _catalog(_instance("a", born_ms=2000))
     late = _instance("a", leaving=True, born_ms=1000)
