End the use of endpoints that a restored store still lacks after their time

Callers may have seen: requests to an endpoint that had left shortly before a restore of the store for up to 3.4 s after it, or longer after an outage.

Cause: an entry that the restored copy lacks stays in force for 2.2 s, in which running endpoints are published again. When that time ended, the endpoint was removed like one whose entry is deleted, and became a last resort for another period. The protocol says of an entry that is still missing then: treat it as gone.

Change: it is removed without a further period.

Measured: test_entry_that_stays_absent_after_a_restore_is_no_last_resort failed before and holds now, as do the other tests of the catalog.

--- a/src/snipelink/mesh/catalog.py
+++ b/src/snipelink/mesh/catalog.py
@@ -279,7 +279,8 @@
             i for i, until in self._absent_until_by_id.items() if now >= until
         ]
         for instance_id in absent_ids:
-            self._remove(instance_id, now)
+            # Its time for coming back has passed, so it gets no further one.
+            self._remove(instance_id, now, may_return=False)
         domains = [
             d for d, until in self._absent_until_by_domain.items() if now >= until
         ]
@@ -456,7 +457,7 @@
                 self._last_resort_until_by_id[instance.id] = (instance, until)
         _log_instance("endpoint is published", instance, leaving=instance.leaving)
 
-    def _remove(self, instance_id: str, now: float) -> None:
+    def _remove(self, instance_id: str, now: float, *, may_return: bool = True) -> None:
         self._absent_until_by_id.pop(instance_id, None)
         self._withdrawn_until_by_id.pop(instance_id, None)
         instance = self.instances_by_id.pop(instance_id, None)
@@ -464,7 +465,7 @@
             return
         self._removed_entries.add(instance, now)
         # The time of an endpoint that was not ready has started before.
-        if self._is_ready(instance):
+        if may_return and self._is_ready(instance):
             self._keep_as_last_resort(instance, _Departure.REMOVED, now)
         _log_instance(
             "endpoint is no longer published", instance, leaving=instance.leaving
--- a/tests/mesh/test_catalog.py
+++ b/tests/mesh/test_catalog.py
@@ -472,6 +472,21 @@
     assert _usable(state, NOW + 2.3) == ["b"]
 
 
+def test_entry_that_stays_absent_after_a_restore_is_no_last_resort() -> None:
+    """Guards against calls to an endpoint that left before the restore.
+
+    An entry that is still missing after the time for its return is gone, and the
+    endpoint got calls for another period as one that had just been removed.
+    """
+    state = _catalog_before_restore(_written("a", 50))
+    _restored(state)
+    state.on_store_unavailable(NOW + 1.0)
+    assert _usable(state, NOW + 2.1) == ["a"]
+    assert state.expire(NOW + 2.3)
+    assert _usable(state, NOW + 2.3) == []
+    assert not state.is_usable("a", NOW + 2.3)
+
+
 def test_entry_that_is_written_again_after_a_restore_stays() -> None:
     state = _catalog_before_restore(_written("a", 50))
     _restored(state)
