Soak: withdraw a service while one node cannot reach the store

Change: an event resets the connections of one node to the store for about 5 s and withdraws all endpoints of the other service meanwhile, half of them by a report and half by removal. It counts as planned work, so that all invariants hold. It is drawn apart, and changes no other event of a seed. The drain time is 1.5 s, which makes the check stricter.

--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -18,6 +18,7 @@
         "odd-entries",
         "uploads",
         "versions",
+        "departures",
     }
 )
 # Answers without end to calls and to health checks, refusals that are written once more
@@ -42,7 +43,16 @@
 SILENCE_OPEN_KIND = "silence-open"
 # The store is away for a moment and returns from an older copy.
 RESTORE_KIND = "store-restores"
-KINDS = (*DRAWN_KINDS, SILENCE_OPEN_KIND, RESTORE_KIND, *HOSTILE_KINDS)
+# All endpoints of a service leave while one node of the other service is cut off from
+# the store: planned work, since the store and all other nodes are undisturbed.
+DEPARTURES_KIND = "departures"
+KINDS = (
+    *DRAWN_KINDS,
+    SILENCE_OPEN_KIND,
+    RESTORE_KIND,
+    *HOSTILE_KINDS,
+    DEPARTURES_KIND,
+)
 # Number of events that are drawn for a run, and their duration.
 MIN_EVENT_COUNT, MAX_EVENT_COUNT = 4, 10
 MIN_DURATION_S, MAX_DURATION_S = 0.2, 2.5
@@ -58,6 +68,9 @@
 RESTORE_RATIO = 0.3
 # Share of all runs with one event of ``HOSTILE_KINDS``, drawn in the same way.
 HOSTILE_RATIO = 0.5
+# Share of all runs with one event of ``DEPARTURES_KIND`` if it conflicts with no other.
+DEPARTURES_RATIO = 0.5
+DEPARTURES_DURATION_S = 2.0 * MAX_DURATION_S
 # Seeds that once failed with 4 nodes and 8 seconds, with the cause of the failure.
 REGRESSION_SEEDS = {
     30: "the soak replaced one endpoint twice at a time",
@@ -92,7 +105,8 @@
     rng = random.Random(f"soak/{seed}/{node_count}/{fault_window_s}")
     kinds = DRAWN_KINDS
     if rng.random() < PLANNED_ONLY_RATIO:
-        kinds = tuple(sorted(PLANNED_KINDS.difference(HOSTILE_KINDS)))
+        drawn_apart = {*HOSTILE_KINDS, DEPARTURES_KIND}
+        kinds = tuple(sorted(PLANNED_KINDS.difference(drawn_apart)))
     events: list[Event] = []
     start_s = 0.5
     for _ in range(rng.randint(MIN_EVENT_COUNT, MAX_EVENT_COUNT)):
@@ -126,9 +140,28 @@
         )
         if not any(_conflict(other, event) for other in events):
             events.append(event)
+    departures_rng = random.Random(f"soak/departures/{seed}/{node_count}")
+    if departures_rng.random() < DEPARTURES_RATIO:
+        event = Event(
+            departures_rng.uniform(0.5, fault_window_s - MAX_DURATION_S),
+            DEPARTURES_KIND,
+            departures_rng.randrange(node_count),
+            DEPARTURES_DURATION_S,
+        )
+        if not any(_replaces_departing(other, event) for other in events):
+            events.append(event)
     return sorted(events, key=lambda event: event.start_s)
 
 
+def _replaces_departing(other: Event, departures: Event) -> bool:
+    """Whether an event replaces an endpoint of the service that leaves.
+
+    The services of the nodes alternate.
+    """
+    is_departing = (other.node - departures.node) % 2 == 1
+    return is_departing and other.kind in {"drain", "vanish", "odd-entries"}
+
+
 def _conflict(one: Event, other: Event) -> bool:
     """Whether two events on one node have the same kind or change the same thing."""
     both = {one.kind, other.kind}
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -17,7 +17,7 @@
 from snipelink.mesh import channel
 from snipelink.session import http
 
-DRAIN_S, ROUTE_APPLY_S, GRACE_S, TIMEOUT_S = 2.0, 2.0, 3.0, 1.0
+DRAIN_S, ROUTE_APPLY_S, GRACE_S, TIMEOUT_S = 1.5, 2.0, 3.0, 1.0
 SERVICES = ("front", "back")
 ZONES = ("a", "b")
 CALLERS_PER_NODE = 3
@@ -42,6 +42,9 @@
 RESTORE_OUTAGE_S, REWRITE_DELAY_S = 0.4, 0.8
 # Time for which a withdrawn server still runs after its drain time.
 SHUTDOWN_LINGER_S = 1.0
+# Time for which a node is cut off from the store before the endpoints of a service
+# leave; the node then counts as away.
+CUT_BEFORE_DEPARTURES_S = 2.0
 
 
 class Run:
@@ -194,6 +197,7 @@
             "odd-entries": self._replace_entry,
             "uploads": self._upload,
             "versions": self._publish_versions,
+            plan.DEPARTURES_KIND: self._withdraw_service,
         }
         actions |= dict.fromkeys(plan.LINK_KINDS, self._inject_link_fault)
         actions |= dict.fromkeys(plan.STORE_KINDS[:3], self._inject_store_fault)
@@ -279,6 +283,25 @@
         await asyncio.sleep(DRAIN_S + SHUTDOWN_LINGER_S)
         await self._replace_endpoint(event.node)
 
+    async def _withdraw_service(self, event: plan.Event) -> None:
+        """Withdraw the endpoints of the other service than that of a node cut off.
+
+        They leave as by ``drain`` and ``vanish``, in turn.
+        """
+        node = self._nodes[event.node]
+        self._store.cut_off(node.host)
+        await asyncio.sleep(CUT_BEFORE_DEPARTURES_S)
+        departing = [
+            dataclasses.replace(event, node=number)
+            for number, each in enumerate(self._nodes)
+            if each.service != node.service
+        ]
+        await asyncio.gather(
+            *(self._drain_endpoint(each) for each in departing[::2]),
+            *(self._remove_endpoint_entry(each) for each in departing[1::2]),
+        )
+        self._store.reconnect(node.host)
+
     async def _replace_endpoint(self, number: int) -> None:
         self._endpoints[number].stop()
         await asyncio.sleep(nodes.RESTART_DELAY_S)
--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import dataclasses
+import functools
 import json
 import time
 import typing
@@ -75,11 +76,13 @@
         self._changed = asyncio.Event()
         self._listeners: list[channel.Listener] = []
         self.active_fault = ""
+        self._cut_hosts: set[str] = set()
 
     async def start(self, addresses: list[channel.Address]) -> None:
         """Listen on the addresses of all nodes."""
         for address in addresses:
-            listener = await channel.listen(address, self._serve, 64)
+            serve = functools.partial(self._serve, address[0])
+            listener = await channel.listen(address, serve, 64)
             self._listeners.append(listener)
 
     def close(self) -> None:
@@ -100,6 +103,15 @@
         self._notify_watchers()
         return event.written_at
 
+    def cut_off(self, host: str) -> None:
+        """Reset the connections of a node, also new ones, until it is reconnected."""
+        self._cut_hosts.add(host)
+        self._notify_watchers()
+
+    def reconnect(self, host: str) -> None:
+        """Serve a node again."""
+        self._cut_hosts.discard(host)
+
     def forget_history(self) -> None:
         """Discard the history of changes and end all waiting watches."""
         self._forgotten_revision = self._revision
@@ -127,7 +139,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _serve(self, stream: channel.Channel) -> None:
+    async def _serve(self, host: str, stream: channel.Channel) -> None:
         reader = request_reader.RequestReader(
             Limits(), memory.PoolCharge(memory.Pool(0))
         )
@@ -135,15 +147,20 @@
             while data := await stream.receive():
                 reader.feed(data)
                 while (request := reader.next_request()) is not None:
-                    await self._answer(stream, request)
+                    await self._answer(host, stream, request)
         except ConnectionError:
             # The node was killed or gave up the request.
             return
 
-    async def _answer(self, stream: channel.Channel, request: http.Request) -> None:
+    async def _answer(
+        self, host: str, stream: channel.Channel, request: http.Request
+    ) -> None:
         if self.active_fault == "store-slow":
             await asyncio.sleep(SLOW_ANSWER_DELAY_S)
         status, body = await self._read_state(request)
+        if host in self._cut_hosts:
+            stream.abort()
+            return
         if self.active_fault == "store-silent":
             await asyncio.Event().wait()
         if self.active_fault == "store-refuses":
--- a/tests/bench/soak/test_run.py
+++ b/tests/bench/soak/test_run.py
@@ -39,6 +39,19 @@
     assert 0.0 < peak_mb <= MAX_PEAK_MB_BY_KIND.get(kind, MAX_PEAK_MB)
 
 
+@pytest.mark.parametrize("cut_node", [0, 1])
+def test_departures_end_in_time_while_a_node_is_cut_off_from_the_store(
+    cut_node: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against one node's trouble that prolongs the use of what has left."""
+    events = [
+        plan.Event(0.5, plan.DEPARTURES_KIND, cut_node, plan.DEPARTURES_DURATION_S)
+    ]
+    recorded = asyncio.run(run.Run(1, 4, SECONDS, tmp_path, events).execute())
+    assert checks.check(recorded) == []
+    assert len(recorded.withdrawals) == 2
+
+
 def test_new_route_is_in_force_after_restores_of_the_store(
     tmp_path: pathlib.Path,
 ) -> None:
