Count the calls of three restores in the test of their cost

Cause: the test compared the calls to the store around one restore with those around one lost history.

Change: the counts of three rounds are summed, and 4 calls a round are allowed as before. The bound on the mean is the same, so the test is as strict, and chance exceeds it less often.

--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -12,6 +12,8 @@
 OUTAGE_S = 0.3
 # Time within which a change must be in force in the strictest deployment, seconds.
 MAX_APPLY_S = 2.0
+# Times that the calls around a restore and around a lost history are counted.
+ROUND_COUNT = 3
 NEW_ROUTE = fleet.route("rota", "/new/")
 
 
@@ -64,10 +66,11 @@
 
 @run
 async def test_restore_costs_the_store_no_more_calls_than_a_lost_history() -> None:
-    call_counts = []
+    # The counts vary by a few calls, with the random pauses of the nodes.
+    call_counts = {False: 0, True: 0}
     async with fleet.running(*["rota"] * 4) as members:
         copy = members[0].store.state
-        for is_restored in (False, True):
+        for is_restored in (False, True) * ROUND_COUNT:
             _advance(members)
             await fleet.wait_until(lambda: fleet.all_up_to_date(members))
             before = sum(member.store.call_count for member in members)
@@ -77,9 +80,9 @@
                 await _restore_nothing(members)
             await asyncio.sleep(MAX_APPLY_S)
             after = sum(member.store.call_count for member in members)
-            call_counts.append(after - before)
-    lost_history, restored = call_counts
-    assert restored <= lost_history + len(members)
+            call_counts[is_restored] += after - before
+    allowed = call_counts[False] + ROUND_COUNT * len(members)
+    assert call_counts[True] <= allowed, call_counts
 
 
 async def _restore_nothing(members: list[fleet.Member]) -> None:
